Lay the skeleton: shared types, platform interfaces with stand-ins, peers

Cause: the repository was empty, and several areas are to be built side by side on the same types and interfaces. Ways weighed: one package for all platform interfaces, or one for each with its HTTP client and its in-memory stand-in beside it. The second was taken, because each stand-in then passes the same tests directly and over HTTP. Conclusion: the decisions, the requests, the documents and the proofs can now be built side by side.

--- /dev/null
+++ b/internal/app/cmds/cmds.go
@@ -0,0 +1,48 @@
+// Package cmds is the command line.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// Run runs the command line and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &cli.Command{
+		Name:           "magnoliawalk",
+		Usage:          "schedule services, batch work and all-at-once jobs",
+		Version:        Version,
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands:       []*cli.Command{versionCommand()},
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	typed := errs.Of(err)
+	if _, printErr := fmt.Fprintln(stderr, "error:", typed.Error()); printErr != nil {
+		return errs.ExitInternal
+	}
+	return errs.AnswerOf(typed.Kind).Exit
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, err := fmt.Fprintln(c.Root().Writer, Version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/core/errs/errs.go
@@ -0,0 +1,121 @@
+// Package errs holds the closed list of error kinds and the table from each kind
+// to the answer that callers, operators and other daemons receive.
+package errs
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Kinds of error. The list is closed: every error that leaves a package has one of them.
+const (
+	// Invalid means that the input broke a rule of its format.
+	Invalid Kind = "Invalid"
+	// Denied means that the caller lacks the right to make the call.
+	Denied Kind = "Denied"
+	// NotFound means that the named entity is not known.
+	NotFound Kind = "NotFound"
+	// Conflict means that another writer changed the record first.
+	Conflict Kind = "Conflict"
+	// Impossible means that the work can never run as it was described.
+	Impossible Kind = "Impossible"
+	// TooLarge means that a body is larger than its limit.
+	TooLarge Kind = "TooLarge"
+	// QuotaExceeded means that the team's quota does not allow the work.
+	QuotaExceeded Kind = "QuotaExceeded"
+	// Overloaded means that the work was shed before it was dispatched.
+	Overloaded Kind = "Overloaded"
+	// Unavailable means that a dependency could not be reached and nothing was done.
+	Unavailable Kind = "Unavailable"
+	// Draining means that the process is shutting down and took no work.
+	Draining Kind = "Draining"
+	// Deadline means that the time limit passed before the work was dispatched.
+	Deadline Kind = "Deadline"
+	// Unknown means that the work was dispatched and its fate is not known.
+	Unknown Kind = "Unknown"
+	// Lost means that a call was sent and its answer did not arrive.
+	Lost Kind = "Lost"
+	// Fenced means that the sender's epoch is older than one already seen.
+	Fenced Kind = "Fenced"
+	// Internal means that the process broke one of its own rules.
+	Internal Kind = "Internal"
+)
+
+const separator = "|"
+
+type (
+	// Kind names one entry of the closed list of error kinds.
+	Kind string
+
+	// Error is an error with a kind, a message for people, and a time after which to retry.
+	Error struct {
+		Kind       Kind          `json:"Kind"`
+		Message    string        `json:"Message"`
+		RetryAfter time.Duration `json:"RetryAfter,omitempty"`
+	}
+)
+
+// Error returns the kind and the message.
+func (e *Error) Error() string {
+	return string(e.Kind) + ": " + e.Message
+}
+
+// New returns an error of the given kind with a stack trace.
+func New(kind Kind, format string, args ...any) error {
+	return trace.Wrap(&Error{Kind: kind, Message: fmt.Sprintf(format, args...)})
+}
+
+// After returns an error of the given kind that tells the caller when to retry.
+func After(kind Kind, wait time.Duration, format string, args ...any) error {
+	return trace.Wrap(&Error{Kind: kind, Message: fmt.Sprintf(format, args...), RetryAfter: wait})
+}
+
+// Of returns the typed error within err, or one of kind Internal when there is none.
+func Of(err error) *Error {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return &Error{Kind: Internal, Message: err.Error()}
+}
+
+// Is tells whether err has one of the kinds.
+func Is(err error, kinds ...Kind) bool {
+	if err == nil {
+		return false
+	}
+	found := Of(err).Kind
+	for _, k := range kinds {
+		if found == k {
+			return true
+		}
+	}
+	return false
+}
+
+// Encode returns err as one line that Decode reads back; net/rpc carries errors as strings.
+func Encode(err error) string {
+	typed := Of(err)
+	return strings.Join([]string{string(typed.Kind), typed.RetryAfter.String(), typed.Message}, separator)
+}
+
+// Decode reads a line written by Encode; any other text becomes an error of kind Internal.
+func Decode(line string) error {
+	parts := strings.SplitN(line, separator, 3)
+	if len(parts) != 3 {
+		return New(Internal, "%s", line)
+	}
+	kind := Kind(parts[0])
+	if _, known := answers[kind]; !known {
+		return New(Internal, "%s", line)
+	}
+	wait, err := time.ParseDuration(parts[1])
+	if err != nil {
+		return New(Internal, "%s", line)
+	}
+	return After(kind, wait, "%s", parts[2])
+}
--- /dev/null
+++ b/internal/core/errs/errs_test.go
@@ -0,0 +1,44 @@
+package errs
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func TestEncodeDecode(t *testing.T) {
+	for _, k := range Kinds() {
+		t.Run(string(k), func(t *testing.T) {
+			got := Of(Decode(Encode(After(k, time.Second, "a|b: %d", 1))))
+			if got.Kind != k || got.RetryAfter != time.Second || got.Message != "a|b: 1" {
+				t.Fatalf("got %+v", got)
+			}
+		})
+	}
+}
+
+func TestDecodeOfForeignTextIsInternal(t *testing.T) {
+	for _, line := range []string{"", "boom", "Nope|1s|x", "Lost|x|y"} {
+		if !Is(Decode(line), Internal) {
+			t.Errorf("%q was not read as Internal", line)
+		}
+	}
+}
+
+func TestEveryKindHasAStatusAndAnExitCode(t *testing.T) {
+	for _, k := range Kinds() {
+		row := AnswerOf(k)
+		if row.Status < 400 || row.Exit == 0 {
+			t.Errorf("%s has row %+v", k, row)
+		}
+		if row.Retry && row.MayHaveRun {
+			t.Errorf("%s allows a retry of what may have run", k)
+		}
+	}
+}
+
+func TestUntypedErrorIsInternal(t *testing.T) {
+	if Of(errors.New("x")).Kind != Internal {
+		t.Fatal("want Internal")
+	}
+}
--- /dev/null
+++ b/internal/core/types/units.go
@@ -0,0 +1,83 @@
+package types
+
+import (
+	"fmt"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+)
+
+// Units of the resources of a worker.
+const (
+	// Core is one processor core.
+	Core MilliCores = 1000
+	// GiB is one gibibyte of memory.
+	GiB MiB = 1024
+)
+
+type (
+	// MilliCores counts processor time in thousandths of a core.
+	MilliCores int64
+	// MiB counts memory in mebibytes.
+	MiB int64
+	// Accelerators counts whole accelerators.
+	Accelerators int64
+	// Bytes counts bytes.
+	Bytes int64
+
+	// Resources is an amount of each resource that a worker has.
+	Resources struct {
+		Cores        MilliCores   `json:"Cores" yaml:"Cores"`
+		Memory       MiB          `json:"Memory" yaml:"Memory"`
+		Accelerators Accelerators `json:"Accelerators,omitempty" yaml:"Accelerators"`
+	}
+)
+
+// Add returns the sum of two amounts.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		Cores:        r.Cores + o.Cores,
+		Memory:       r.Memory + o.Memory,
+		Accelerators: r.Accelerators + o.Accelerators,
+	}
+}
+
+// Sub returns the difference of two amounts; a field may be negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		Cores:        r.Cores - o.Cores,
+		Memory:       r.Memory - o.Memory,
+		Accelerators: r.Accelerators - o.Accelerators,
+	}
+}
+
+// Times returns the amount multiplied by a count.
+func (r Resources) Times(count int) Resources {
+	return Resources{
+		Cores:        r.Cores * MilliCores(count),
+		Memory:       r.Memory * MiB(count),
+		Accelerators: r.Accelerators * Accelerators(count),
+	}
+}
+
+// Fits tells whether the amount is within another one in every resource.
+func (r Resources) Fits(within Resources) bool {
+	return r.Cores <= within.Cores && r.Memory <= within.Memory && r.Accelerators <= within.Accelerators
+}
+
+// IsZero tells whether every resource is zero.
+func (r Resources) IsZero() bool {
+	return r == Resources{}
+}
+
+// Check returns an error when a resource is negative.
+func (r Resources) Check() error {
+	if r.Cores < 0 || r.Memory < 0 || r.Accelerators < 0 {
+		return errs.New(errs.Invalid, "resources must not be negative: %s", r)
+	}
+	return nil
+}
+
+// String returns the amounts with their units.
+func (r Resources) String() string {
+	return fmt.Sprintf("%dm cores, %d MiB, %d accelerators", r.Cores, r.Memory, r.Accelerators)
+}
--- /dev/null
+++ b/internal/node/peer/memory.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+)
+
+type (
+	// Network joins daemons in memory and can part data centres. It is safe for concurrent use.
+	Network struct {
+		mu    sync.Mutex
+		nodes map[types.Address]*Node
+		cut   map[pair]bool
+		lose  int
+	}
+
+	// Node is one daemon's place in a Network: a Caller and a Registrar.
+	Node struct {
+		network *Network
+		self    Target
+		rpc     *rpc.Server
+		client  *rpc.Client
+		meter   *meter.Meter
+		down    bool
+	}
+
+	pair struct {
+		from, to types.DataCentre
+	}
+)
+
+// NewNetwork returns a network without nodes.
+func NewNetwork() *Network {
+	return &Network{nodes: make(map[types.Address]*Node), cut: make(map[pair]bool)}
+}
+
+// Join adds a daemon. Another one with the same address is replaced.
+func (n *Network) Join(self Target, calls *meter.Meter) *Node {
+	near, far := net.Pipe()
+	node := &Node{network: n, self: self, rpc: rpc.NewServer(), meter: calls}
+	go node.rpc.ServeConn(far)
+	node.client = rpc.NewClient(near)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[self.Address] = node
+	return node
+}
+
+// SetDown makes a daemon unreachable until it is set up again.
+func (n *Network) SetDown(address types.Address, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if node, ok := n.nodes[address]; ok {
+		node.down = down
+	}
+}
+
+// Cut parts two data centres in both directions, or joins them again.
+func (n *Network) Cut(a, b types.DataCentre, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[pair{a, b}] = cut
+	n.cut[pair{b, a}] = cut
+}
+
+// LoseAnswers makes the answers of the next calls fail after the calls took effect.
+func (n *Network) LoseAnswers(calls int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lose = calls
+}
+
+// Register makes a service callable under the name.
+func (d *Node) Register(name string, service any) error {
+	if err := d.rpc.RegisterName(name, service); err != nil {
+		return errs.New(errs.Internal, "registering %s: %v", name, err)
+	}
+	return nil
+}
+
+// Call calls a method of another node.
+func (d *Node) Call(ctx context.Context, to Target, method Method, args, reply any) error {
+	node, err := d.network.route(d, to)
+	if err == nil {
+		err = node.run(ctx, method, args, reply)
+	}
+	if err == nil && d.network.lost() {
+		err = errs.New(errs.Lost, "the answer of %s was lost", method)
+	}
+	sample := meter.Sample{Kind: method.Kind(), Remote: to.Site.Region, Failed: err != nil}
+	if err == nil {
+		sample.Sent = size(args)
+		sample.Read = size(reply)
+	}
+	d.meter.Count(sample)
+	return err
+}
+
+func (d *Node) run(ctx context.Context, method Method, args, reply any) error {
+	call := d.client.Go(string(method), args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		return errs.New(errs.Lost, "calling %s: %v", method, ctx.Err())
+	}
+	if call.Error != nil {
+		return errs.Decode(call.Error.Error())
+	}
+	return nil
+}
+
+func (n *Network) route(from *Node, to Target) (*Node, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node, ok := n.nodes[to.Address]
+	if !ok || node.down || from.down {
+		return nil, errs.New(errs.Unavailable, "%s is down", to.Address)
+	}
+	if n.cut[pair{from.self.Site.DataCentre, node.self.Site.DataCentre}] {
+		return nil, errs.New(errs.Unavailable, "%s is cut off from %s", to.Address, from.self.Site.DataCentre)
+	}
+	return node, nil
+}
+
+func (n *Network) lost() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lose == 0 {
+		return false
+	}
+	n.lose--
+	return true
+}
+
+// size returns the encoded size of a value in bytes, without the description of its type.
+func size(value any) int {
+	var buffer bytes.Buffer
+	e := gob.NewEncoder(&buffer)
+	if err := e.Encode(value); err != nil {
+		return 0
+	}
+	first := buffer.Len()
+	if err := e.Encode(value); err != nil {
+		return first
+	}
+	return buffer.Len() - first
+}
--- /dev/null
+++ b/internal/node/peer/rpc.go
@@ -0,0 +1,212 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+)
+
+const dialTimeout = time.Second
+
+type (
+	// Server takes calls from other daemons.
+	Server struct {
+		rpc *rpc.Server
+
+		mu       sync.Mutex
+		listener net.Listener
+		conns    map[net.Conn]struct{}
+		closed   bool
+	}
+
+	// Client calls other daemons; it keeps one connection for each.
+	Client struct {
+		meter *meter.Meter
+
+		mu    sync.Mutex
+		links map[types.Address]*link
+	}
+
+	link struct {
+		rpc  *rpc.Client
+		conn *countedConn
+	}
+
+	// countedConn counts the bytes of a connection.
+	countedConn struct {
+		net.Conn
+		sent atomic.Int64
+		read atomic.Int64
+	}
+)
+
+// NewServer returns a server without services.
+func NewServer() *Server {
+	return &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+}
+
+// Register makes a service callable under the name.
+func (s *Server) Register(name string, service any) error {
+	if err := s.rpc.RegisterName(name, service); err != nil {
+		return errs.New(errs.Internal, "registering %s: %v", name, err)
+	}
+	return nil
+}
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if s.track(conn) {
+			go s.serve(conn)
+		}
+	}
+}
+
+// Close stops taking connections and breaks those that are open.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) serve(conn net.Conn) {
+	s.rpc.ServeConn(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// NewClient returns a client without connections.
+func NewClient(calls *meter.Meter) *Client {
+	return &Client{meter: calls, links: make(map[types.Address]*link)}
+}
+
+// Call calls a method of another daemon and waits for the answer or the end of ctx.
+func (c *Client) Call(ctx context.Context, to Target, method Method, args, reply any) error {
+	l, err := c.link(ctx, to.Address)
+	if err != nil {
+		c.meter.Count(meter.Sample{Kind: method.Kind(), Remote: to.Site.Region, Failed: true})
+		return err
+	}
+	sent, read := l.conn.sent.Load(), l.conn.read.Load()
+	call := l.rpc.Go(string(method), args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = c.result(to.Address, l, call.Error)
+	case <-ctx.Done():
+		err = errs.New(errs.Lost, "calling %s at %s: %v", method, to.Address, ctx.Err())
+	}
+	c.meter.Count(meter.Sample{
+		Kind:   method.Kind(),
+		Remote: to.Site.Region,
+		Sent:   int(l.conn.sent.Load() - sent),
+		Read:   int(l.conn.read.Load() - read),
+		Failed: err != nil,
+	})
+	return err
+}
+
+// Close breaks all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, l := range c.links {
+		_ = l.rpc.Close()
+		delete(c.links, address)
+	}
+}
+
+func (c *Client) result(address types.Address, l *link, err error) error {
+	if err == nil {
+		return nil
+	}
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return errs.Decode(string(remote))
+	}
+	c.drop(address, l)
+	return errs.New(errs.Lost, "calling %s: %v", address, err)
+}
+
+func (c *Client) link(ctx context.Context, address types.Address) (*link, error) {
+	c.mu.Lock()
+	l, ok := c.links[address]
+	c.mu.Unlock()
+	if ok {
+		return l, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, errs.New(errs.Unavailable, "connecting to %s: %v", address, err)
+	}
+	counted := &countedConn{Conn: conn}
+	return c.keep(address, &link{rpc: rpc.NewClient(counted), conn: counted}), nil
+}
+
+// keep stores a new connection, unless another call stored one first.
+func (c *Client) keep(address types.Address, l *link) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if first, ok := c.links[address]; ok {
+		_ = l.rpc.Close()
+		return first
+	}
+	c.links[address] = l
+	return l
+}
+
+func (c *Client) drop(address types.Address, l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[address] == l {
+		delete(c.links, address)
+	}
+	_ = l.rpc.Close()
+}
+
+// Write counts the bytes that are sent.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// Read counts the bytes that are read.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/plat/fault/fault.go
@@ -0,0 +1,97 @@
+// Package fault brings about failures in the in-memory stand-ins.
+package fault
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+type (
+	// Plan holds the failures that are in force for one stand-in. It is safe for concurrent use.
+	Plan struct {
+		mu    sync.Mutex
+		clock clockwork.Clock
+		down  bool
+		delay time.Duration
+		lose  int
+		cut   map[types.DataCentre]bool
+	}
+)
+
+// New returns a plan without failures.
+func New(clock clockwork.Clock) *Plan {
+	return &Plan{clock: clock, cut: make(map[types.DataCentre]bool)}
+}
+
+// SetDown makes every call fail before it takes effect.
+func (p *Plan) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// SetDelay makes every call wait before it takes effect.
+func (p *Plan) SetDelay(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
+// LoseAnswers makes the answers of the next calls fail after the calls took effect.
+func (p *Plan) LoseAnswers(calls int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = calls
+}
+
+// Cut makes calls from the data centre fail before they take effect, until healed.
+func (p *Plan) Cut(from types.DataCentre, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[from] = cut
+}
+
+// Before is called before an effect. It returns an error of kind Unavailable when the call must not take effect.
+func (p *Plan) Before(ctx context.Context, from types.DataCentre) error {
+	p.mu.Lock()
+	down, delay, cut := p.down, p.delay, p.cut[from]
+	p.mu.Unlock()
+	if delay > 0 {
+		if err := p.wait(ctx, delay); err != nil {
+			return err
+		}
+	}
+	if down {
+		return errs.New(errs.Unavailable, "the platform is down")
+	}
+	if cut {
+		return errs.New(errs.Unavailable, "data centre %s is cut off", from)
+	}
+	return nil
+}
+
+// After is called after an effect. It returns an error of kind Lost when the answer must not arrive.
+func (p *Plan) After() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lose == 0 {
+		return nil
+	}
+	p.lose--
+	return errs.New(errs.Lost, "the answer was lost")
+}
+
+func (p *Plan) wait(ctx context.Context, delay time.Duration) error {
+	select {
+	case <-p.clock.After(delay):
+		return nil
+	case <-ctx.Done():
+		return errs.New(errs.Unavailable, "waiting for the platform: %v", ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/plat/store/handler.go
@@ -0,0 +1,61 @@
+package store
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/alexedwards/flow"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rest"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+)
+
+const bodyLimit = 2 << 20
+
+type server struct {
+	memory *Memory
+}
+
+// Handler serves the in-memory store over HTTP, as the stand-in for the platform's service.
+func (m *Memory) Handler() http.Handler {
+	s := server{memory: m}
+	mux := flow.New()
+	mux.HandleFunc(pathGet, rest.Handle(bodyLimit, s.get), http.MethodPost)
+	mux.HandleFunc(pathList, rest.Handle(bodyLimit, s.list), http.MethodPost)
+	mux.HandleFunc(pathPut, rest.Handle(bodyLimit, s.put), http.MethodPost)
+	mux.HandleFunc(pathDelete, rest.Handle(bodyLimit, s.delete), http.MethodPost)
+	mux.HandleFunc(pathGrant, rest.Handle(bodyLimit, s.grant), http.MethodPost)
+	mux.HandleFunc(pathRenew, rest.Handle(bodyLimit, s.renew), http.MethodPost)
+	mux.HandleFunc(pathWatch, rest.Handle(bodyLimit, s.watch), http.MethodPost)
+	return mux
+}
+
+func (s server) get(ctx context.Context, q *Query) (Entry, error) {
+	return s.memory.As(q.From, meter.Discard()).Get(ctx, q.Key)
+}
+
+func (s server) list(ctx context.Context, q *Query) (Page, error) {
+	return s.memory.As(q.From, meter.Discard()).List(ctx, q.Key)
+}
+
+func (s server) put(ctx context.Context, q *PutQuery) (Entry, error) {
+	return s.memory.As(q.From, meter.Discard()).Put(ctx, q.Put)
+}
+
+func (s server) delete(ctx context.Context, q *Query) (Empty, error) {
+	return Empty{}, s.memory.As(q.From, meter.Discard()).Delete(ctx, q.Key, q.Expect)
+}
+
+func (s server) grant(ctx context.Context, q *Query) (LeaseID, error) {
+	return s.memory.As(q.From, meter.Discard()).Grant(ctx, q.TTL)
+}
+
+func (s server) renew(ctx context.Context, q *Query) (Empty, error) {
+	return Empty{}, s.memory.As(q.From, meter.Discard()).Renew(ctx, q.Lease)
+}
+
+func (s server) watch(ctx context.Context, q *Query) (Page, error) {
+	limited, cancel := context.WithTimeout(ctx, watchWait)
+	defer cancel()
+	return s.memory.As(q.From, meter.Discard()).Watch(limited, q.Key, q.Expect)
+}
--- /dev/null
+++ b/internal/plat/store/memory.go
@@ -0,0 +1,275 @@
+package store
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/fault"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+)
+
+const maxHistory = 4096
+
+type (
+	// Memory is an in-memory store with failures on demand. It is safe for concurrent use.
+	Memory struct {
+		Faults *fault.Plan
+
+		mu      sync.Mutex
+		clock   clockwork.Clock
+		region  types.Region
+		entries map[Key]Entry
+		leases  map[LeaseID]lease
+		version Version
+		next    LeaseID
+		history []Entry
+		changed chan struct{}
+	}
+
+	lease struct {
+		ttl     time.Duration
+		expires time.Time
+	}
+
+	// view is the store as one caller sees it.
+	view struct {
+		memory *Memory
+		from   types.DataCentre
+		meter  *meter.Meter
+	}
+)
+
+// NewMemory returns an empty store that stands in the region.
+func NewMemory(clock clockwork.Clock, region types.Region) *Memory {
+	return &Memory{
+		Faults:  fault.New(clock),
+		clock:   clock,
+		region:  region,
+		entries: make(map[Key]Entry),
+		leases:  make(map[LeaseID]lease),
+		changed: make(chan struct{}),
+	}
+}
+
+// As returns the store as a caller in the data centre sees it; calls are counted by the meter.
+func (m *Memory) As(from types.DataCentre, calls *meter.Meter) Store {
+	return &view{memory: m, from: from, meter: calls}
+}
+
+// do runs one counted call with the failures that are in force.
+func (v *view) do(ctx context.Context, kind meter.Kind, sent int, effect func() (int, error)) error {
+	read := 0
+	err := v.memory.Faults.Before(ctx, v.from)
+	if err == nil {
+		read, err = effect()
+		if lost := v.memory.Faults.After(); lost != nil {
+			err = lost
+		}
+	}
+	v.meter.Count(meter.Sample{Kind: kind, Remote: v.memory.region, Sent: sent, Read: read, Failed: err != nil})
+	return err
+}
+
+// Get reads one key.
+func (v *view) Get(ctx context.Context, key Key) (Entry, error) {
+	var out Entry
+	err := v.do(ctx, KindGet, len(key), func() (int, error) {
+		v.memory.mu.Lock()
+		defer v.memory.mu.Unlock()
+		v.memory.expire()
+		entry, ok := v.memory.entries[key]
+		if !ok {
+			return 0, errs.New(errs.NotFound, "key %s does not exist", key)
+		}
+		out = entry
+		return len(entry.Value), nil
+	})
+	return out, err
+}
+
+// List reads all keys with the prefix.
+func (v *view) List(ctx context.Context, prefix Key) (Page, error) {
+	var out Page
+	err := v.do(ctx, KindList, len(prefix), func() (int, error) {
+		v.memory.mu.Lock()
+		defer v.memory.mu.Unlock()
+		v.memory.expire()
+		out = v.memory.list(prefix)
+		return sizeOf(out), nil
+	})
+	return out, err
+}
+
+// Put writes one key by compare-and-swap.
+func (v *view) Put(ctx context.Context, put Put) (Entry, error) {
+	if err := put.Check(); err != nil {
+		return Entry{}, err
+	}
+	var out Entry
+	err := v.do(ctx, KindPut, len(put.Key)+len(put.Value), func() (int, error) {
+		v.memory.mu.Lock()
+		defer v.memory.mu.Unlock()
+		v.memory.expire()
+		var err error
+		out, err = v.memory.put(put)
+		return 0, err
+	})
+	return out, err
+}
+
+// Delete removes one key while it has the expected version.
+func (v *view) Delete(ctx context.Context, key Key, expect Version) error {
+	return v.do(ctx, KindDelete, len(key), func() (int, error) {
+		v.memory.mu.Lock()
+		defer v.memory.mu.Unlock()
+		v.memory.expire()
+		if v.memory.entries[key].Version != expect {
+			return 0, errs.New(errs.Conflict, "key %s is not at version %d", key, expect)
+		}
+		if expect != Absent {
+			v.memory.remove(key)
+		}
+		return 0, nil
+	})
+}
+
+// Grant makes a lease.
+func (v *view) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var out LeaseID
+	err := v.do(ctx, KindGrant, 0, func() (int, error) {
+		v.memory.mu.Lock()
+		defer v.memory.mu.Unlock()
+		v.memory.next++
+		out = v.memory.next
+		v.memory.leases[out] = lease{ttl: ttl, expires: v.memory.clock.Now().Add(ttl)}
+		return 0, nil
+	})
+	return out, err
+}
+
+// Renew extends a lease.
+func (v *view) Renew(ctx context.Context, id LeaseID) error {
+	return v.do(ctx, KindRenew, 0, func() (int, error) {
+		v.memory.mu.Lock()
+		defer v.memory.mu.Unlock()
+		v.memory.expire()
+		held, ok := v.memory.leases[id]
+		if !ok {
+			return 0, errs.New(errs.NotFound, "lease %d has lapsed", id)
+		}
+		held.expires = v.memory.clock.Now().Add(held.ttl)
+		v.memory.leases[id] = held
+		return 0, nil
+	})
+}
+
+// Watch waits for changes under the prefix. The waiting call counts once.
+func (v *view) Watch(ctx context.Context, prefix Key, after Version) (Page, error) {
+	var out Page
+	err := v.do(ctx, KindWatch, len(prefix), func() (int, error) {
+		for {
+			page, changed := v.memory.since(prefix, after)
+			if len(page.Entries) > 0 || ctx.Err() != nil {
+				out = page
+				return sizeOf(page), nil
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+	})
+	return out, err
+}
+
+func (m *Memory) put(put Put) (Entry, error) {
+	if m.entries[put.Key].Version != put.Expect {
+		return m.entries[put.Key], errs.New(errs.Conflict, "key %s is not at version %d", put.Key, put.Expect)
+	}
+	if _, ok := m.leases[put.Lease]; !ok && put.Lease != 0 {
+		return Entry{}, errs.New(errs.NotFound, "lease %d has lapsed", put.Lease)
+	}
+	m.version++
+	entry := Entry{Key: put.Key, Value: append([]byte(nil), put.Value...), Version: m.version, Lease: put.Lease}
+	m.entries[put.Key] = entry
+	m.record(entry)
+	return entry, nil
+}
+
+func (m *Memory) remove(key Key) {
+	m.version++
+	delete(m.entries, key)
+	m.record(Entry{Key: key, Version: m.version, Deleted: true})
+}
+
+func (m *Memory) record(entry Entry) {
+	m.history = append(m.history, entry)
+	if len(m.history) > maxHistory {
+		m.history = append([]Entry(nil), m.history[len(m.history)-maxHistory/2:]...)
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Memory) expire() {
+	now := m.clock.Now()
+	for id, held := range m.leases {
+		if now.Before(held.expires) {
+			continue
+		}
+		delete(m.leases, id)
+		m.removeLeased(id)
+	}
+}
+
+func (m *Memory) removeLeased(id LeaseID) {
+	for key, entry := range m.entries {
+		if entry.Lease == id {
+			m.remove(key)
+		}
+	}
+}
+
+func (m *Memory) list(prefix Key) Page {
+	page := Page{Version: m.version}
+	for key, entry := range m.entries {
+		if strings.HasPrefix(string(key), string(prefix)) {
+			page.Entries = append(page.Entries, entry)
+		}
+	}
+	sort.Slice(page.Entries, func(i, j int) bool { return page.Entries[i].Key < page.Entries[j].Key })
+	return page
+}
+
+// since returns the changes after a version. When the history no longer reaches back, it returns
+// all entries under the prefix.
+func (m *Memory) since(prefix Key, after Version) (Page, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	if len(m.history) > 0 && m.history[0].Version > after+1 && after < m.version {
+		return m.list(prefix), m.changed
+	}
+	page := Page{Version: m.version}
+	for _, entry := range m.history {
+		if entry.Version > after && strings.HasPrefix(string(entry.Key), string(prefix)) {
+			page.Entries = append(page.Entries, entry)
+		}
+	}
+	return page, m.changed
+}
+
+func sizeOf(page Page) int {
+	n := 0
+	for _, entry := range page.Entries {
+		n += len(entry.Key) + len(entry.Value)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/plat/store/store_test.go
@@ -0,0 +1,155 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+)
+
+// each runs a test against the fake itself and against the client and handler over HTTP.
+func each(t *testing.T, test func(t *testing.T, m *Memory, s Store, clock *clockwork.FakeClock)) {
+	t.Helper()
+	t.Run("Memory", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		m := NewMemory(clock, "north")
+		test(t, m, m.As("a", meter.Discard()), clock)
+	})
+	t.Run("HTTP", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		m := NewMemory(clock, "north")
+		server := httptest.NewServer(m.Handler())
+		defer server.Close()
+		test(t, m, NewHTTP(HTTPConfig{
+			Base: server.URL, From: "a", Meter: meter.Discard(), Client: http.DefaultClient,
+		}), clock)
+	})
+}
+
+func wantKind(t *testing.T, err error, kind errs.Kind) {
+	t.Helper()
+	if !errs.Is(err, kind) {
+		t.Fatalf("got %v, want kind %s", err, kind)
+	}
+}
+
+func wantOK(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestPutComparesVersions(t *testing.T) {
+	each(t, func(t *testing.T, _ *Memory, s Store, _ *clockwork.FakeClock) {
+		ctx := context.Background()
+		first, err := s.Put(ctx, Put{Key: "k", Value: json.RawMessage(`1`)})
+		wantOK(t, err)
+		_, err = s.Put(ctx, Put{Key: "k", Value: json.RawMessage(`2`)})
+		wantKind(t, err, errs.Conflict)
+		_, err = s.Put(ctx, Put{Key: "k", Value: json.RawMessage(`2`), Expect: first.Version})
+		wantOK(t, err)
+		got, err := s.Get(ctx, "k")
+		wantOK(t, err)
+		if string(got.Value) != "2" {
+			t.Fatalf("got %s", got.Value)
+		}
+	})
+}
+
+func TestCommitSettlesALostAnswer(t *testing.T) {
+	each(t, func(t *testing.T, m *Memory, s Store, _ *clockwork.FakeClock) {
+		m.Faults.LoseAnswers(1)
+		entry, err := Commit(context.Background(), s, Put{Key: "k"}, "body")
+		wantOK(t, err)
+		var body string
+		wantOK(t, Open(entry.Value, &body))
+		if body != "body" || entry.Version != 1 {
+			t.Fatalf("got %q at version %d: the write was repeated", body, entry.Version)
+		}
+	})
+}
+
+func TestCommitReportsALostRace(t *testing.T) {
+	each(t, func(t *testing.T, _ *Memory, s Store, _ *clockwork.FakeClock) {
+		_, err := Commit(context.Background(), s, Put{Key: "k"}, "mine")
+		wantOK(t, err)
+		_, err = Commit(context.Background(), s, Put{Key: "k"}, "theirs")
+		wantKind(t, err, errs.Conflict)
+	})
+}
+
+func TestKeysVanishWithTheirLease(t *testing.T) {
+	each(t, func(t *testing.T, _ *Memory, s Store, clock *clockwork.FakeClock) {
+		ctx := context.Background()
+		lease, err := s.Grant(ctx, 10*time.Second)
+		wantOK(t, err)
+		_, err = s.Put(ctx, Put{Key: "k", Value: json.RawMessage(`1`), Lease: lease})
+		wantOK(t, err)
+		clock.Advance(9 * time.Second)
+		wantOK(t, s.Renew(ctx, lease))
+		clock.Advance(9 * time.Second)
+		_, err = s.Get(ctx, "k")
+		wantOK(t, err)
+		clock.Advance(2 * time.Second)
+		_, err = s.Get(ctx, "k")
+		wantKind(t, err, errs.NotFound)
+		wantKind(t, s.Renew(ctx, lease), errs.NotFound)
+	})
+}
+
+func TestWatchReturnsChangesAfterTheVersion(t *testing.T) {
+	each(t, func(t *testing.T, _ *Memory, s Store, _ *clockwork.FakeClock) {
+		ctx := context.Background()
+		_, err := s.Put(ctx, Put{Key: "a/1", Value: json.RawMessage(`1`)})
+		wantOK(t, err)
+		got := make(chan Page, 1)
+		go func() {
+			page, _ := s.Watch(ctx, "a/", 1)
+			got <- page
+		}()
+		_, err = s.Put(ctx, Put{Key: "a/2", Value: json.RawMessage(`2`)})
+		wantOK(t, err)
+		page := <-got
+		if len(page.Entries) != 1 || page.Entries[0].Key != "a/2" {
+			t.Fatalf("got %+v", page)
+		}
+	})
+}
+
+func TestDownAndCutOffHaveNoEffect(t *testing.T) {
+	each(t, func(t *testing.T, m *Memory, s Store, _ *clockwork.FakeClock) {
+		ctx := context.Background()
+		m.Faults.Cut("a", true)
+		_, err := s.Put(ctx, Put{Key: "k", Value: json.RawMessage(`1`)})
+		wantKind(t, err, errs.Unavailable)
+		m.Faults.Cut("a", false)
+		m.Faults.SetDown(true)
+		_, err = s.Put(ctx, Put{Key: "k", Value: json.RawMessage(`1`)})
+		wantKind(t, err, errs.Unavailable)
+		m.Faults.SetDown(false)
+		_, err = s.Get(ctx, "k")
+		wantKind(t, err, errs.NotFound)
+	})
+}
+
+func TestCallsAreCountedByKindAndCrossing(t *testing.T) {
+	m := NewMemory(clockwork.NewFakeClock(), "north")
+	calls := meter.Discard()
+	s := m.As("a", calls)
+	_, err := s.Put(context.Background(), Put{Key: "key", Value: json.RawMessage(`12345`)})
+	wantOK(t, err)
+	if calls.Get(KindPut, meter.Calls) != 1 || calls.Get(KindPut, meter.SentBytes) != 8 {
+		t.Fatal("the call was not counted")
+	}
+	if calls.Get(KindPut, meter.CrossedBytes) != 8 {
+		t.Fatal("the crossing was not counted")
+	}
+}
--- /dev/null
+++ b/internal/plat/worker/memory.go
@@ -0,0 +1,324 @@
+package worker
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/fault"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+)
+
+type (
+	// Launcher runs the part of a task that the stand-in does not: a service's runner.
+	Launcher interface {
+		// Launch starts a runner and returns where it takes requests.
+		Launch(attempt types.AttemptID, service types.Service) (types.Address, error)
+		// Halt ends the runner.
+		Halt(attempt types.AttemptID)
+	}
+
+	// Memory is an in-memory worker that keeps its own record of what ran. It is safe for concurrent use.
+	Memory struct {
+		Faults *fault.Plan
+
+		mu       sync.Mutex
+		clock    clockwork.Clock
+		vm       types.VM
+		launcher Launcher
+		epoch    types.Epoch
+		attempts map[types.AttemptID]*attempt
+		stopped  map[types.AttemptID]bool
+		record   []Run
+		failAll  bool
+		usage    func(declared types.Resources) types.Resources
+	}
+
+	attempt struct {
+		status  Status
+		expires time.Time
+		ends    time.Time
+	}
+
+	// Run is the worker's own record of one attempt. End is zero while it runs.
+	Run struct {
+		Attempt  types.AttemptID
+		Declared types.Resources
+		Booking  bool
+		Start    time.Time
+		End      time.Time
+		Phase    Phase
+	}
+
+	// Fleet dials in-memory workers by the id of their VM.
+	Fleet struct {
+		mu      sync.Mutex
+		members map[types.VMID]*Memory
+		from    types.Site
+		meter   *meter.Meter
+	}
+
+	seen struct {
+		memory *Memory
+		from   types.Site
+		meter  *meter.Meter
+	}
+)
+
+// NewMemory returns a worker with the VM's capacity. A nil launcher gives service tasks no endpoint.
+func NewMemory(clock clockwork.Clock, vm types.VM, launcher Launcher) *Memory {
+	return &Memory{
+		Faults:   fault.New(clock),
+		clock:    clock,
+		vm:       vm,
+		launcher: launcher,
+		attempts: make(map[types.AttemptID]*attempt),
+		stopped:  make(map[types.AttemptID]bool),
+		usage:    func(declared types.Resources) types.Resources { return declared },
+	}
+}
+
+// As returns the worker as a caller at the site sees it.
+func (m *Memory) As(from types.Site, calls *meter.Meter) Worker {
+	return &seen{memory: m, from: from, meter: calls}
+}
+
+// FailEverything makes each task fail as soon as it starts.
+func (m *Memory) FailEverything(fail bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failAll = fail
+}
+
+// SetUsage sets how much a task uses of what it declared.
+func (m *Memory) SetUsage(usage func(declared types.Resources) types.Resources) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage = usage
+}
+
+// Record returns a copy of the worker's own record, brought up to now.
+func (m *Memory) Record() []Run {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance()
+	return append([]Run(nil), m.record...)
+}
+
+// Crash ends everything that runs and forgets it, as when the VM is restarted. The epoch is kept.
+func (m *Memory) Crash() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance()
+	for id, a := range m.attempts {
+		if !a.status.Phase.Ended() {
+			m.end(id, PhaseLapsed, m.clock.Now(), "the VM was restarted")
+		}
+	}
+	m.attempts = make(map[types.AttemptID]*attempt)
+}
+
+// Fence raises the epoch.
+func (s *seen) Fence(ctx context.Context, r FenceRequest) (Report, error) {
+	var out Report
+	err := s.do(ctx, KindFence, r.Check, r.Epoch, func() error {
+		out = s.memory.report()
+		return nil
+	})
+	return out, err
+}
+
+// Start starts one attempt.
+func (s *seen) Start(ctx context.Context, r StartRequest) (Status, error) {
+	var out Status
+	err := s.do(ctx, KindStart, r.Check, r.Epoch, func() error {
+		var err error
+		out, err = s.memory.start(r)
+		return err
+	})
+	return out, err
+}
+
+// Renew extends leases.
+func (s *seen) Renew(ctx context.Context, r RenewRequest) (Report, error) {
+	var out Report
+	err := s.do(ctx, KindRenew, r.Check, r.Epoch, func() error {
+		s.memory.renew(r)
+		out = s.memory.report()
+		return nil
+	})
+	return out, err
+}
+
+// Stop stops, checkpoints or throttles one attempt.
+func (s *seen) Stop(ctx context.Context, r StopRequest) (Status, error) {
+	var out Status
+	err := s.do(ctx, KindStop, r.Check, r.Epoch, func() error {
+		out = s.memory.stop(r)
+		return nil
+	})
+	return out, err
+}
+
+func (s *seen) do(ctx context.Context, kind meter.Kind, check func() error, epoch types.Epoch, effect func() error) error {
+	if err := check(); err != nil {
+		return err
+	}
+	err := s.memory.Faults.Before(ctx, s.from.DataCentre)
+	if err == nil {
+		err = s.memory.guarded(epoch, effect)
+		if lost := s.memory.Faults.After(); lost != nil {
+			err = lost
+		}
+	}
+	s.meter.Count(meter.Sample{Kind: kind, Remote: s.memory.vm.Site.Region, Failed: err != nil})
+	return err
+}
+
+func (m *Memory) guarded(epoch types.Epoch, effect func() error) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance()
+	if epoch < m.epoch {
+		return errs.New(errs.Fenced, "epoch %d is older than %d", epoch, m.epoch)
+	}
+	m.epoch = epoch
+	return effect()
+}
+
+func (m *Memory) start(r StartRequest) (Status, error) {
+	if known, ok := m.attempts[r.Attempt]; ok {
+		return known.status, nil
+	}
+	if m.stopped[r.Attempt] {
+		return Status{Attempt: r.Attempt, Phase: PhaseStopped, Epoch: m.epoch, Reason: "stopped before it started"}, nil
+	}
+	now := m.clock.Now()
+	a := &attempt{
+		status:  Status{Attempt: r.Attempt, Phase: PhaseRunning, Epoch: r.Epoch, Declared: r.Task.Resources},
+		expires: now.Add(r.Lease),
+	}
+	if r.Service == nil {
+		a.ends = now.Add(r.Task.RunTime)
+	}
+	if r.Service != nil && m.launcher != nil {
+		endpoint, err := m.launcher.Launch(r.Attempt, *r.Service)
+		if err != nil {
+			return Status{}, errs.New(errs.Unavailable, "launching the runner: %v", err)
+		}
+		a.status.Endpoint = endpoint
+	}
+	m.attempts[r.Attempt] = a
+	m.record = append(m.record, Run{
+		Attempt: r.Attempt, Declared: r.Task.Resources, Booking: r.Task.Booking, Start: now, Phase: PhaseRunning,
+	})
+	if m.failAll {
+		m.end(r.Attempt, PhaseFailed, now, "the worker fails everything")
+	}
+	return a.status, nil
+}
+
+func (m *Memory) renew(r RenewRequest) {
+	now := m.clock.Now()
+	for _, id := range r.Attempts {
+		if a, ok := m.attempts[id]; ok && !a.status.Phase.Ended() {
+			a.expires = now.Add(r.Lease)
+		}
+	}
+	for _, id := range r.Acknowledge {
+		if a, ok := m.attempts[id]; ok && a.status.Phase.Ended() {
+			delete(m.attempts, id)
+			m.stopped[id] = true
+		}
+	}
+}
+
+func (m *Memory) stop(r StopRequest) Status {
+	a, ok := m.attempts[r.Attempt]
+	if !ok {
+		m.stopped[r.Attempt] = true
+		return Status{Attempt: r.Attempt, Phase: PhaseStopped, Epoch: m.epoch, Reason: "was not running"}
+	}
+	if a.status.Phase.Ended() || r.Throttle > 0 {
+		return a.status
+	}
+	phase := PhaseStopped
+	if r.Checkpoint {
+		phase = PhaseCheckpointed
+	}
+	m.end(r.Attempt, phase, m.clock.Now(), "stopped by the lead")
+	return a.status
+}
+
+// advance ends the attempts whose run time or lease is over.
+func (m *Memory) advance() {
+	now := m.clock.Now()
+	for id, a := range m.attempts {
+		if a.status.Phase.Ended() {
+			continue
+		}
+		done := !a.ends.IsZero() && !now.Before(a.ends) && !a.ends.After(a.expires)
+		if done {
+			m.end(id, PhaseDone, a.ends, "")
+			continue
+		}
+		if !now.Before(a.expires) {
+			m.end(id, PhaseLapsed, a.expires, "the lease lapsed")
+		}
+	}
+}
+
+func (m *Memory) end(id types.AttemptID, phase Phase, at time.Time, reason string) {
+	a := m.attempts[id]
+	a.status.Phase = phase
+	a.status.Reason = reason
+	if m.launcher != nil && a.status.Endpoint != "" {
+		m.launcher.Halt(id)
+	}
+	for i := range m.record {
+		if m.record[i].Attempt == id && m.record[i].End.IsZero() {
+			m.record[i].End = at
+			m.record[i].Phase = phase
+		}
+	}
+}
+
+func (m *Memory) report() Report {
+	out := Report{Worker: m.vm.ID, Epoch: m.epoch, Capacity: m.vm.Capacity}
+	for _, a := range m.attempts {
+		status := a.status
+		status.Usage = m.usage(status.Declared)
+		out.Attempts = append(out.Attempts, status)
+	}
+	sort.Slice(out.Attempts, func(i, j int) bool { return out.Attempts[i].Attempt < out.Attempts[j].Attempt })
+	return out
+}
+
+// NewFleet returns an empty fleet as a caller at the site sees it.
+func NewFleet(from types.Site, calls *meter.Meter) *Fleet {
+	return &Fleet{members: make(map[types.VMID]*Memory), from: from, meter: calls}
+}
+
+// Add makes a worker known to the fleet.
+func (f *Fleet) Add(m *Memory) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members[m.vm.ID] = m
+}
+
+// Dial returns the worker, or one that is always unavailable.
+func (f *Fleet) Dial(vm types.VM) Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[vm.ID]
+	if !ok {
+		m = NewMemory(clockwork.NewRealClock(), vm, nil)
+		m.Faults.SetDown(true)
+	}
+	return m.As(f.from, f.meter)
+}
