Add membership of entry VMs with heartbeats and leads

Cause: requests and jobs have to find the lead of a data centre, and the lender has to know which entry VMs are gone for good, while the platform's list lags. Ways weighed: heartbeats from each VM to each other, or all VMs of the own data centre and one VM of each other one.

--- /dev/null
+++ b/internal/node/member/service.go
@@ -0,0 +1,35 @@
+package member
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+)
+
+type (
+	// Beat is a heartbeat and its answer: who sends it and which leads the sender knows.
+	Beat struct {
+		From     peer.Target
+		Draining bool
+		Leads    []LeadOf
+	}
+
+	// LeadOf is the lead of one data centre.
+	LeadOf struct {
+		DataCentre types.DataCentre
+		Lead       Lead
+	}
+
+	service struct {
+		member *Member
+	}
+)
+
+// Beat takes a heartbeat and answers with the receiver's own.
+func (s *service) Beat(args, reply *Beat) error {
+	if err := args.Check(); err != nil {
+		return peer.Wire(err)
+	}
+	s.member.receive(*args)
+	*reply = s.member.message()
+	return nil
+}
