--- /dev/null
+++ b/internal/core/guard/tls_test.go
@@ -0,0 +1,178 @@
+package guard
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+)
+
+const (
+	peerKey  = "a-shared-key-of-at-least-32-bytes"
+	otherKey = "another-key-that-has-32-bytes-too"
+	wait     = 5 * time.Second
+)
+
+type (
+	// Counter is a service that counts its calls.
+	Counter struct{ calls atomic.Int64 }
+	// Nothing is its argument and reply.
+	Nothing struct{ Empty bool }
+
+	// tap keeps what is written to a connection.
+	tap struct {
+		net.Conn
+		mu      sync.Mutex
+		written bytes.Buffer
+	}
+
+	tapped struct {
+		peer.Security
+		tap *tap
+	}
+)
+
+// Add counts a call.
+func (c *Counter) Add(_, _ *Nothing) error {
+	c.calls.Add(1)
+	return nil
+}
+
+func (t *tap) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.written.Write(p)
+	return t.Conn.Write(p)
+}
+
+func (t *tapped) Dial(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	t.tap = &tap{Conn: conn}
+	return t.Security.Dial(ctx, t.tap)
+}
+
+func security(t *testing.T, keys string) *PeerTLS {
+	t.Helper()
+	s, err := NewPeerTLS(ParseSecrets(keys))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func serve(t *testing.T, keys string) (*Counter, peer.Target) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := peer.NewServer()
+	s.Security = security(t, keys)
+	counter := &Counter{}
+	if err := s.Register("Counter", counter); err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(listener)
+	t.Cleanup(s.Close)
+	return counter, peer.Target{VM: "b", Address: types.Address(listener.Addr().String())}
+}
+
+func call(t *testing.T, s peer.Security, to peer.Target) error {
+	t.Helper()
+	c := peer.NewClient(meter.Discard())
+	c.Security = s
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return c.Call(ctx, to, "Counter.Add", &Nothing{}, &Nothing{})
+}
+
+func wantCalls(t *testing.T, c *Counter, want int64) {
+	t.Helper()
+	if got := c.calls.Load(); got != want {
+		t.Fatalf("got %d calls, want %d", got, want)
+	}
+}
+
+func TestSameKeyConnects(t *testing.T) {
+	counter, to := serve(t, peerKey)
+	if err := call(t, security(t, peerKey), to); err != nil {
+		t.Fatal(err)
+	}
+	wantCalls(t, counter, 1)
+}
+
+func TestKeysCanBeChanged(t *testing.T) {
+	counter, to := serve(t, otherKey+","+peerKey)
+	if err := call(t, security(t, peerKey+","+otherKey), to); err != nil {
+		t.Fatal(err)
+	}
+	wantCalls(t, counter, 1)
+}
+
+func TestWrongKeyIsRefused(t *testing.T) {
+	counter, to := serve(t, peerKey)
+	if err := call(t, security(t, otherKey), to); !errs.Is(err, errs.Unavailable) {
+		t.Fatalf("got %v", err)
+	}
+	wantCalls(t, counter, 0)
+}
+
+func TestServerRefusesAKeyThatItDoesNotAccept(t *testing.T) {
+	counter, to := serve(t, peerKey)
+	if err := call(t, security(t, otherKey+","+peerKey), to); err == nil {
+		t.Fatal("the call was taken")
+	}
+	wantCalls(t, counter, 0)
+}
+
+func TestPlainConnectionIsRefused(t *testing.T) {
+	counter, to := serve(t, peerKey)
+	if err := call(t, nil, to); err == nil {
+		t.Fatal("the call was taken")
+	}
+	wantCalls(t, counter, 0)
+}
+
+func TestReplayedConnectionIsRefused(t *testing.T) {
+	counter, to := serve(t, peerKey)
+	recorded := &tapped{Security: security(t, peerKey)}
+	if err := call(t, recorded, to); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", string(to.Address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	recorded.tap.mu.Lock()
+	conn.Write(recorded.tap.written.Bytes())
+	recorded.tap.mu.Unlock()
+	conn.SetReadDeadline(time.Now().Add(wait))
+	buffer := make([]byte, 4096)
+	for err = nil; err == nil; {
+		_, err = conn.Read(buffer)
+	}
+	wantCalls(t, counter, 1)
+}
+
+func TestShortOrMissingKeyIsRefused(t *testing.T) {
+	for _, keys := range []string{"", "short"} {
+		if _, err := NewPeerTLS(ParseSecrets(keys)); !errs.Is(err, errs.Invalid) {
+			t.Fatalf("got %v", err)
+		}
+	}
+}
+
+func TestBadCertificateIsRefused(t *testing.T) {
+	if _, err := ServerTLS("not a certificate", NewSecret("not a key")); !errs.Is(err, errs.Invalid) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/internal/node/peer/rpc.go
+++ b/internal/node/peer/rpc.go
@@ -17,8 +17,18 @@
 const dialTimeout = time.Second
 
 type (
-	// Server takes calls from other daemons.
+	// Security authenticates both ends of a connection and returns the connection to use from then on.
+	Security interface {
+		// Accept secures a connection that another daemon opened.
+		Accept(ctx context.Context, conn net.Conn) (net.Conn, error)
+		// Dial secures a connection that this daemon opened.
+		Dial(ctx context.Context, conn net.Conn) (net.Conn, error)
+	}
+
+	// Server takes calls from other daemons. A nil Security takes every connection as it is.
 	Server struct {
+		Security Security
+
 		rpc *rpc.Server
 
 		mu       sync.Mutex
@@ -27,8 +37,10 @@
 		closed   bool
 	}
 
-	// Client calls other daemons; it keeps one connection for each.
+	// Client calls other daemons; it keeps one connection for each. A nil Security uses connections as they are.
 	Client struct {
+		Security Security
+
 		meter *meter.Meter
 
 		mu    sync.Mutex
@@ -102,7 +114,26 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeConn(conn)
+	defer s.forget(conn)
+	secured, err := s.secure(conn)
+	if err != nil {
+		return
+	}
+	s.rpc.ServeConn(secured)
+}
+
+// secure bounds the time that a connection may take to authenticate itself.
+func (s *Server) secure(conn net.Conn) (net.Conn, error) {
+	if s.Security == nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	return s.Security.Accept(ctx, conn)
+}
+
+func (s *Server) forget(conn net.Conn) {
+	_ = conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
@@ -173,7 +204,21 @@
 		return nil, errs.New(errs.Unavailable, "connecting to %s: %v", address, err)
 	}
 	counted := &countedConn{Conn: conn}
-	return c.keep(address, &link{rpc: rpc.NewClient(counted), conn: counted}), nil
+	secured, err := c.secure(ctx, counted)
+	if err != nil {
+		_ = conn.Close()
+		return nil, errs.New(errs.Unavailable, "connecting to %s: %v", address, err)
+	}
+	return c.keep(address, &link{rpc: rpc.NewClient(secured), conn: counted}), nil
+}
+
+func (c *Client) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if c.Security == nil {
+		return conn, nil
+	}
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return c.Security.Dial(limited, conn)
 }
 
 // keep stores a new connection, unless another call stored one first.
