Check the eight promises from the platform's own records

The failure tests need one judge that doesn't trust the scheduler. internal/proof/check reads what workers and runners recorded and what callers sent and were told, and returns every violation of the eight promises, with the subject and time.

Lateness of a document is counted from the end of the VM's last outage.

--- /dev/null
+++ b/internal/proof/check/docs.go
@@ -0,0 +1,86 @@
+package check
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// inForce looks for revisions that came too late and for VMs that went back to a lower one.
+func inForce(h *History) []Violation {
+	return append(late(h), reverted(h)...)
+}
+
+func late(h *History) []Violation {
+	var out []Violation
+	for _, s := range h.Samples {
+		due, want := h.due(s)
+		if s.Revision >= want {
+			continue
+		}
+		out = append(out, Violation{
+			Promise: InForce, Subject: string(s.VM), At: s.At,
+			Detail: fmt.Sprintf("revision %d is in force, %d was due at %s", s.Revision, want, due.Format(time.RFC3339Nano)),
+		})
+	}
+	return out
+}
+
+// due returns the highest revision that must be in force at a sample, and since when.
+func (h *History) due(s Sample) (time.Time, types.Revision) {
+	reachable, ok := h.reachableSince(s)
+	if !ok {
+		return time.Time{}, 0
+	}
+	var due time.Time
+	var want types.Revision
+	for _, a := range h.Acceptances {
+		from := a.At
+		if reachable.After(from) {
+			from = reachable
+		}
+		limit := from.Add(h.Bound)
+		if a.Revision > want && s.At.After(limit) {
+			due, want = limit, a.Revision
+		}
+	}
+	return due, want
+}
+
+// reachableSince returns the end of the VM's latest outage before the sample; not ok means that one was going on.
+func (h *History) reachableSince(s Sample) (time.Time, bool) {
+	var since time.Time
+	for _, o := range h.Outages {
+		if o.VM != s.VM || o.From.After(s.At) {
+			continue
+		}
+		if o.To.IsZero() || o.To.After(s.At) {
+			return time.Time{}, false
+		}
+		if o.To.After(since) {
+			since = o.To
+		}
+	}
+	return since, true
+}
+
+// reverted compares each sample with the highest revision that the VM had before. A VM that was restarted may
+// have none for a while.
+func reverted(h *History) []Violation {
+	samples := append([]Sample(nil), h.Samples...)
+	sort.SliceStable(samples, func(i, j int) bool { return samples[i].At.Before(samples[j].At) })
+	highest := make(map[types.VMID]types.Revision)
+	var out []Violation
+	for _, s := range samples {
+		if s.Revision != 0 && s.Revision < highest[s.VM] {
+			out = append(out, Violation{
+				Promise: InForce, Subject: string(s.VM), At: s.At,
+				Detail: fmt.Sprintf("revision %d replaced %d", s.Revision, highest[s.VM]),
+			})
+		}
+		highest[s.VM] = max(highest[s.VM], s.Revision)
+	}
+	return out
+}
