Run the tables on state machines and verify their invariants

The tables changed task states by assignment, so an illegal change (an ended task that starts again) went unseen, and nothing checked the sums.

Task and job states now move through qmuntal/stateless machines in internal/sched/life. One machine serves all entities of a State with external storage; a machine for each task was ruled out, as a target lead holds thousands of tasks.

The mutators return errors of kind Internal for illegal transitions; Assign also refuses what a worker or a quota has no room for.

--- /dev/null
+++ b/internal/sched/life/job.go
@@ -0,0 +1,85 @@
+package life
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// Triggers of a job's life cycle.
+const (
+	// JobStart records that one of the job's tasks got a worker or ended.
+	JobStart JobTrigger = "Start"
+	// JobRequeue records that all of the job's tasks wait again.
+	JobRequeue JobTrigger = "Requeue"
+	// JobComplete records that every task ran to its end.
+	JobComplete JobTrigger = "Complete"
+	// JobFail records that every task ended and one failed.
+	JobFail JobTrigger = "Fail"
+	// JobCancel records that every task ended and the job was cancelled.
+	JobCancel JobTrigger = "Cancel"
+	// JobLose records that every task ended and one has an unknown fate.
+	JobLose JobTrigger = "Lose"
+	// JobMove records that another data centre took the job.
+	JobMove JobTrigger = "Move"
+)
+
+type (
+	// JobTrigger is a cause that moves a job from one state to another.
+	JobTrigger string
+
+	// JobCycle is the life cycle of jobs. It is used by one goroutine at a time.
+	JobCycle struct {
+		machine *machine[types.JobState, JobTrigger]
+	}
+)
+
+// NewJobCycle returns the life cycle of jobs.
+func NewJobCycle() *JobCycle {
+	return &JobCycle{machine: newMachine("job", jobPermits())}
+}
+
+// Fire returns the state that follows from a trigger; an illegal transition is an error of kind Internal.
+func (c *JobCycle) Fire(from types.JobState, trigger JobTrigger) (types.JobState, error) {
+	return c.machine.fire(from, trigger)
+}
+
+// JobTriggerTo returns the trigger that leads to a state.
+func JobTriggerTo(to types.JobState) (JobTrigger, error) {
+	switch to {
+	case types.JobQueued:
+		return JobRequeue, nil
+	case types.JobRunning:
+		return JobStart, nil
+	case types.JobDone:
+		return JobComplete, nil
+	case types.JobFailed:
+		return JobFail, nil
+	case types.JobCancelled:
+		return JobCancel, nil
+	case types.JobUnknown:
+		return JobLose, nil
+	case types.JobMoved:
+		return JobMove, nil
+	default:
+		return "", errs.New(errs.Internal, "job state %q is not listed", to)
+	}
+}
+
+func jobPermits() map[types.JobState][]permit[types.JobState, JobTrigger] {
+	type row = []permit[types.JobState, JobTrigger]
+	ends := row{
+		{JobComplete, types.JobDone},
+		{JobFail, types.JobFailed},
+		{JobCancel, types.JobCancelled},
+		{JobLose, types.JobUnknown},
+	}
+	return map[types.JobState][]permit[types.JobState, JobTrigger]{
+		types.JobQueued:    join(row{{JobStart, types.JobRunning}, {JobMove, types.JobMoved}}, ends),
+		types.JobRunning:   join(row{{JobRequeue, types.JobQueued}}, ends),
+		types.JobDone:      nil,
+		types.JobFailed:    nil,
+		types.JobCancelled: nil,
+		types.JobMoved:     nil,
+		types.JobUnknown:   nil,
+	}
+}
--- /dev/null
+++ b/internal/sched/life/life.go
@@ -0,0 +1,69 @@
+// Package life holds the life cycles of a task and of a job as state machines.
+//
+// A cycle is configured once and serves any number of entities of one goroutine: the entity's state is
+// passed in and the next state is returned, so that a transition costs no machine for each entity.
+package life
+
+import (
+	"context"
+
+	"github.com/qmuntal/stateless"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+)
+
+// permit is one legal transition of a machine.
+type permit[S, T comparable] struct {
+	trigger T
+	to      S
+}
+
+// machine fires triggers on states that are kept elsewhere.
+type machine[S, T comparable] struct {
+	name    string
+	current S
+	states  *stateless.StateMachine
+}
+
+func newMachine[S, T comparable](name string, legal map[S][]permit[S, T]) *machine[S, T] {
+	m := &machine[S, T]{name: name}
+	m.states = stateless.NewStateMachineWithExternalStorage(m.load, m.save, stateless.FiringImmediate)
+	for from, permits := range legal {
+		row := m.states.Configure(from)
+		for _, p := range permits {
+			if p.to == from {
+				row.PermitReentry(p.trigger)
+				continue
+			}
+			row.Permit(p.trigger, p.to)
+		}
+	}
+	m.states.OnUnhandledTrigger(m.refuse)
+	return m
+}
+
+func (m *machine[S, T]) load(context.Context) (stateless.State, error) {
+	return m.current, nil
+}
+
+func (m *machine[S, T]) save(_ context.Context, state stateless.State) error {
+	next, ok := state.(S)
+	if !ok {
+		return errs.New(errs.Internal, "%s got state %v of a foreign type", m.name, state)
+	}
+	m.current = next
+	return nil
+}
+
+func (m *machine[S, T]) refuse(_ context.Context, state stateless.State, trigger stateless.Trigger, _ []string) error {
+	return errs.New(errs.Internal, "%s in state %v does not permit %v", m.name, state, trigger)
+}
+
+// fire returns the state that follows from a trigger, or an error of kind Internal.
+func (m *machine[S, T]) fire(from S, trigger T) (S, error) {
+	m.current = from
+	if err := m.states.Fire(trigger); err != nil {
+		return from, err
+	}
+	return m.current, nil
+}
--- /dev/null
+++ b/internal/sched/life/task.go
@@ -0,0 +1,147 @@
+package life
+
+import "github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+
+// States of a task.
+const (
+	// TaskWaiting means that no attempt exists that may run.
+	TaskWaiting TaskState = "Waiting"
+	// TaskIntended means that an intent is being committed or was committed and is not confirmed.
+	TaskIntended TaskState = "Intended"
+	// TaskRunning means that the worker confirmed the start.
+	TaskRunning TaskState = "Running"
+	// TaskStopping means that a stop was decided and is not confirmed.
+	TaskStopping TaskState = "Stopping"
+	// TaskDone means that the task ran to its end.
+	TaskDone TaskState = "Done"
+	// TaskFailed means that the task is given up.
+	TaskFailed TaskState = "Failed"
+	// TaskCancelled means that the task was cancelled and no attempt runs.
+	TaskCancelled TaskState = "Cancelled"
+	// TaskUnknown means that a non-idempotent attempt's fate stays unknown; it is not run again.
+	TaskUnknown TaskState = "Unknown"
+)
+
+// Triggers of a task's life cycle.
+const (
+	// TaskAssign gives a waiting task a worker.
+	TaskAssign TaskTrigger = "Assign"
+	// TaskConfirm records that the worker runs the attempt.
+	TaskConfirm TaskTrigger = "Confirm"
+	// TaskStop decides that the attempt shall stop.
+	TaskStop TaskTrigger = "Stop"
+	// TaskRequeue records that the attempt surely ended and that the task waits again.
+	TaskRequeue TaskTrigger = "Requeue"
+	// TaskComplete records that the attempt ran to its end.
+	TaskComplete TaskTrigger = "Complete"
+	// TaskGiveUp ends the task without success.
+	TaskGiveUp TaskTrigger = "GiveUp"
+	// TaskCancel ends the task because its job was cancelled.
+	TaskCancel TaskTrigger = "Cancel"
+	// TaskLose ends the task with an unknown fate.
+	TaskLose TaskTrigger = "Lose"
+	// TaskAdoptIntended, TaskAdoptRunning and TaskAdoptStopping take over an attempt that a former lead made.
+	TaskAdoptIntended TaskTrigger = "AdoptIntended"
+	TaskAdoptRunning  TaskTrigger = "AdoptRunning"
+	TaskAdoptStopping TaskTrigger = "AdoptStopping"
+)
+
+type (
+	// TaskState is the state of a task's life cycle.
+	TaskState string
+	// TaskTrigger is a cause that moves a task from one state to another.
+	TaskTrigger string
+
+	// TaskCycle is the life cycle of tasks. It is used by one goroutine at a time.
+	TaskCycle struct {
+		machine *machine[TaskState, TaskTrigger]
+	}
+)
+
+// NewTaskCycle returns the life cycle of tasks.
+func NewTaskCycle() *TaskCycle {
+	return &TaskCycle{machine: newMachine("task", taskPermits())}
+}
+
+// Fire returns the state that follows from a trigger; an illegal transition is an error of kind Internal.
+func (c *TaskCycle) Fire(from TaskState, trigger TaskTrigger) (TaskState, error) {
+	return c.machine.fire(from, trigger)
+}
+
+// EndTrigger returns the trigger that leads to a state that does not occupy a worker.
+func EndTrigger(to TaskState) (TaskTrigger, error) {
+	switch to {
+	case TaskWaiting:
+		return TaskRequeue, nil
+	case TaskDone:
+		return TaskComplete, nil
+	case TaskFailed:
+		return TaskGiveUp, nil
+	case TaskCancelled:
+		return TaskCancel, nil
+	case TaskUnknown:
+		return TaskLose, nil
+	default:
+		return "", errs.New(errs.Internal, "state %s does not end an attempt", to)
+	}
+}
+
+// AdoptTrigger returns the trigger that takes over an attempt in a state that occupies a worker.
+func AdoptTrigger(to TaskState) (TaskTrigger, error) {
+	switch to {
+	case TaskIntended:
+		return TaskAdoptIntended, nil
+	case TaskRunning:
+		return TaskAdoptRunning, nil
+	case TaskStopping:
+		return TaskAdoptStopping, nil
+	default:
+		return "", errs.New(errs.Internal, "an attempt in state %s cannot be taken over", to)
+	}
+}
+
+// Occupies tells whether a task in this state takes room on its worker.
+func (s TaskState) Occupies() bool {
+	return s == TaskIntended || s == TaskRunning || s == TaskStopping
+}
+
+// Ended tells whether a task in this state will never run again.
+func (s TaskState) Ended() bool {
+	return s == TaskDone || s == TaskFailed || s == TaskCancelled || s == TaskUnknown
+}
+
+func taskPermits() map[TaskState][]permit[TaskState, TaskTrigger] {
+	type row = []permit[TaskState, TaskTrigger]
+	ends := row{
+		{TaskComplete, TaskDone},
+		{TaskGiveUp, TaskFailed},
+		{TaskCancel, TaskCancelled},
+		{TaskLose, TaskUnknown},
+	}
+	adopts := row{
+		{TaskAdoptIntended, TaskIntended},
+		{TaskAdoptRunning, TaskRunning},
+		{TaskAdoptStopping, TaskStopping},
+	}
+	requeue := permit[TaskState, TaskTrigger]{TaskRequeue, TaskWaiting}
+	stop := permit[TaskState, TaskTrigger]{TaskStop, TaskStopping}
+	confirm := permit[TaskState, TaskTrigger]{TaskConfirm, TaskRunning}
+	return map[TaskState][]permit[TaskState, TaskTrigger]{
+		TaskWaiting:   join(row{{TaskAssign, TaskIntended}}, ends, adopts),
+		TaskIntended:  join(row{confirm, stop, requeue}, ends, adopts),
+		TaskRunning:   join(row{confirm, stop, requeue}, ends, adopts),
+		TaskStopping:  join(row{stop, requeue}, ends, adopts),
+		TaskDone:      nil,
+		TaskFailed:    nil,
+		TaskCancelled: nil,
+		TaskUnknown:   nil,
+	}
+}
+
+func join[P any](rows ...[]P) []P {
+	var out []P
+	for _, r := range rows {
+		out = append(out, r...)
+	}
+	return out
+}
--- a/internal/sched/plan/plan.go
+++ b/internal/sched/plan/plan.go
@@ -68,6 +68,26 @@
 		Reason string
 	}
 
+	// ReserveAction keeps workers free of less urgent starts for an all-at-once job. Apply does all of it.
+	ReserveAction struct {
+		Job     types.JobID
+		Workers map[types.VMID]int
+		Until   time.Time
+		Reason  string
+	}
+
+	// UnreserveAction drops a reservation. Apply does all of it.
+	UnreserveAction struct {
+		Job    types.JobID
+		Reason string
+	}
+
+	// WaitAction tells why tasks of a job wait, when the reason has changed. Apply does all of it.
+	WaitAction struct {
+		Job    types.JobID
+		Reason string
+	}
+
 	// Planner decides on the next actions. Every action is valid against the tables with the
 	// earlier actions of the same answer applied.
 	Planner interface {
@@ -83,3 +103,6 @@
 func (ReleaseAction) action()    {}
 func (HandOverAction) action()   {}
 func (GiveUpAction) action()     {}
+func (ReserveAction) action()    {}
+func (UnreserveAction) action()  {}
+func (WaitAction) action()       {}
--- /dev/null
+++ b/internal/sched/table/change.go
@@ -0,0 +1,272 @@
+package table
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/life"
+)
+
+// AddWorker adds a worker or updates its VM.
+func (s *State) AddWorker(vm types.VM) *Worker {
+	w, ok := s.Workers[vm.ID]
+	if !ok {
+		w = &Worker{
+			Health:   WorkerLive,
+			Attempts: make(map[types.TaskID]struct{}),
+			Foreign:  make(map[types.AttemptID]types.Resources),
+		}
+		s.Workers[vm.ID] = w
+	}
+	w.VM = vm
+	return w
+}
+
+// RemoveWorker drops a worker that nothing occupies, or returns an error of kind Internal.
+func (s *State) RemoveWorker(id types.VMID) error {
+	w, ok := s.Workers[id]
+	if !ok {
+		return nil
+	}
+	if len(w.Attempts)+len(w.Foreign) > 0 {
+		return errs.New(errs.Internal, "worker %s still has %d attempts", id, len(w.Attempts)+len(w.Foreign))
+	}
+	delete(s.Workers, id)
+	return nil
+}
+
+// AddJob adds an accepted job with all of its tasks waiting. Adding a known job changes nothing.
+func (s *State) AddJob(spec types.Job, accepted time.Time) *Job {
+	if known, ok := s.Jobs[spec.ID]; ok {
+		return known
+	}
+	j := &Job{Spec: spec, Accepted: accepted, State: types.JobQueued, slot: noSlot}
+	for i := range spec.Workload().Tasks() {
+		t := &Task{ID: spec.ID.Task(i), Job: j, State: TaskWaiting, Queued: accepted, slot: noSlot}
+		j.Tasks = append(j.Tasks, t)
+		s.Tasks[t.ID] = t
+	}
+	s.Jobs[spec.ID] = j
+	j.Counts.Waiting = len(j.Tasks)
+	for i := len(j.Tasks) - 1; i >= 0; i-- {
+		s.enqueue(j.Tasks[i])
+	}
+	return j
+}
+
+// RemoveJob drops a job none of whose tasks occupies a worker, or returns an error of kind Internal.
+func (s *State) RemoveJob(id types.JobID) error {
+	j, ok := s.Jobs[id]
+	if !ok {
+		return nil
+	}
+	if j.Counts.Occupying() > 0 {
+		return errs.New(errs.Internal, "job %s still has %d tasks on workers", id, j.Counts.Occupying())
+	}
+	for _, t := range j.Tasks {
+		s.dequeue(t)
+		delete(s.Tasks, t.ID)
+	}
+	delete(s.Jobs, id)
+	delete(s.Reservations, id)
+	return nil
+}
+
+// MoveJob records that another data centre took the job, and drops it. Every task must be waiting.
+func (s *State) MoveJob(id types.JobID, to types.DataCentre) error {
+	j, ok := s.Jobs[id]
+	if !ok {
+		return errs.New(errs.NotFound, "job %s is not here", id)
+	}
+	if err := s.moveJobState(j, types.JobMoved, "moved to "+string(to)); err != nil {
+		return err
+	}
+	return s.RemoveJob(id)
+}
+
+// CancelJob marks a job as cancelled, ends its waiting tasks, and returns the tasks that have to be stopped.
+func (s *State) CancelJob(j *Job, reason string, now time.Time) []*Task {
+	j.Cancelled = true
+	delete(s.Reservations, j.Spec.ID)
+	var stop []*Task
+	for _, t := range j.Tasks {
+		switch t.State {
+		case TaskWaiting:
+			s.mustFinish(t, TaskCancelled, reason, now)
+		case TaskIntended, TaskRunning:
+			stop = append(stop, t)
+		default:
+		}
+	}
+	return stop
+}
+
+// Supersede marks that a job of a service replaces the tasks of an older one.
+func (s *State) Supersede(older, newer *Job) {
+	older.SupersededBy = newer.Spec.ID
+	newer.Supersedes = older.Spec.ID
+}
+
+// SetQuota sets a team's quota. What the team occupies beyond it stays allowed until it is freed.
+func (s *State) SetQuota(id types.TeamID, quota types.Resources) {
+	team := s.Team(id)
+	team.Quota = quota
+	team.Allowance = team.Used
+}
+
+// Assign makes the next attempt of a waiting task occupy the worker, in state Intended. It refuses,
+// without effect, what the worker (Overloaded) or the team's quota (QuotaExceeded) has no room for.
+func (s *State) Assign(t *Task, w *Worker, now time.Time) error {
+	if !t.Need().Fits(w.Free()) {
+		return errs.New(errs.Overloaded, "worker %s has %s left, task %s needs %s", w.VM.ID, w.Free(), t.ID, t.Need())
+	}
+	if team := s.Team(t.Job.Spec.Team); !team.Room(t.Need()) {
+		return errs.New(errs.QuotaExceeded, "team %s occupies %s of %s", team.ID, team.Used, team.Quota)
+	}
+	if err := s.move(t, life.TaskAssign, "assigned to "+string(w.VM.ID)); err != nil {
+		return err
+	}
+	t.Number++
+	t.Started = now
+	s.Starts++
+	s.occupy(t, w)
+	return nil
+}
+
+// Adopt makes a task occupy the worker with a known attempt, as found after a take-over. It never refuses
+// for lack of room, since the attempt already exists.
+func (s *State) Adopt(t *Task, w *Worker, number int, state TaskState) error {
+	trigger, err := life.AdoptTrigger(state)
+	if err != nil {
+		return err
+	}
+	if err := s.move(t, trigger, "taken over on "+string(w.VM.ID)); err != nil {
+		return err
+	}
+	s.Vacate(t)
+	t.Number = number
+	s.occupy(t, w)
+	team := s.Team(t.Job.Spec.Team)
+	team.Allowance = team.Used
+	return nil
+}
+
+// Confirm records that the worker runs the task's attempt.
+func (s *State) Confirm(t *Task, endpoint types.Address, leaseEnd time.Time) error {
+	if err := s.move(t, life.TaskConfirm, "confirmed by "+string(t.Worker)); err != nil {
+		return err
+	}
+	t.Endpoint = endpoint
+	t.LeaseEnd = leaseEnd
+	return nil
+}
+
+// Stop records that a stop of the task's attempt was decided. The task goes on to occupy its worker until Finish.
+func (s *State) Stop(t *Task, reason string) error {
+	if err := s.move(t, life.TaskStop, reason); err != nil {
+		return err
+	}
+	t.Reason = reason
+	t.Endpoint = ""
+	return nil
+}
+
+// Finish frees the task's worker and puts the task in a state that does not occupy one. A service's task
+// that ended waits again. A task of a cancelled job does not, and a failed one of a replaced revision
+// counts as cancelled.
+func (s *State) Finish(t *Task, state TaskState, reason string, now time.Time) error {
+	state = t.endState(state)
+	trigger, err := life.EndTrigger(state)
+	if err != nil {
+		return err
+	}
+	from := t.State
+	if err := s.move(t, trigger, reason); err != nil {
+		return err
+	}
+	s.observeEnd(t, from, now)
+	s.Vacate(t)
+	t.Reason = reason
+	t.Endpoint = ""
+	t.Throttle = 0
+	if state == TaskWaiting {
+		t.Queued = now
+	}
+	return nil
+}
+
+// endState returns the state in which an attempt's end leaves the task.
+func (t *Task) endState(state TaskState) TaskState {
+	switch {
+	case state == TaskDone && t.Job.Spec.Service != nil:
+		state = TaskWaiting
+	case state == TaskFailed && t.Job.SupersededBy != "":
+		return TaskCancelled
+	}
+	if state == TaskWaiting && t.Job.Cancelled {
+		return TaskCancelled
+	}
+	return state
+}
+
+// mustFinish ends a task whose life cycle permits it.
+func (s *State) mustFinish(t *Task, state TaskState, reason string, now time.Time) {
+	if err := s.Finish(t, state, reason, now); err != nil {
+		panic("table: " + err.Error())
+	}
+}
+
+// Vacate frees the worker that the task occupies, if any.
+func (s *State) Vacate(t *Task) {
+	w, ok := s.Workers[t.Worker]
+	if !ok {
+		return
+	}
+	if _, held := w.Attempts[t.ID]; !held {
+		return
+	}
+	delete(w.Attempts, t.ID)
+	need := t.Need()
+	w.Used = w.Used.Sub(need)
+	s.used[t.Job.Spec.Class] = s.used[t.Job.Spec.Class].Sub(need)
+	team := s.Team(t.Job.Spec.Team)
+	team.Used = team.Used.Sub(need)
+	team.Allowance = least(team.Allowance, team.Used)
+}
+
+// AddForeign records an attempt that a worker runs and whose task is not in the tables.
+func (s *State) AddForeign(w *Worker, id types.AttemptID, need types.Resources) {
+	s.DropForeign(w, id)
+	w.Foreign[id] = need
+	w.Used = w.Used.Add(need)
+}
+
+// DropForeign frees what a foreign attempt occupies, once the attempt has ended.
+func (s *State) DropForeign(w *Worker, id types.AttemptID) {
+	need, ok := w.Foreign[id]
+	if !ok {
+		return
+	}
+	delete(w.Foreign, id)
+	w.Used = w.Used.Sub(need)
+}
+
+func (s *State) occupy(t *Task, w *Worker) {
+	need := t.Need()
+	t.Worker = w.VM.ID
+	w.Attempts[t.ID] = struct{}{}
+	w.Used = w.Used.Add(need)
+	s.used[t.Job.Spec.Class] = s.used[t.Job.Spec.Class].Add(need)
+	team := s.Team(t.Job.Spec.Team)
+	team.Used = team.Used.Add(need)
+}
+
+// least returns the smaller amount of each resource.
+func least(a, b types.Resources) types.Resources {
+	return types.Resources{
+		Cores:        min(a.Cores, b.Cores),
+		Memory:       min(a.Memory, b.Memory),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
--- /dev/null
+++ b/internal/sched/table/record.go
@@ -0,0 +1,135 @@
+package table
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// Sizes of what is remembered about ends of attempts.
+const (
+	recordLength = 16
+	// smoothing is the weight of the latest run in an estimate.
+	smoothing = 0.2
+)
+
+type (
+	// Kind groups jobs whose runs are expected to resemble each other: the same name and revision.
+	Kind struct {
+		Name     string
+		Revision types.Revision
+	}
+
+	// End is how one attempt ended.
+	End struct {
+		At     time.Time
+		Kind   Kind
+		Failed bool
+	}
+
+	// Record is what a worker's health is judged by.
+	Record struct {
+		// Ends holds the latest ends of attempts, the oldest first.
+		Ends []End
+		// Since is when the present quarantine began.
+		Since time.Time
+		// Quarantines counts quarantines and failed probes since the worker last proved healthy.
+		Quarantines int
+	}
+
+	// Estimate is what was observed of a kind of job.
+	Estimate struct {
+		// Ratio is the smoothed ratio of observed to declared run times, and Deviation its mean deviation.
+		Ratio     float64
+		Deviation float64
+		Runs      int
+		Failed    int
+		Succeeded int
+	}
+)
+
+// Quarantine takes a worker out of placement.
+func (s *State) Quarantine(w *Worker, now time.Time) {
+	w.Health = WorkerQuarantined
+	w.Record.Since = now
+	w.Record.Quarantines++
+	w.Record.Ends = nil
+}
+
+// Probe lets a quarantined worker run one task on trial.
+func (s *State) Probe(w *Worker) {
+	w.Health = WorkerProbing
+	w.Record.Ends = nil
+}
+
+// Release puts a worker back into placement.
+func (s *State) Release(w *Worker) {
+	w.Health = WorkerLive
+	w.Record.Quarantines = 0
+	w.Record.Since = time.Time{}
+	w.Record.Ends = nil
+}
+
+// observeEnd counts an end of an attempt that tells something about its worker and its kind of job.
+func (s *State) observeEnd(t *Task, from TaskState, now time.Time) {
+	if !from.Occupies() {
+		return
+	}
+	failed := t.Failures > t.counted
+	t.counted = t.Failures
+	if !failed && t.State != TaskDone {
+		return
+	}
+	if w, ok := s.Workers[t.Worker]; ok {
+		w.Record.add(End{At: now, Kind: t.Job.Kind(), Failed: failed})
+	}
+	s.estimate(t.Job.Kind()).add(t, failed, now)
+}
+
+func (s *State) estimate(k Kind) *Estimate {
+	e, ok := s.Estimates[k]
+	if !ok {
+		e = &Estimate{Ratio: 1}
+		s.Estimates[k] = e
+	}
+	return e
+}
+
+func (r *Record) add(e End) {
+	if len(r.Ends) == recordLength {
+		copy(r.Ends, r.Ends[1:])
+		r.Ends = r.Ends[:recordLength-1]
+	}
+	r.Ends = append(r.Ends, e)
+}
+
+func (e *Estimate) add(t *Task, failed bool, now time.Time) {
+	if failed {
+		e.Failed++
+		return
+	}
+	e.Succeeded++
+	declared := t.Job.Spec.Task.RunTime
+	if declared <= 0 || t.Resume {
+		return
+	}
+	ratio := float64(now.Sub(t.Started)) / float64(declared)
+	if e.Runs == 0 {
+		e.Ratio = ratio
+	}
+	e.Runs++
+	gap := ratio - e.Ratio
+	e.Ratio += smoothing * gap
+	e.Deviation += smoothing * (max(gap, -gap) - e.Deviation)
+}
+
+// RunTime returns the run time to expect of the job's tasks: the declared one, corrected by what was
+// observed of the kind with two mean deviations on top.
+func (s *State) RunTime(j *Job) time.Duration {
+	declared := j.Spec.Task.RunTime
+	e, ok := s.Estimates[j.Kind()]
+	if !ok || e.Runs == 0 {
+		return declared
+	}
+	return time.Duration(float64(declared) * (e.Ratio + 2*e.Deviation))
+}
--- /dev/null
+++ b/internal/sched/table/reserve.go
@@ -0,0 +1,106 @@
+package table
+
+import (
+	"sort"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+type (
+	// Reservation keeps workers free of less urgent starts until an all-at-once job fits as a whole.
+	Reservation struct {
+		Job types.JobID
+		// Workers holds how many of the job's tasks each worker is meant for.
+		Workers map[types.VMID]int
+		Since   time.Time
+		Until   time.Time
+	}
+
+	// Room is a group of workers with the same free amount.
+	Room struct {
+		Free    types.Resources `json:"Free"`
+		Workers int             `json:"Workers"`
+	}
+
+	// Peer is the latest summary of another data centre.
+	Peer struct {
+		DataCentre types.DataCentre `json:"DataCentre"`
+		Region     types.Region     `json:"Region"`
+		Rooms      []Room           `json:"Rooms"`
+		// Waiting is the number of tasks that wait there.
+		Waiting int       `json:"Waiting"`
+		At      time.Time `json:"At"`
+	}
+)
+
+// Reserve stores a reservation in place of an older one of the same job.
+func (s *State) Reserve(r *Reservation) {
+	s.Reservations[r.Job] = r
+}
+
+// Unreserve drops the job's reservation.
+func (s *State) Unreserve(id types.JobID) {
+	delete(s.Reservations, id)
+}
+
+// Holds returns how many tasks of the job fit into the rooms.
+func (p Peer) Holds(need types.Resources) int {
+	total := 0
+	for _, r := range p.Rooms {
+		total += Fit(need, r.Free) * r.Workers
+	}
+	return total
+}
+
+// Fit returns how often an amount fits into another one.
+func Fit(need, within types.Resources) int {
+	if !need.Fits(within) {
+		return 0
+	}
+	times := int64(types.MaxTasks)
+	if need.Cores > 0 {
+		times = min(times, int64(within.Cores/need.Cores))
+	}
+	if need.Memory > 0 {
+		times = min(times, int64(within.Memory/need.Memory))
+	}
+	if need.Accelerators > 0 {
+		times = min(times, int64(within.Accelerators/need.Accelerators))
+	}
+	return int(times)
+}
+
+// Rooms returns the free amounts of the workers that may be given tasks, rounded down to whole cores and
+// GiB and grouped, the largest first. It is what peers are told.
+func (s *State) Rooms() []Room {
+	groups := make(map[types.Resources]int)
+	for _, w := range s.Workers {
+		if w.Placeable() {
+			groups[rounded(w.Free())]++
+		}
+	}
+	out := make([]Room, 0, len(groups))
+	for free, count := range groups {
+		out = append(out, Room{Free: free, Workers: count})
+	}
+	sort.Slice(out, func(i, j int) bool { return larger(out[i].Free, out[j].Free) })
+	return out
+}
+
+func rounded(r types.Resources) types.Resources {
+	r.Cores -= r.Cores % types.Core
+	r.Memory -= r.Memory % types.GiB
+	return r
+}
+
+func larger(a, b types.Resources) bool {
+	switch {
+	case a.Accelerators != b.Accelerators:
+		return a.Accelerators > b.Accelerators
+	case a.Cores != b.Cores:
+		return a.Cores > b.Cores
+	default:
+		return a.Memory > b.Memory
+	}
+}
--- a/internal/sched/table/table.go
+++ b/internal/sched/table/table.go
@@ -1,32 +1,27 @@
 // Package table holds the entities of one data centre in tables: workers, jobs, tasks and teams.
 //
-// A State is owned by one goroutine. The systems that decide read it; only its methods change it.
+// A State is owned by one goroutine. The systems that decide read it; only its methods change the
+// states, workers and counts of entities, since they keep the indexes. Fields that hold what was
+// observed (Health, Fenced, Usage, LastSeen, LeaseEnd, Failures) may be set directly.
 package table
 
 import (
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/life"
 )
 
-// States of a task.
+// States of a task; see package life for what they mean.
 const (
-	// TaskWaiting means that no attempt exists that may run.
-	TaskWaiting TaskState = "Waiting"
-	// TaskIntended means that an intent is being committed or was committed and is not confirmed.
-	TaskIntended TaskState = "Intended"
-	// TaskRunning means that the worker confirmed the start.
-	TaskRunning TaskState = "Running"
-	// TaskStopping means that a stop was decided and is not confirmed.
-	TaskStopping TaskState = "Stopping"
-	// TaskDone means that the task ran to its end.
-	TaskDone TaskState = "Done"
-	// TaskFailed means that the task is given up.
-	TaskFailed TaskState = "Failed"
-	// TaskCancelled means that the task was cancelled and no attempt runs.
-	TaskCancelled TaskState = "Cancelled"
-	// TaskUnknown means that a non-idempotent attempt's fate stays unknown; it is not run again.
-	TaskUnknown TaskState = "Unknown"
+	TaskWaiting   = life.TaskWaiting
+	TaskIntended  = life.TaskIntended
+	TaskRunning   = life.TaskRunning
+	TaskStopping  = life.TaskStopping
+	TaskDone      = life.TaskDone
+	TaskFailed    = life.TaskFailed
+	TaskCancelled = life.TaskCancelled
+	TaskUnknown   = life.TaskUnknown
 )
 
 // Health of a worker.
@@ -35,12 +30,13 @@
 	WorkerLeaving     Health = "Leaving"
 	WorkerUnreachable Health = "Unreachable"
 	WorkerQuarantined Health = "Quarantined"
-	WorkerProbing     Health = "Probing"
+	// WorkerProbing means that the worker may run one task on trial.
+	WorkerProbing Health = "Probing"
 )
 
 type (
 	// TaskState is the state of a task's life cycle.
-	TaskState string
+	TaskState = life.TaskState
 	// Health tells whether a worker may be given tasks.
 	Health string
 
@@ -55,6 +51,10 @@
 		Fenced bool
 		// Attempts holds the tasks that occupy the worker.
 		Attempts map[types.TaskID]struct{}
+		// Foreign holds attempts that the worker runs and whose task is not in the tables.
+		Foreign map[types.AttemptID]types.Resources
+		// Record holds the worker's latest ends of attempts and its quarantine.
+		Record Record
 	}
 
 	// Task is one task of a job. While State is Intended, Running or Stopping it occupies Worker.
@@ -68,66 +68,105 @@
 		Started  time.Time
 		LeaseEnd time.Time
 		// Resume tells that the task continues from a checkpoint.
-		Resume   bool
+		Resume bool
+		// Failures counts attempts that failed by themselves. Raise it before Finish, which then
+		// counts the failure against the worker and the kind of job.
 		Failures int
+		// Usage is what the worker reported, late.
+		Usage types.Resources
+		// Throttle is the limit in force in thousandths of the declared cores; 0 means none.
+		Throttle int
 		Endpoint types.Address
 		Reason   string
+
+		slot    int
+		counted int
 	}
 
 	// Job is an accepted job with the tasks that belong to it.
 	Job struct {
 		Spec      types.Job
 		Accepted  time.Time
+		State     types.JobState
 		Cancelled bool
-		Tasks     []*Task
+		// SupersededBy names the job that rolls out a newer revision of the same service.
+		SupersededBy types.JobID
+		// Supersedes names the job whose tasks this one replaces.
+		Supersedes types.JobID
+		Tasks      []*Task
+		// Counts counts the job's tasks by state.
+		Counts Counts
+		// Reason tells why tasks of the job wait.
+		Reason string
+
+		waiting []*Task
+		slot    int
 	}
 
 	// Team is a team with its quota and what its tasks occupy.
 	Team struct {
-		ID    types.TeamID
+		ID types.TeamID
+		// Quota is the most that the team may occupy; zero means that no quota is known.
 		Quota types.Resources
 		Used  types.Resources
+		// Allowance is what was already occupied when the quota was lowered or an attempt was taken over.
+		Allowance types.Resources
 	}
 
 	// State is all tables of one data centre.
 	State struct {
-		DataCentre types.DataCentre
-		Workers    map[types.VMID]*Worker
-		Jobs       map[types.JobID]*Job
-		Tasks      map[types.TaskID]*Task
-		Teams      map[types.TeamID]*Team
+		DataCentre   types.DataCentre
+		Workers      map[types.VMID]*Worker
+		Jobs         map[types.JobID]*Job
+		Tasks        map[types.TaskID]*Task
+		Teams        map[types.TeamID]*Team
+		Reservations map[types.JobID]*Reservation
+		Estimates    map[Kind]*Estimate
+		// Peers holds the latest summaries of other data centres.
+		Peers map[types.DataCentre]Peer
+		// Starts counts the attempts that were assigned here.
+		Starts uint64
+		// Observer, when set, is told of each transition of a task or a job.
+		Observer Observer
+
+		taskCycle *life.TaskCycle
+		jobCycle  *life.JobCycle
+		waiting   []*Job
+		used      map[types.Class]types.Resources
 	}
+
+	// Observer is told the subject's id, its former and its new state, and the cause.
+	Observer func(subject, from, to, cause string)
 )
 
 // New returns empty tables.
 func New(site types.DataCentre) *State {
 	return &State{
-		DataCentre: site,
-		Workers:    make(map[types.VMID]*Worker),
-		Jobs:       make(map[types.JobID]*Job),
-		Tasks:      make(map[types.TaskID]*Task),
-		Teams:      make(map[types.TeamID]*Team),
+		DataCentre:   site,
+		Workers:      make(map[types.VMID]*Worker),
+		Jobs:         make(map[types.JobID]*Job),
+		Tasks:        make(map[types.TaskID]*Task),
+		Teams:        make(map[types.TeamID]*Team),
+		Reservations: make(map[types.JobID]*Reservation),
+		Estimates:    make(map[Kind]*Estimate),
+		Peers:        make(map[types.DataCentre]Peer),
+		taskCycle:    life.NewTaskCycle(),
+		jobCycle:     life.NewJobCycle(),
+		used:         make(map[types.Class]types.Resources),
 	}
 }
 
-// Occupies tells whether a task in this state takes room on its worker.
-func (s TaskState) Occupies() bool {
-	return s == TaskIntended || s == TaskRunning || s == TaskStopping
-}
-
-// Ended tells whether a task in this state will never run again.
-func (s TaskState) Ended() bool {
-	return s == TaskDone || s == TaskFailed || s == TaskCancelled || s == TaskUnknown
-}
-
 // Free returns what the worker has left.
 func (w *Worker) Free() types.Resources {
 	return w.VM.Capacity.Sub(w.Used)
 }
 
-// Placeable tells whether the worker may be given tasks.
+// Placeable tells whether the worker may be given tasks: it is live, or it is on probation and empty.
 func (w *Worker) Placeable() bool {
-	return w.Fenced && w.Health == WorkerLive
+	if !w.Fenced {
+		return false
+	}
+	return w.Health == WorkerLive || (w.Health == WorkerProbing && len(w.Attempts) == 0)
 }
 
 // Attempt returns the id of the task's latest attempt; there is none while Number is zero.
@@ -135,95 +174,39 @@
 	return t.ID.Attempt(t.Number)
 }
 
-// AddWorker adds a worker or updates its VM.
-func (s *State) AddWorker(vm types.VM) *Worker {
-	w, ok := s.Workers[vm.ID]
-	if !ok {
-		w = &Worker{Health: WorkerLive, Attempts: make(map[types.TaskID]struct{})}
-		s.Workers[vm.ID] = w
-	}
-	w.VM = vm
-	return w
+// Need returns what the task declares.
+func (t *Task) Need() types.Resources {
+	return t.Job.Spec.Task.Resources
 }
 
-// AddJob adds an accepted job with all of its tasks waiting. Adding a known job changes nothing.
-func (s *State) AddJob(spec types.Job, accepted time.Time) *Job {
-	if known, ok := s.Jobs[spec.ID]; ok {
-		return known
-	}
-	j := &Job{Spec: spec, Accepted: accepted}
-	for i := range spec.Workload().Tasks() {
-		t := &Task{ID: spec.ID.Task(i), Job: j, State: TaskWaiting, Queued: accepted}
-		j.Tasks = append(j.Tasks, t)
-		s.Tasks[t.ID] = t
-	}
-	s.Jobs[spec.ID] = j
-	return j
+// Kind returns the kind of job, whose runs are expected to resemble each other.
+func (j *Job) Kind() Kind {
+	return Kind{Name: j.Spec.Name, Revision: j.Spec.Revision}
 }
 
-// SetQuota sets a team's quota.
-func (s *State) SetQuota(id types.TeamID, quota types.Resources) {
-	s.team(id).Quota = quota
+// Waiting returns the job's waiting tasks in no stated order. The slice belongs to the tables.
+func (j *Job) Waiting() []*Task {
+	return j.waiting
 }
 
-// Assign makes the next attempt of a waiting task occupy the worker, in state Intended.
-func (s *State) Assign(t *Task, w *Worker, now time.Time) {
-	t.State = TaskIntended
-	t.Number++
-	t.Started = now
-	s.occupy(t, w)
+// Waiting returns the jobs that have waiting tasks, in no stated but a reproducible order. The slice
+// belongs to the tables.
+func (s *State) Waiting() []*Job {
+	return s.waiting
 }
 
-// Adopt makes a task occupy the worker with a known attempt, as found after a take-over.
-func (s *State) Adopt(t *Task, w *Worker, number int, state TaskState) {
-	s.Vacate(t)
-	t.State = state
-	t.Number = number
-	s.occupy(t, w)
-}
-
-// Confirm records that the worker runs the task's attempt.
-func (s *State) Confirm(t *Task, endpoint types.Address, leaseEnd time.Time) {
-	t.State = TaskRunning
-	t.Endpoint = endpoint
-	t.LeaseEnd = leaseEnd
-}
-
-// Finish frees the task's worker and puts the task in a state that does not occupy one.
-func (s *State) Finish(t *Task, state TaskState, reason string, now time.Time) {
-	s.Vacate(t)
-	t.State = state
-	t.Reason = reason
-	t.Endpoint = ""
-	if state == TaskWaiting {
-		t.Queued = now
-	}
-}
-
-// Vacate frees the worker that the task occupies, if any.
-func (s *State) Vacate(t *Task) {
-	w, ok := s.Workers[t.Worker]
-	if !ok {
-		return
-	}
-	if _, held := w.Attempts[t.ID]; !held {
-		return
-	}
-	delete(w.Attempts, t.ID)
-	w.Used = w.Used.Sub(t.Job.Spec.Task.Resources)
-	team := s.team(t.Job.Spec.Team)
-	team.Used = team.Used.Sub(t.Job.Spec.Task.Resources)
+// UsedBy returns what tasks of a class occupy.
+func (s *State) UsedBy(c types.Class) types.Resources {
+	return s.used[c]
 }
 
-func (s *State) occupy(t *Task, w *Worker) {
-	t.Worker = w.VM.ID
-	w.Attempts[t.ID] = struct{}{}
-	w.Used = w.Used.Add(t.Job.Spec.Task.Resources)
-	team := s.team(t.Job.Spec.Team)
-	team.Used = team.Used.Add(t.Job.Spec.Task.Resources)
+// Room tells whether the team may occupy as much more.
+func (t *Team) Room(need types.Resources) bool {
+	return t.Quota.IsZero() || t.Used.Add(need).Fits(t.Quota)
 }
 
-func (s *State) team(id types.TeamID) *Team {
+// Team returns the team's row, which is made when it is missing.
+func (s *State) Team(id types.TeamID) *Team {
 	t, ok := s.Teams[id]
 	if !ok {
 		t = &Team{ID: id}
--- /dev/null
+++ b/internal/sched/table/verify.go
@@ -0,0 +1,140 @@
+package table
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// sums is what a walk over all tasks finds.
+type sums struct {
+	workers map[types.VMID]types.Resources
+	teams   map[types.TeamID]types.Resources
+	classes map[types.Class]types.Resources
+}
+
+// Verify returns an error of kind Internal that names the first broken invariant of the tables: no worker
+// over its capacity with unconfirmed stops counted, no task on two workers, no quota exceeded, and every
+// count and index equal to what the tasks say.
+func Verify(s *State) error {
+	found, err := verifyTasks(s)
+	if err != nil {
+		return err
+	}
+	if err := verifyWorkers(s, found); err != nil {
+		return err
+	}
+	if err := verifyTeams(s, found); err != nil {
+		return err
+	}
+	for _, c := range types.Classes() {
+		if s.used[c] != found.classes[c] {
+			return errs.New(errs.Internal, "class %s counts %s, its tasks occupy %s", c, s.used[c], found.classes[c])
+		}
+	}
+	return verifyJobs(s)
+}
+
+func verifyTasks(s *State) (*sums, error) {
+	found := &sums{
+		workers: make(map[types.VMID]types.Resources),
+		teams:   make(map[types.TeamID]types.Resources),
+		classes: make(map[types.Class]types.Resources),
+	}
+	for id, t := range s.Tasks {
+		if t.ID != id || s.Jobs[t.Job.Spec.ID] != t.Job {
+			return nil, errs.New(errs.Internal, "task %s is filed as %s or its job is missing", t.ID, id)
+		}
+		if (t.slot != noSlot) != (t.State == TaskWaiting) {
+			return nil, errs.New(errs.Internal, "task %s in state %s is wrongly queued", id, t.State)
+		}
+		if !t.State.Occupies() {
+			continue
+		}
+		w, ok := s.Workers[t.Worker]
+		if !ok {
+			return nil, errs.New(errs.Internal, "task %s occupies worker %s, which is missing", id, t.Worker)
+		}
+		if _, held := w.Attempts[id]; !held {
+			return nil, errs.New(errs.Internal, "worker %s does not list task %s", t.Worker, id)
+		}
+		found.add(t)
+	}
+	return found, nil
+}
+
+func (f *sums) add(t *Task) {
+	need := t.Need()
+	f.workers[t.Worker] = f.workers[t.Worker].Add(need)
+	f.teams[t.Job.Spec.Team] = f.teams[t.Job.Spec.Team].Add(need)
+	f.classes[t.Job.Spec.Class] = f.classes[t.Job.Spec.Class].Add(need)
+}
+
+func verifyWorkers(s *State, found *sums) error {
+	for id, w := range s.Workers {
+		for task := range w.Attempts {
+			t, ok := s.Tasks[task]
+			if !ok || t.Worker != id || !t.State.Occupies() {
+				return errs.New(errs.Internal, "worker %s lists task %s, which is not there", id, task)
+			}
+		}
+		used := found.workers[id]
+		for _, need := range w.Foreign {
+			used = used.Add(need)
+		}
+		if used != w.Used {
+			return errs.New(errs.Internal, "worker %s counts %s, its attempts occupy %s", id, w.Used, used)
+		}
+		if !used.Fits(w.VM.Capacity) {
+			return errs.New(errs.Internal, "worker %s is over its capacity: %s of %s", id, used, w.VM.Capacity)
+		}
+	}
+	return nil
+}
+
+func verifyTeams(s *State, found *sums) error {
+	for id, team := range s.Teams {
+		if team.Used != found.teams[id] {
+			return errs.New(errs.Internal, "team %s counts %s, its tasks occupy %s", id, team.Used, found.teams[id])
+		}
+		allowed := most(team.Quota, team.Allowance)
+		if !team.Quota.IsZero() && !team.Used.Fits(allowed) {
+			return errs.New(errs.Internal, "team %s is over its quota: %s of %s", id, team.Used, allowed)
+		}
+	}
+	return nil
+}
+
+func verifyJobs(s *State) error {
+	queued := 0
+	for id, j := range s.Jobs {
+		var c Counts
+		for _, t := range j.Tasks {
+			if s.Tasks[t.ID] != t {
+				return errs.New(errs.Internal, "task %s of job %s is missing", t.ID, id)
+			}
+			c.add(t.State, 1)
+		}
+		if c != j.Counts || c.Waiting != len(j.waiting) {
+			return errs.New(errs.Internal, "job %s counts %+v with %d queued, its tasks say %+v", id, j.Counts, len(j.waiting), c)
+		}
+		if state := c.jobState(j.Cancelled); state != j.State {
+			return errs.New(errs.Internal, "job %s is in state %s, its tasks say %s", id, j.State, state)
+		}
+		if c.Waiting > 0 {
+			queued++
+		}
+	}
+	if queued != len(s.waiting) {
+		return errs.New(errs.Internal, "%d jobs are queued, %d have waiting tasks", len(s.waiting), queued)
+	}
+	return nil
+}
+
+// most returns the larger amount of each resource.
+func most(a, b types.Resources) types.Resources {
+	return types.Resources{
+		Cores:        max(a.Cores, b.Cores),
+		Memory:       max(a.Memory, b.Memory),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
