Measure control cost by fits; send leads in heartbeats only when they differ

internal/proof/fitter measures a cost at three sizes or more, fits a line, states the cost at the target and compares sums with the target's limits; it writes the tables of docs/CAPACITY.md.

Weighed: a slower heartbeat (later suspicion) and sending only leads that changed (needs a log of changes for each peer). A lost exchange leaves the digest old, so the leads are sent again.

peer.Size is exported for the fits.

--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -7,11 +7,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -85,6 +87,9 @@
 		Heard time.Time
 		// Listed is when the platform's list last showed the VM.
 		Listed time.Time
+
+		// known is the digest of the leads that the entry last said it knows.
+		known Digest
 	}
 
 	// Member keeps the view. It is safe for concurrent use.
@@ -325,7 +330,7 @@
 func (m *Member) beat(ctx context.Context, to peer.Target) {
 	limited, cancel := clockwork.WithTimeout(ctx, m.config.Clock, m.config.BeatEvery)
 	defer cancel()
-	args, reply := m.message(), Beat{}
+	args, reply := m.message(to.VM), Beat{}
 	if err := m.config.Peers.Call(limited, to, methodBeat, &args, &reply); err != nil {
 		m.count("BeatFailures")
 		return
@@ -333,10 +338,14 @@
 	m.receive(reply)
 }
 
-func (m *Member) message() Beat {
+// message returns the heartbeat for an entry; it names the leads only to those who know others.
+func (m *Member) message(to types.VMID) Beat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := Beat{From: m.config.Self, Draining: m.draining}
+	out := Beat{From: m.config.Self, Draining: m.draining, Known: digestOf(m.leads)}
+	if e, ok := m.entries[to]; ok && e.known == out.Known {
+		return out
+	}
 	for site, l := range m.leads {
 		out.Leads = append(out.Leads, LeadOf{DataCentre: site, Lead: l})
 	}
@@ -351,6 +360,7 @@
 	defer m.mu.Unlock()
 	e := m.entry(b.From)
 	e.Heard = m.config.Clock.Now()
+	e.known = b.Known
 	switch {
 	case b.Draining:
 		m.change(e, Draining, "it says that it is leaving")
@@ -364,6 +374,15 @@
 	m.merge(leads)
 }
 
+// digestOf adds up a hash of each lead, so that the order does not matter.
+func digestOf(leads map[types.DataCentre]Lead) Digest {
+	var sum Digest
+	for site, l := range leads {
+		sum += Digest(xxhash.Sum64String(fmt.Sprintf("%s/%s/%d", site, l.Target.VM, l.Epoch)))
+	}
+	return sum
+}
+
 func (m *Member) merge(leads map[types.DataCentre]Lead) {
 	for site, l := range leads {
 		known := m.leads[site]
--- a/internal/node/member/member_test.go
+++ b/internal/node/member/member_test.go
@@ -155,3 +155,15 @@
 		t.Fatal("a malformed heartbeat added an entry")
 	}
 }
+
+func TestLeadsAreSentOnlyToThoseWhoKnowOthers(t *testing.T) {
+	f := newFixture(t, three())
+	f.members["a1"].SetLeading(4)
+	f.run(8 * time.Second)
+	if b := f.members["a1"].message("a2"); len(b.Leads) != 0 {
+		t.Fatalf("known leads were sent again: %+v", b.Leads)
+	}
+	f.join("a2", "a")
+	f.run(2 * time.Second)
+	f.wantLead("a2", "a", "a1", 4)
+}
--- a/internal/node/member/service.go
+++ b/internal/node/member/service.go
@@ -10,9 +10,15 @@
 	Beat struct {
 		From     peer.Target
 		Draining bool
-		Leads    []LeadOf
+		// Known is the digest of all leads that the sender knows.
+		Known Digest
+		// Leads is left out when the receiver is known to have the same ones.
+		Leads []LeadOf
 	}
 
+	// Digest stands for a set of leads.
+	Digest uint64
+
 	// LeadOf is the lead of one data centre.
 	LeadOf struct {
 		DataCentre types.DataCentre
@@ -30,6 +36,6 @@
 		return peer.Wire(err)
 	}
 	s.member.receive(*args)
-	*reply = s.member.message()
+	*reply = s.member.message(args.From.VM)
 	return nil
 }
--- a/internal/node/peer/memory.go
+++ b/internal/node/peer/memory.go
@@ -97,8 +97,8 @@
 	}
 	sample := meter.Sample{Kind: method.Kind(), Remote: to.Site.Region, Failed: err != nil}
 	if err == nil {
-		sample.Sent = size(args)
-		sample.Read = size(reply)
+		sample.Sent = Size(args)
+		sample.Read = Size(reply)
 	}
 	d.meter.Count(sample)
 	return err
@@ -140,8 +140,8 @@
 	return true
 }
 
-// size returns the encoded size of a value in bytes, without the description of its type.
-func size(value any) int {
+// Size returns the gob-encoded size of a value in bytes, without the description of its type.
+func Size(value any) int {
 	var buffer bytes.Buffer
 	e := gob.NewEncoder(&buffer)
 	if err := e.Encode(value); err != nil {
--- /dev/null
+++ b/internal/proof/fitter/page.go
@@ -0,0 +1,150 @@
+package fitter
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+)
+
+const (
+	markBegin   = "<!-- generated: begin -->"
+	markEnd     = "<!-- generated: end -->"
+	pageMode    = 0o644
+	tableHead   = "| Role | Duty | Cost | Grows with | Sizes | Slope | Intercept | Residual | At the target | Same in every run |"
+	tableRule   = "|---|---|---|---|---|---|---|---|---|---|"
+	totalHead   = "| Daemon | Budget | Sum at the target | Limit | Fits |"
+	totalRule   = "|---|---|---|---|---|"
+	significant = "%.4g"
+)
+
+type (
+	// Total is the sum of one budget for one kind of daemon, or for the store.
+	Total struct {
+		Of     string
+		Budget Budget
+		Sum    float64
+		Limit  float64
+	}
+
+	// sum says which roles a daemon has and which budgets limit it.
+	sum struct {
+		of      string
+		roles   []Role
+		budgets []Budget
+	}
+)
+
+var (
+	limits = map[Budget]float64{
+		Control:     LimitControl,
+		Processor:   LimitCoreShare,
+		Memory:      LimitMemory,
+		StoreWrites: LimitStoreWrites,
+		StoreReads:  LimitStoreReads,
+	}
+
+	sums = []sum{
+		{of: "entry", roles: []Role{RoleEntry}, budgets: []Budget{Control, Processor, Memory}},
+		{of: "entry that leads", roles: []Role{RoleEntry, RoleLead}, budgets: []Budget{Control, Processor, Memory}},
+		{of: "store", roles: []Role{RoleStore}, budgets: []Budget{StoreWrites, StoreReads}},
+	}
+)
+
+// Fits tells whether the sum is within the limit.
+func (t Total) Fits() bool { return t.Sum <= t.Limit }
+
+// Totals adds up the estimates of each budget that the target limits.
+func Totals(results []Result) []Total {
+	var out []Total
+	for _, s := range sums {
+		for _, b := range s.budgets {
+			out = append(out, Total{Of: s.of, Budget: b, Sum: add(results, s.roles, b), Limit: limits[b]})
+		}
+	}
+	return out
+}
+
+// Write prints the tables in Markdown.
+func Write(w io.Writer, results []Result) error {
+	lines := []string{tableHead, tableRule}
+	for i := range results {
+		lines = append(lines, row(&results[i]))
+	}
+	lines = append(lines, "", totalHead, totalRule)
+	for _, t := range Totals(results) {
+		lines = append(lines, fmt.Sprintf("| %s | %s | "+significant+" | "+significant+" | %s |", t.Of, t.Budget, t.Sum, t.Limit, yesNo(t.Fits())))
+	}
+	lines = append(lines, "", "What carries each duty:", "")
+	lines = append(lines, mechanisms(results)...)
+	if _, err := fmt.Fprintln(w, strings.Join(lines, "\n")); err != nil {
+		return errs.New(errs.Internal, "writing the tables: %v", err)
+	}
+	return nil
+}
+
+// Update replaces the generated part of the page at the path.
+func Update(path string, results []Result) error {
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return errs.New(errs.Invalid, "reading the page: %v", err)
+	}
+	head, _, found := strings.Cut(string(page), markBegin)
+	_, tail, ended := strings.Cut(string(page), markEnd)
+	if !found || !ended {
+		return errs.New(errs.Invalid, "%s has no generated part", path)
+	}
+	var body strings.Builder
+	if err := Write(&body, results); err != nil {
+		return err
+	}
+	text := head + markBegin + "\n\n" + body.String() + "\n" + markEnd + tail
+	if err := os.WriteFile(path, []byte(text), pageMode); err != nil {
+		return errs.New(errs.Internal, "writing the page: %v", err)
+	}
+	return nil
+}
+
+func add(results []Result, roles []Role, b Budget) float64 {
+	var out float64
+	for i := range results {
+		for _, role := range roles {
+			if results[i].Role == role && results[i].Budget == b {
+				out += results[i].Estimate()
+			}
+		}
+	}
+	return out
+}
+
+func row(r *Result) string {
+	sizes := make([]string, 0, len(r.Points))
+	for _, p := range r.Points {
+		sizes = append(sizes, fmt.Sprintf("%g", p.Size))
+	}
+	return fmt.Sprintf("| %s | %s | %s | %s | %s | "+significant+" | "+significant+" | "+significant+" | "+significant+" | %s |",
+		r.Role, r.Duty, r.Budget, r.Driver, strings.Join(sizes, ", "),
+		r.Line.Slope*r.Factor, r.Line.Intercept*r.Factor, r.Line.Residual*r.Factor, r.Estimate(), yesNo(r.Exact))
+}
+
+func mechanisms(results []Result) []string {
+	seen := make(map[string]bool)
+	var out []string
+	for _, r := range results {
+		line := fmt.Sprintf("- %s, %s: %s", r.Role, r.Duty, r.Mechanism)
+		if !seen[line] {
+			seen[line] = true
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+func yesNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/internal/proof/fitter/page_test.go
@@ -0,0 +1,69 @@
+package fitter
+
+import (
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const (
+	pagePath      = "../../../docs/CAPACITY.md"
+	pageTolerance = 0.1
+	cellsOfARow   = 10
+	estimateCell  = 8
+)
+
+// estimates reads the estimates from the rows of the page.
+func estimates(t *testing.T) map[string]float64 {
+	t.Helper()
+	page, err := os.ReadFile(pagePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[string]float64)
+	for line := range strings.SplitSeq(string(page), "\n") {
+		cells := strings.Split(strings.Trim(line, "| "), " | ")
+		if len(cells) != cellsOfARow {
+			continue
+		}
+		if value, err := strconv.ParseFloat(cells[estimateCell], 64); err == nil {
+			out[strings.Join(cells[:3], "/")] = value
+		}
+	}
+	return out
+}
+
+func exactResults(t *testing.T) []Result {
+	t.Helper()
+	results, err := Take(Exact(All()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return results
+}
+
+// The page is made again by "magnoliawalk bench capacity".
+func TestExactFiguresAreThoseOfThePage(t *testing.T) {
+	page := estimates(t)
+	results := exactResults(t)
+	for i := range results {
+		r := &results[i]
+		key := strings.Join([]string{string(r.Role), r.Duty, string(r.Budget)}, "/")
+		want, listed := page[key]
+		if !listed {
+			t.Errorf("the page lacks %s", key)
+			continue
+		}
+		if math.Abs(r.Estimate()-want) > pageTolerance*math.Abs(want)+pageTolerance {
+			t.Errorf("%s is %g, the page says %g", key, r.Estimate(), want)
+		}
+	}
+	for _, total := range Totals(results) {
+		t.Logf("%s, %s: %.4g of %.4g", total.Of, total.Budget, total.Sum, total.Limit)
+		if !total.Fits() {
+			t.Errorf("%s exceeds its limit of %s: %g of %g", total.Of, total.Budget, total.Sum, total.Limit)
+		}
+	}
+}
