--- /dev/null
+++ b/internal/route/lend/lend.go
@@ -0,0 +1,169 @@
+// Package lend shares the slots of runners between entries. The lead of a data centre lends the slots of its
+// runners; each entry uses only the slots that it holds, so no runner is given more requests than it has slots.
+package lend
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
+)
+
+// Names of the remote service and its methods.
+const (
+	ServiceName = "Lend"
+
+	methodTrade    peer.Method = "Lend.Trade"
+	methodHoldings peer.Method = "Lend.Holdings"
+)
+
+const (
+	// TickEvery is how often the loops of this package run.
+	TickEvery = 100 * time.Millisecond
+	// TradeEvery is how often an entry calls a lead when it has nothing to ask or give back.
+	TradeEvery = time.Second
+	// IdleAfter is how long a slot above the floor stays unused before it is given back.
+	IdleAfter = 10 * time.Second
+	// FloorSlots is how many slots of a service an idle entry asks its own data centre for.
+	FloorSlots = 4
+
+	callTimeout = time.Second
+	// farFraction is the part of a runner's slots, one in farFraction, that entries of other regions may hold in sum.
+	farFraction = 4
+	maxShares   = 100_000
+	maxWants    = 10_000
+)
+
+type (
+	// Lead is the daemon that lends the slots of a data centre, and its epoch.
+	Lead struct {
+		Target peer.Target
+		Epoch  types.Epoch
+	}
+
+	// Life tells the processes of one VM apart; a later process has a larger one.
+	Life int64
+
+	// Share is a number of slots and connections of one runner.
+	Share struct {
+		Runner      types.RunnerID
+		Slots       int
+		Connections int
+	}
+
+	// Want is how many slots of a service an entry could use.
+	Want struct {
+		Service types.ServiceName
+		Slots   int
+	}
+
+	// Grant is a runner with the slots and connections that were lent in addition.
+	Grant struct {
+		Upstream    runner.Upstream
+		Slots       int
+		Connections int
+	}
+
+	// TradeArgs is what an entry gives back and asks for.
+	TradeArgs struct {
+		From       peer.Target
+		DataCentre types.DataCentre
+		Epoch      types.Epoch
+		Life       Life
+		Sequence   uint64
+		// Full tells that Shares is all that the entry holds; otherwise Shares is what it gives back.
+		Full     bool
+		Shares   []Share
+		Wants    []Want
+		Refusing []types.RunnerID
+	}
+
+	// TradeReply is what a lead lends and asks back.
+	TradeReply struct {
+		Epoch  types.Epoch
+		Grants []Grant
+		// Recall is how many slots of each service the entry shall give back.
+		Recall []Want
+		// Barred lists runners of which the entry shall use nothing any more.
+		Barred []types.RunnerID
+	}
+
+	// HoldingsArgs asks an entry what it holds of a data centre's runners.
+	HoldingsArgs struct {
+		DataCentre types.DataCentre
+		Epoch      types.Epoch
+	}
+
+	// HoldingsReply is all that an entry holds of a data centre's runners.
+	HoldingsReply struct {
+		Life     Life
+		Sequence uint64
+		Shares   []Share
+	}
+
+	// Service answers the remote calls of this package.
+	Service struct {
+		lender *Lender
+		holder *Holder
+	}
+)
+
+// NewService returns the remote service of one daemon.
+func NewService(lender *Lender, holder *Holder) *Service {
+	return &Service{lender: lender, holder: holder}
+}
+
+// Trade takes back slots and lends others; the lead answers it.
+func (s *Service) Trade(args *TradeArgs, reply *TradeReply) error {
+	out, err := s.lender.trade(args)
+	if err != nil {
+		return peer.Wire(err)
+	}
+	*reply = *out
+	return nil
+}
+
+// Holdings tells a new lead what this entry holds.
+func (s *Service) Holdings(args *HoldingsArgs, reply *HoldingsReply) error {
+	out, err := s.holder.holdings(args)
+	if err != nil {
+		return peer.Wire(err)
+	}
+	*reply = *out
+	return nil
+}
+
+// Check returns an error when a field of the call is missing or out of bounds.
+func (a *TradeArgs) Check() error {
+	if a.From.VM == "" || a.DataCentre == "" || a.Epoch == 0 || a.Sequence == 0 {
+		return errs.New(errs.Invalid, "From, DataCentre, Epoch and Sequence must be set")
+	}
+	if len(a.Shares) > maxShares || len(a.Wants) > maxWants || len(a.Refusing) > maxShares {
+		return errs.New(errs.TooLarge, "more than %d shares or %d wants", maxShares, maxWants)
+	}
+	for _, w := range a.Wants {
+		if w.Slots < 0 {
+			return errs.New(errs.Invalid, "Wants of %s must not be negative", w.Service)
+		}
+	}
+	return checkShares(a.Shares)
+}
+
+// Check returns an error when a share is out of bounds.
+func (r *HoldingsReply) Check() error {
+	if len(r.Shares) > maxShares {
+		return errs.New(errs.TooLarge, "more than %d shares", maxShares)
+	}
+	return checkShares(r.Shares)
+}
+
+func checkShares(shares []Share) error {
+	for _, s := range shares {
+		if s.Runner == "" || s.Slots < 0 || s.Connections < 0 {
+			return errs.New(errs.Invalid, "share of runner %q must not be negative", s.Runner)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/once/archive.go
@@ -0,0 +1,91 @@
+package once
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+type (
+	// archive keeps final answers, the oldest of which make way for new ones.
+	archive struct {
+		maxIDs   int
+		maxBytes types.Bytes
+		bytes    types.Bytes
+		byID     map[types.RequestID]Copied
+		order    []types.RequestID
+	}
+
+	// bodies keeps the bodies of a table within a limit; the oldest are withheld first.
+	bodies struct {
+		limit types.Bytes
+		bytes types.Bytes
+		order []*record
+	}
+)
+
+func newArchive(maxIDs int, maxBytes types.Bytes) *archive {
+	return &archive{maxIDs: maxIDs, maxBytes: maxBytes, byID: make(map[types.RequestID]Copied)}
+}
+
+// put keeps an answer unless one with the id is there.
+func (a *archive) put(c Copied) {
+	id := c.Answer.ID
+	if _, ok := a.byID[id]; ok {
+		return
+	}
+	a.byID[id] = c
+	a.order = append(a.order, id)
+	a.bytes += types.Bytes(len(c.Answer.Body))
+	for len(a.order) > a.maxIDs || a.bytes > a.maxBytes {
+		oldest := a.order[0]
+		a.order = a.order[1:]
+		a.bytes -= types.Bytes(len(a.byID[oldest].Answer.Body))
+		delete(a.byID, oldest)
+	}
+}
+
+func (a *archive) get(id types.RequestID) (Copied, bool) {
+	c, ok := a.byID[id]
+	return c, ok
+}
+
+// page returns answers from a place on, limited in number and bytes, and the place after them.
+func (a *archive) page(from int) ([]Copied, int) {
+	var out []Copied
+	size := 0
+	i := max(0, from)
+	for ; i < len(a.order) && len(out) < maxCopies && size < maxCopyBytes; i++ {
+		c := a.byID[a.order[i]]
+		out = append(out, c)
+		size += len(c.Answer.Body)
+	}
+	return out, i
+}
+
+// add counts the body of a settled record and withholds the oldest ones that are over the limit.
+func (b *bodies) add(r *record) {
+	if len(r.answer.Body) == 0 {
+		return
+	}
+	b.order = append(b.order, r)
+	b.bytes += types.Bytes(len(r.answer.Body))
+	for len(b.order) > 0 && (b.bytes > b.limit || len(b.order[0].answer.Body) == 0) {
+		oldest := b.order[0]
+		b.order[0] = nil
+		b.order = b.order[1:]
+		if len(oldest.answer.Body) == 0 {
+			continue
+		}
+		b.bytes -= types.Bytes(len(oldest.answer.Body))
+		short := Withhold(*oldest.answer, b.limit)
+		oldest.answer = &short
+	}
+}
+
+// drop forgets the body of a record that leaves the table.
+func (b *bodies) drop(r *record) {
+	if len(r.answer.Body) == 0 {
+		return
+	}
+	b.bytes -= types.Bytes(len(r.answer.Body))
+	r.answer = &types.Answer{ID: r.answer.ID, Outcome: types.OutcomeUnknown, Digest: types.DigestOf(nil)}
+}
--- /dev/null
+++ b/internal/route/once/copies.go
@@ -0,0 +1,132 @@
+package once
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+)
+
+// copyPeers is how many peers keep a copy of each final answer.
+const copyPeers = 2
+
+// sendCopies hands final answers to peers of the data centre. A copy that is lost makes an answer Unknown after a
+// change of the lead; it never makes an id run again.
+func (t *Table) sendCopies(ctx context.Context, batch []Copied) {
+	if len(batch) == 0 {
+		return
+	}
+	limited, cancel := clockwork.WithTimeout(ctx, t.config.Clock, copyTimeout)
+	defer cancel()
+	var w sync.WaitGroup
+	for _, to := range t.copyTargets() {
+		w.Go(func() {
+			for part := range slices.Chunk(batch, maxCopies) {
+				args := CopyArgs{DataCentre: t.config.Self.Site.DataCentre, Answers: part}
+				if err := t.config.Peers.Call(limited, to, methodCopy, &args, &CopyReply{}); err != nil {
+					metrics.GetOrRegisterCounter("Once.CopyFailures", t.config.Metrics).Inc(1)
+				}
+			}
+		})
+	}
+	w.Wait()
+}
+
+// copyTargets returns the first peers in order of VM, so that the same ones keep all copies.
+func (t *Table) copyTargets() []peer.Target {
+	peers := slices.DeleteFunc(slices.Clone(t.config.Copies()), func(p peer.Target) bool {
+		return p.VM == t.config.Self.VM
+	})
+	slices.SortFunc(peers, func(a, b peer.Target) int {
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	})
+	return peers[:min(copyPeers, len(peers))]
+}
+
+// collect reads the copies of all peers of the data centre.
+func (t *Table) collect(ctx context.Context) {
+	limited, cancel := clockwork.WithTimeout(ctx, t.config.Clock, copyTimeout)
+	defer cancel()
+	var w sync.WaitGroup
+	for _, from := range t.config.Copies() {
+		if from.VM != t.config.Self.VM {
+			w.Go(func() { t.collectFrom(limited, from) })
+		}
+	}
+	w.Wait()
+}
+
+func (t *Table) collectFrom(ctx context.Context, from peer.Target) {
+	args := CopiesArgs{DataCentre: t.config.Self.Site.DataCentre}
+	for {
+		var reply CopiesReply
+		if err := t.config.Peers.Call(ctx, from, methodCopies, &args, &reply); err != nil {
+			metrics.GetOrRegisterCounter("Once.CollectFailures", t.config.Metrics).Inc(1)
+			return
+		}
+		t.putCopies(reply.Answers)
+		if !reply.More || reply.Next <= args.From {
+			return
+		}
+		args.From = reply.Next
+	}
+}
+
+func (t *Table) putCopies(answers []Copied) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range answers {
+		if c.Check() == nil {
+			t.kept.put(c)
+		}
+	}
+}
+
+func (t *Table) takeCopies(args *CopyArgs) error {
+	if args.DataCentre != t.config.Self.Site.DataCentre {
+		return errs.New(errs.Invalid, "%s keeps copies of %s only", t.config.Self.VM, t.config.Self.Site.DataCentre)
+	}
+	if len(args.Answers) > maxCopies {
+		return errs.New(errs.TooLarge, "more than %d answers", maxCopies)
+	}
+	t.putCopies(args.Answers)
+	return nil
+}
+
+func (t *Table) copies(args *CopiesArgs) (*CopiesReply, error) {
+	if args.DataCentre != t.config.Self.Site.DataCentre {
+		return nil, errs.New(errs.Invalid, "%s keeps copies of %s only", t.config.Self.VM, t.config.Self.Site.DataCentre)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answers, next := t.kept.page(args.From)
+	return &CopiesReply{Answers: answers, Next: next, More: next < len(t.kept.order)}, nil
+}
+
+// Answers returns how many final answers of earlier leads are kept here.
+func (t *Table) Answers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.kept.order)
+}
+
+// Known tells whether an id has a record in the table of this lead.
+func (t *Table) Known(id types.RequestID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	minted, err := types.ParseID(string(id))
+	if err != nil {
+		return false
+	}
+	_, ok := t.find(id, markOf(minted))
+	return ok
+}
--- /dev/null
+++ b/internal/route/once/service.go
@@ -0,0 +1,67 @@
+package once
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+)
+
+// Service answers the remote calls of this package.
+type Service struct {
+	table *Table
+}
+
+// NewService returns the remote service of one daemon.
+func NewService(table *Table) *Service {
+	return &Service{table: table}
+}
+
+// Register gives an id to one entry for one dispatch.
+func (s *Service) Register(args *RegisterArgs, reply *RegisterReply) error {
+	out, err := s.table.register(args)
+	if err != nil {
+		return peer.Wire(err)
+	}
+	*reply = *out
+	return nil
+}
+
+// Settle takes the final answer of an id.
+func (s *Service) Settle(args *SettleArgs, _ *SettleReply) error {
+	return peer.Wire(s.table.settle(args))
+}
+
+// Ask tells what is known of an id.
+func (s *Service) Ask(args *AskArgs, reply *AskReply) error {
+	answer, err := s.table.ask(args.ID)
+	if err != nil {
+		return peer.Wire(err)
+	}
+	reply.Answer = *answer
+	return nil
+}
+
+// Mark returns what an entry needs to mint ids.
+func (s *Service) Mark(_ *MarkArgs, reply *Mark) error {
+	s.table.mu.Lock()
+	defer s.table.mu.Unlock()
+	if !s.table.active {
+		return peer.Wire(errs.New(errs.Fenced, "%s is not the lead", s.table.config.Self.VM))
+	}
+	*reply = s.table.mark()
+	return nil
+}
+
+// Copy keeps final answers for the home.
+func (s *Service) Copy(args *CopyArgs, _ *CopyReply) error {
+	return peer.Wire(s.table.takeCopies(args))
+}
+
+// Copies returns the final answers that this daemon keeps.
+func (s *Service) Copies(args *CopiesArgs, reply *CopiesReply) error {
+	out, err := s.table.copies(args)
+	if err != nil {
+		return peer.Wire(err)
+	}
+	*reply = *out
+	return nil
+}
