Read, check, edit, spread and audit environment documents: first version

Documents are read by walking the syntax tree of goccy/go-yaml instead of its decoder: the decoder stops at the first problem and its custom unmarshalers know neither line nor path. A document now lists its data centres with their workers, so that demands that can never be met are refused, and Environment is optional, since a promoted document is the same bytes in two environments. An accepted document is archived before it is replaced, so that a writer that dies in between leaves only a copy; writing the history afterwards was ruled out, as it loses a revision then.

--- /dev/null
+++ b/internal/conf/edit/edit.go
@@ -0,0 +1,182 @@
+// Package edit changes environment documents in the platform's store, by compare-and-swap on the revision
+// that the operator read.
+package edit
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+const (
+	// currentPrefix is the prefix of the keys that hold the accepted document of each environment.
+	currentPrefix = "Environments/"
+	// historyPrefix is the prefix of the keys that hold replaced documents, each written once.
+	historyPrefix = "History/"
+	// retryAfter is how long an operator should wait before trying again.
+	retryAfter = 5 * time.Second
+)
+
+type (
+	// Accepted is one accepted document as it stands in the store. Records are ordered by Newer.
+	Accepted struct {
+		Environment envdoc.Name    `json:"Environment"`
+		Revision    types.Revision `json:"Revision"`
+		Digest      types.Digest   `json:"Digest"`
+		Body        []byte         `json:"Body"`
+		By          string         `json:"By"`
+		At          time.Time      `json:"At"`
+		// From is the environment from which the document was promoted.
+		From envdoc.Name `json:"From,omitempty"`
+	}
+
+	// Config says how an editor reaches the store and who edits.
+	Config struct {
+		Store store.Store
+		Clock clockwork.Clock
+		Audit audit.Recorder
+		// By names the operator.
+		By string
+		// InForce returns the newest record that the daemon has seen in force, or nil. It guards against a
+		// store that was restored to an older state.
+		InForce func(envdoc.Name) *Accepted
+	}
+
+	// Editor changes environment documents for one operator. It is safe for concurrent use.
+	Editor struct {
+		config Config
+	}
+
+	// current is the accepted record with its version in the store.
+	current struct {
+		record  Accepted
+		version store.Version
+	}
+)
+
+// New returns an editor.
+func New(c Config) *Editor {
+	if c.Audit == nil {
+		c.Audit = audit.Discard{}
+	}
+	if c.InForce == nil {
+		c.InForce = func(envdoc.Name) *Accepted { return nil }
+	}
+	return &Editor{config: c}
+}
+
+// CurrentKey returns the key that holds the accepted document of an environment.
+func CurrentKey(env envdoc.Name) store.Key {
+	return store.Key(currentPrefix + string(env))
+}
+
+// HistoryKey returns the key that holds one replaced document of an environment.
+func HistoryKey(env envdoc.Name, revision types.Revision) store.Key {
+	return store.Key(fmt.Sprintf("%s%s/%020d", historyPrefix, env, revision))
+}
+
+// Check returns an error when the record is not whole.
+func (a *Accepted) Check() error {
+	if a.Environment == "" || a.Revision == 0 {
+		return errs.New(errs.Invalid, "Environment and Revision must be set")
+	}
+	if types.DigestOf(a.Body) != a.Digest {
+		return errs.New(errs.Invalid, "the body of revision %d of %s does not have its digest", a.Revision, a.Environment)
+	}
+	return nil
+}
+
+// Newer tells whether the record replaces another one: by revision, then by time of acceptance, then by
+// digest. The last two matter only when a restored store issued a revision twice.
+func (a *Accepted) Newer(than *Accepted) bool {
+	if than == nil {
+		return true
+	}
+	if a.Revision != than.Revision {
+		return a.Revision > than.Revision
+	}
+	if !a.At.Equal(than.At) {
+		return a.At.After(than.At)
+	}
+	return a.Digest > than.Digest
+}
+
+// Get returns the accepted document of an environment.
+func (e *Editor) Get(ctx context.Context, env envdoc.Name) (Accepted, error) {
+	found, err := e.read(ctx, env)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if found.record.Revision == 0 {
+		return Accepted{}, errs.New(errs.NotFound,
+			"environment %s has no document yet; put the first one with expected revision 0", env)
+	}
+	return found.record, nil
+}
+
+// Put replaces the document of an environment while it has the expected revision; 0 means that there is
+// none yet. An error of kind Conflict tells what the other operator changed.
+func (e *Editor) Put(ctx context.Context, env envdoc.Name, expect types.Revision, body []byte) (Accepted, error) {
+	document, err := envdoc.Parse(body)
+	if err != nil {
+		return Accepted{}, e.refuse(env, err)
+	}
+	if err := belongs(document, env); err != nil {
+		return Accepted{}, e.refuse(env, err)
+	}
+	return e.replace(ctx, draft{env: env, expect: expect, body: body, verb: audit.VerbPut})
+}
+
+// Promote makes the accepted document of one environment that of another one, byte for byte. It takes
+// effect only while the source has the digest and the target the revision that the operator read.
+func (e *Editor) Promote(ctx context.Context, from, to envdoc.Name, expectFrom types.Digest,
+	expectTo types.Revision,
+) (Accepted, error) {
+	if from == to {
+		return Accepted{}, e.refuse(to, errs.New(errs.Invalid, "name two environments; both are %s", from))
+	}
+	source, err := e.Get(ctx, from)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if source.Digest != expectFrom {
+		return Accepted{}, e.refuse(to, errs.New(errs.Conflict,
+			"%s now has revision %d with digest %016x, put by %s, not the digest %016x that was tried; "+
+				"try that revision, then promote it", from, source.Revision, source.Digest, source.By, expectFrom))
+	}
+	document, err := envdoc.Parse(source.Body)
+	if err != nil {
+		return Accepted{}, e.refuse(to, err)
+	}
+	if err := belongs(document, to); err != nil {
+		return Accepted{}, e.refuse(to, err)
+	}
+	return e.replace(ctx, draft{env: to, expect: expectTo, body: source.Body, from: from, verb: audit.VerbPromote})
+}
+
+// belongs refuses a document that names another environment than the one that it is meant for.
+func belongs(document *envdoc.Document, env envdoc.Name) error {
+	if err := types.CheckName("environment", string(env)); err != nil {
+		return err
+	}
+	if document.Environment == "" || document.Environment == env {
+		return nil
+	}
+	return errs.New(errs.Invalid, "the document is only for environment %s, as its Environment says, not for %s; "+
+		"leave Environment out of a document that is promoted", document.Environment, env)
+}
+
+func (e *Editor) refuse(env envdoc.Name, err error) error {
+	e.config.Audit.Record(audit.Record{
+		Actor: e.config.By, Verb: audit.VerbRefuse, Subject: string(env), Cause: errs.Of(err).Message,
+	})
+	return err
+}
--- /dev/null
+++ b/internal/conf/edit/history.go
@@ -0,0 +1,150 @@
+package edit
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+// KeepRevisions is how many replaced documents of an environment stay in the store.
+const KeepRevisions = 100
+
+// Load returns the accepted record of an environment and its version in the store. A record with
+// revision 0 means that there is none.
+func Load(ctx context.Context, s store.Store, env envdoc.Name) (Accepted, store.Version, error) {
+	found, err := load(ctx, s, env)
+	return found.record, found.version, err
+}
+
+func load(ctx context.Context, s store.Store, env envdoc.Name) (current, error) {
+	entry, err := s.Get(ctx, CurrentKey(env))
+	if errs.Is(err, errs.NotFound) {
+		return current{}, nil
+	}
+	if err != nil {
+		return current{}, err
+	}
+	record, err := Decode(entry)
+	if err != nil {
+		return current{}, err
+	}
+	return current{record: record, version: entry.Version}, nil
+}
+
+// Decode reads and checks the record of an entry of the store.
+func Decode(entry store.Entry) (Accepted, error) {
+	var record Accepted
+	if err := store.Open(entry.Value, &record); err != nil {
+		return Accepted{}, err
+	}
+	if err := record.Check(); err != nil {
+		return Accepted{}, err
+	}
+	return record, nil
+}
+
+// Archive copies an accepted record to the history and drops the copy that is too old to keep. A record
+// whose revision was issued twice, by a store that was restored in between, is kept beside the other one.
+func Archive(ctx context.Context, s store.Store, record Accepted) error {
+	if record.Revision == 0 {
+		return nil
+	}
+	key := HistoryKey(record.Environment, record.Revision)
+	entry, err := store.Commit(ctx, s, store.Put{Key: key, Expect: store.Absent}, record)
+	if errs.Is(err, errs.Conflict) {
+		return archiveTwin(ctx, s, entry.Key, key, record)
+	}
+	if err != nil {
+		return err
+	}
+	prune(ctx, s, record)
+	return nil
+}
+
+// archiveTwin keeps a record whose revision is in the history already, unless it is the same record.
+func archiveTwin(ctx context.Context, s store.Store, found, key store.Key, record Accepted) error {
+	kept, err := s.Get(ctx, key)
+	if errs.Is(err, errs.NotFound) && found == "" {
+		return errs.New(errs.Unavailable, "%s vanished while it was read", key)
+	}
+	if err != nil {
+		return err
+	}
+	old, err := Decode(kept)
+	if err == nil && old.Digest == record.Digest {
+		return nil
+	}
+	twin := store.Key(fmt.Sprintf("%s-%016x", key, uint64(record.Digest)))
+	_, err = store.Commit(ctx, s, store.Put{Key: twin, Expect: store.Absent}, record)
+	if errs.Is(err, errs.Conflict) {
+		return nil
+	}
+	return err
+}
+
+// prune drops the record that fell out of the kept history. A failure leaves one record too many.
+func prune(ctx context.Context, s store.Store, newest Accepted) {
+	if newest.Revision <= KeepRevisions {
+		return
+	}
+	page, err := s.List(ctx, HistoryKey(newest.Environment, newest.Revision-KeepRevisions))
+	if err != nil {
+		return
+	}
+	for _, entry := range page.Entries {
+		// What stays because of a failure takes room and nothing else.
+		_ = s.Delete(ctx, entry.Key, entry.Version)
+	}
+}
+
+// Revision returns one accepted document, the present one or a replaced one.
+func (e *Editor) Revision(ctx context.Context, env envdoc.Name, revision types.Revision) (Accepted, error) {
+	found, err := load(ctx, e.config.Store, env)
+	if err != nil {
+		return Accepted{}, unreadable(err)
+	}
+	if found.record.Revision == revision && revision > 0 {
+		return found.record, nil
+	}
+	entry, err := e.config.Store.Get(ctx, HistoryKey(env, revision))
+	if errs.Is(err, errs.NotFound) {
+		return Accepted{}, errs.New(errs.NotFound, "%s has no revision %d; see its history", env, revision)
+	}
+	if err != nil {
+		return Accepted{}, unreadable(err)
+	}
+	return Decode(entry)
+}
+
+// History returns the newest accepted documents, the newest first, at most limit of them.
+func (e *Editor) History(ctx context.Context, env envdoc.Name, limit int) ([]Accepted, error) {
+	found, err := load(ctx, e.config.Store, env)
+	if err != nil {
+		return nil, unreadable(err)
+	}
+	if found.record.Revision == 0 {
+		return nil, nil
+	}
+	out := []Accepted{found.record}
+	for back := types.Revision(1); back <= KeepRevisions && back < found.record.Revision; back++ {
+		if len(out) >= limit {
+			break
+		}
+		page, err := e.config.Store.List(ctx, HistoryKey(env, found.record.Revision-back))
+		if err != nil {
+			return nil, unreadable(err)
+		}
+		for _, entry := range page.Entries {
+			record, err := Decode(entry)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, record)
+		}
+	}
+	return out[:min(limit, len(out))], nil
+}
--- /dev/null
+++ b/internal/conf/edit/replace.go
@@ -0,0 +1,157 @@
+package edit
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+// draft is a document that an operator wants accepted.
+type draft struct {
+	env    envdoc.Name
+	expect types.Revision
+	body   []byte
+	from   envdoc.Name
+	verb   audit.Verb
+}
+
+// replace archives the accepted document and then replaces it. A writer that dies between the two leaves a
+// copy of the accepted document in the history, which the next writer finds and accepts as its own.
+func (e *Editor) replace(ctx context.Context, d draft) (Accepted, error) {
+	found, err := e.read(ctx, d.env)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if found.record.Revision != d.expect {
+		return Accepted{}, e.refuse(d.env, e.raced(ctx, d, found.record))
+	}
+	next := Accepted{
+		Environment: d.env, Revision: found.record.Revision + 1, Digest: types.DigestOf(d.body), Body: d.body,
+		By: e.config.By, At: after(e.config.Clock.Now(), found.record.At), From: d.from,
+	}
+	if err := Archive(ctx, e.config.Store, found.record); err != nil {
+		return Accepted{}, unwritten(err)
+	}
+	_, err = store.Commit(ctx, e.config.Store, store.Put{Key: CurrentKey(d.env), Expect: found.version}, next)
+	if errs.Is(err, errs.Conflict) {
+		return Accepted{}, e.refuse(d.env, e.overtaken(ctx, d))
+	}
+	if err != nil {
+		return Accepted{}, unwritten(err)
+	}
+	e.accepted(d, next)
+	return next, nil
+}
+
+func (e *Editor) accepted(d draft, next Accepted) {
+	inputs := []audit.Input{{Name: "Digest", Value: fmt.Sprintf("%016x", uint64(next.Digest))}}
+	cause := "the operator read revision " + fmt.Sprint(d.expect)
+	if d.from != "" {
+		cause = fmt.Sprintf("promoted from %s; %s", d.from, cause)
+	}
+	e.config.Audit.Record(audit.Record{
+		Actor: e.config.By, Verb: d.verb, Subject: string(d.env), Cause: cause,
+		Revision: next.Revision, Inputs: inputs,
+	})
+}
+
+// read returns the accepted record. When the store was restored to an older state than the daemon has in
+// force, the record in force is first written back.
+func (e *Editor) read(ctx context.Context, env envdoc.Name) (current, error) {
+	found, err := load(ctx, e.config.Store, env)
+	if err != nil {
+		return current{}, unreadable(err)
+	}
+	inForce := e.config.InForce(env)
+	if inForce == nil || !inForce.Newer(&found.record) {
+		return found, nil
+	}
+	if _, err := Settle(ctx, e.config.Store, *inForce); err != nil {
+		return current{}, unwritten(err)
+	}
+	found, err = load(ctx, e.config.Store, env)
+	if err != nil {
+		return current{}, unreadable(err)
+	}
+	return found, nil
+}
+
+// after returns the present time, or just past an earlier one when clocks differ: the times of acceptance
+// grow with the revisions.
+func after(now, earlier time.Time) time.Time {
+	if now.After(earlier) {
+		// Round drops the monotonic reading, which does not survive the store.
+		return now.UTC().Round(0)
+	}
+	return earlier.Add(time.Nanosecond)
+}
+
+// raced returns the error for an operator whose revision is no longer the accepted one.
+func (e *Editor) raced(ctx context.Context, d draft, now Accepted) error {
+	if now.Revision == 0 {
+		return errs.New(errs.Conflict, "%s has no document yet; put with expected revision 0", d.env)
+	}
+	if now.Revision < d.expect {
+		return errs.New(errs.Conflict, "%s is at revision %d, below the expected %d; get it and put again",
+			d.env, now.Revision, d.expect)
+	}
+	return errs.New(errs.Conflict, "%s is at revision %d, put by %s at %s, not at the expected %d. "+
+		"Your document was not taken and is unchanged on your side. The other change:\n%s"+
+		"Get revision %d, make your change there, and put it with that revision",
+		d.env, now.Revision, now.By, now.At.Format("15:04:05"), d.expect, e.difference(ctx, d, now), now.Revision)
+}
+
+// overtaken returns the error for an operator who lost a race between the read and the write.
+func (e *Editor) overtaken(ctx context.Context, d draft) error {
+	found, err := load(ctx, e.config.Store, d.env)
+	if err != nil {
+		return errs.New(errs.Conflict, "%s was changed by another operator; get it and put again", d.env)
+	}
+	return e.raced(ctx, d, found.record)
+}
+
+// difference tells what changed between the revision that the operator read and the accepted one.
+func (e *Editor) difference(ctx context.Context, d draft, now Accepted) string {
+	var before *envdoc.Document
+	if d.expect > 0 {
+		old, err := e.Revision(ctx, d.env, d.expect)
+		if err != nil {
+			return fmt.Sprintf("  (revision %d can't be read for a comparison)\n", d.expect)
+		}
+		before, _ = envdoc.Examine(old.Body)
+	}
+	after, _ := envdoc.Examine(now.Body)
+	var text strings.Builder
+	for _, change := range envdoc.Compare(before, after) {
+		text.WriteString("  " + change.String() + "\n")
+	}
+	return text.String()
+}
+
+func unreadable(err error) error {
+	if errs.Is(err, errs.Unavailable, errs.Lost) {
+		return errs.After(errs.Unavailable, retryAfter,
+			"the store can't be read, nothing was changed; try again in %s: %s", retryAfter, errs.Of(err).Message)
+	}
+	return err
+}
+
+func unwritten(err error) error {
+	switch {
+	case errs.Is(err, errs.Lost):
+		return errs.After(errs.Lost, retryAfter, "it is not known whether the change was accepted; "+
+			"run get and compare the digest before putting again: %s", errs.Of(err).Message)
+	case errs.Is(err, errs.Unavailable):
+		return errs.After(errs.Unavailable, retryAfter,
+			"the store can't be written, nothing was changed; try again in %s: %s", retryAfter, errs.Of(err).Message)
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/internal/conf/envdoc/check.go
@@ -0,0 +1,225 @@
+package envdoc
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// Ranges of the policies.
+const (
+	maxHeadroom       = 500
+	maxQuarantined    = 500
+	minTaskLease      = 5 * time.Second
+	maxTaskLease      = 10 * time.Minute
+	minGangTimeout    = time.Second
+	maxGangTimeout    = time.Hour
+	maxAttempts       = 100
+	maxQueue          = 1_000_000
+	maxRetryBudget    = 1000
+	minKeepAnswers    = time.Minute
+	maxKeepAnswers    = 7 * 24 * time.Hour
+	minDeadline       = 10 * time.Millisecond
+	maxStartWithin    = 7 * 24 * time.Hour
+	maxSlots          = 1024
+	maxConnections    = 65536
+	maxWorkersInGroup = 100_000
+	maxLinkRate       = 1 << 30
+)
+
+// checker collects the problems of a document.
+type checker struct {
+	document *Document
+	problems Problems
+}
+
+// Check returns an error when the document breaks a rule; it names every problem.
+func (d *Document) Check() error {
+	return d.Problems().Err()
+}
+
+// Problems returns every rule that the document breaks, without lines.
+func (d *Document) Problems() Problems {
+	c := &checker{document: d}
+	if d.Environment != "" {
+		c.name("Environment", string(d.Environment))
+	}
+	c.dataCentres()
+	c.teams()
+	c.names()
+	c.classes()
+	c.placement()
+	c.requests()
+	for i, s := range d.Services {
+		c.service(Path("Services").Index(i), s)
+	}
+	for i, w := range d.Batch {
+		c.work(Path("Batch").Index(i), w)
+	}
+	for i, w := range d.Gangs {
+		c.work(Path("Gangs").Index(i), w)
+		c.gang(Path("Gangs").Index(i), w)
+	}
+	if len(c.problems) == 0 {
+		c.totals()
+	}
+	return c.problems
+}
+
+func (c *checker) refuse(path Path, allowed, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Path: path, Reason: fmt.Sprintf(format, args...), Allowed: allowed})
+}
+
+// impossible refuses a demand that is well formed but can never be met.
+func (c *checker) impossible(path Path, allowed, format string, args ...any) {
+	c.refuse(path, allowed, format, args...)
+	c.problems[len(c.problems)-1].Impossible = true
+}
+
+func (c *checker) name(path Path, text string) {
+	if err := types.CheckName(string(path), text); err != nil {
+		c.refuse(path, "1 to 63 of a-z, 0-9 and -", "%q is not a name", text)
+	}
+}
+
+func (c *checker) count(path Path, value, low, high int) {
+	if value < low || value > high {
+		c.refuse(path, fmt.Sprintf("%d to %d", low, high), "%d is out of range", value)
+	}
+}
+
+func (c *checker) duration(path Path, value, low, high time.Duration) {
+	if value < low || value > high {
+		c.refuse(path, fmt.Sprintf("%s to %s", low, high), "%s is out of range", value)
+	}
+}
+
+func (c *checker) bytes(path Path, value, high types.Bytes) {
+	if value < 0 || value > high {
+		c.refuse(path, fmt.Sprintf("0B to %dB", high), "%dB is out of range", value)
+	}
+}
+
+func (c *checker) class(path Path, class types.Class) {
+	if class.Check() != nil {
+		c.refuse(path, "Urgent, Normal or Batch", "%q is not a class", class)
+	}
+}
+
+func (c *checker) resources(path Path, r types.Resources) {
+	if r.Cores < 1 || r.Memory < 1 || r.Accelerators < 0 {
+		c.refuse(path, "Cores from 1m, Memory from 1MiB, Accelerators from 0", "%s is too little", r)
+	}
+}
+
+func (c *checker) dataCentres() {
+	if len(c.document.DataCentres) == 0 {
+		c.refuse("DataCentres", "at least one data centre", "the list is missing or empty")
+	}
+	seen := make(map[types.DataCentre]bool)
+	for i, dc := range c.document.DataCentres {
+		path := Path("DataCentres").Index(i)
+		c.name(path.Key("Name"), string(dc.Name))
+		c.name(path.Key("Region"), string(dc.Region))
+		if seen[dc.Name] {
+			c.refuse(path.Key("Name"), "each data centre once", "%q stands twice", dc.Name)
+		}
+		seen[dc.Name] = true
+		if len(dc.Workers) == 0 {
+			c.refuse(path.Key("Workers"), "at least one group", "the list is missing or empty")
+		}
+		for j, g := range dc.Workers {
+			at := path.Key("Workers").Index(j)
+			c.count(at.Key("Count"), g.Count, 1, maxWorkersInGroup)
+			c.resources(at.Key("Capacity"), g.Capacity)
+		}
+	}
+}
+
+func (c *checker) teams() {
+	if len(c.document.Teams) == 0 {
+		c.refuse("Teams", "at least one team", "the list is missing or empty")
+	}
+	seen := make(map[types.TeamID]bool)
+	for i, t := range c.document.Teams {
+		path := Path("Teams").Index(i)
+		c.name(path.Key("Name"), string(t.Name))
+		if seen[t.Name] {
+			c.refuse(path.Key("Name"), "each team once", "%q stands twice", t.Name)
+		}
+		seen[t.Name] = true
+		c.class(path.Key("MaxClass"), t.MaxClass)
+		c.resources(path.Key("Quota"), t.Quota)
+	}
+}
+
+// names refuses two entries of one name, since callers submit work by name.
+func (c *checker) names() {
+	seen := make(map[string]bool)
+	add := func(list Path, i int, name string) {
+		path := list.Index(i).Key("Name")
+		c.name(path, name)
+		if seen[name] {
+			c.refuse(path, "a name that no other service, batch work or gang has", "%q stands twice", name)
+		}
+		seen[name] = true
+	}
+	for i, s := range c.document.Services {
+		add("Services", i, string(s.Name))
+	}
+	for i, w := range c.document.Batch {
+		add("Batch", i, w.Name)
+	}
+	for i, w := range c.document.Gangs {
+		add("Gangs", i, w.Name)
+	}
+}
+
+func (c *checker) classes() {
+	seen := make(map[types.Class]bool)
+	for i, p := range c.document.Classes {
+		path := Path("Classes").Index(i)
+		c.class(path.Key("Class"), p.Class)
+		if seen[p.Class] {
+			c.refuse(path.Key("Class"), "each class once", "%q stands twice", p.Class)
+		}
+		seen[p.Class] = true
+		c.duration(path.Key("StartWithin"), p.StartWithin, 0, maxStartWithin)
+		c.count(path.Key("Queue"), p.Queue, 0, maxQueue)
+		c.duration(path.Key("Deadline"), p.Deadline, 0, types.MaxDeadline)
+	}
+}
+
+func (c *checker) placement() {
+	p, path := c.document.Placement, Path("Placement")
+	c.count(path.Key("UrgentHeadroom"), p.UrgentHeadroom, 0, maxHeadroom)
+	c.duration(path.Key("TaskLease"), p.TaskLease, minTaskLease, maxTaskLease)
+	c.duration(path.Key("GangTimeout"), p.GangTimeout, minGangTimeout, maxGangTimeout)
+	c.count(path.Key("MaxAttempts"), p.MaxAttempts, 1, maxAttempts)
+	c.count(path.Key("MaxQuarantined"), p.MaxQuarantined, 0, maxQuarantined)
+}
+
+func (c *checker) requests() {
+	r, path := c.document.Requests, Path("Requests")
+	c.count(path.Key("Queue"), r.Queue, 1, maxQueue)
+	c.count(path.Key("RetryBudget"), r.RetryBudget, 0, maxRetryBudget)
+	c.duration(path.Key("KeepAnswers"), r.KeepAnswers, minKeepAnswers, maxKeepAnswers)
+	c.bytes(path.Key("MaxKeptAnswer"), r.MaxKeptAnswer, types.MaxAnswerBody)
+	c.duration(path.Key("DefaultDeadline"), r.DefaultDeadline, minDeadline, types.MaxDeadline)
+	c.bytes("Link.RequestBytesPerSecond", c.document.Link.RequestBytesPerSecond, maxLinkRate)
+}
+
+// task checks the description of one task apart from its size.
+func (c *checker) task(path Path, t types.TaskSpec) {
+	c.resources(path.Key("Resources"), t.Resources)
+	if err := t.Check(); err != nil && t.Resources.Cores > 0 && t.Resources.Memory > 0 {
+		c.refuse(path, "see Task in the reference of the document", "%s", errs.Of(err).Message)
+	}
+	for i, dc := range t.DataCentres {
+		if _, known := c.document.DataCentre(dc); !known {
+			c.refuse(path.Key("DataCentres").Index(i), "a name from DataCentres", "%q is not a data centre", dc)
+		}
+	}
+}
--- a/internal/conf/envdoc/envdoc.go
+++ b/internal/conf/envdoc/envdoc.go
@@ -1,5 +1,5 @@
 // Package envdoc holds the environment document: the services, batch work and all-at-once jobs of one
-// environment, with their teams and policies.
+// environment, with their teams and policies. It parses, checks and compares documents.
 package envdoc
 
 import (
@@ -8,20 +8,41 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 )
 
+// MaxBody is the largest document, in bytes. Its record in the store, which carries the body in base64,
+// stays below the store's limit for one value.
+const MaxBody = 512 << 10
+
 type (
 	// Name names an environment, as in trial or production.
 	Name string
 
 	// Document is one environment's document. Durations are written with a unit, as in 30s.
 	Document struct {
-		Environment Name            `json:"Environment" yaml:"Environment"`
-		Teams       []Team          `json:"Teams" yaml:"Teams"`
-		Services    []ServiceEntry  `json:"Services,omitempty" yaml:"Services"`
-		Batch       []WorkEntry     `json:"Batch,omitempty" yaml:"Batch"`
-		Gangs       []WorkEntry     `json:"Gangs,omitempty" yaml:"Gangs"`
-		Placement   PlacementPolicy `json:"Placement" yaml:"Placement"`
-		Requests    RequestPolicy   `json:"Requests" yaml:"Requests"`
-		Link        LinkPolicy      `json:"Link" yaml:"Link"`
+		// Environment, when set, keeps the document from being put into any other environment.
+		Environment Name              `json:"Environment,omitempty" yaml:"Environment"`
+		DataCentres []DataCentreEntry `json:"DataCentres" yaml:"DataCentres"`
+		Teams       []Team            `json:"Teams" yaml:"Teams"`
+		Services    []ServiceEntry    `json:"Services,omitempty" yaml:"Services"`
+		Batch       []WorkEntry       `json:"Batch,omitempty" yaml:"Batch"`
+		Gangs       []WorkEntry       `json:"Gangs,omitempty" yaml:"Gangs"`
+		Classes     []ClassPolicy     `json:"Classes,omitempty" yaml:"Classes"`
+		Placement   PlacementPolicy   `json:"Placement" yaml:"Placement"`
+		Requests    RequestPolicy     `json:"Requests" yaml:"Requests"`
+		Link        LinkPolicy        `json:"Link" yaml:"Link"`
+	}
+
+	// DataCentreEntry is a data centre that the environment uses, with the workers that it is expected to
+	// have. Demands that these workers could never meet are refused.
+	DataCentreEntry struct {
+		Name    types.DataCentre `json:"Name" yaml:"Name"`
+		Region  types.Region     `json:"Region" yaml:"Region"`
+		Workers []WorkerGroup    `json:"Workers" yaml:"Workers"`
+	}
+
+	// WorkerGroup is a number of workers of one size.
+	WorkerGroup struct {
+		Count    int             `json:"Count" yaml:"Count"`
+		Capacity types.Resources `json:"Capacity" yaml:"Capacity"`
 	}
 
 	// Team is a team with its share of the cell.
@@ -62,6 +83,17 @@
 		Within time.Duration `json:"Within" yaml:"Within"`
 	}
 
+	// ClassPolicy is what one class of urgency may expect. A zero field takes its default.
+	ClassPolicy struct {
+		Class types.Class `json:"Class" yaml:"Class"`
+		// StartWithin is how long work of the class may wait for its start before the wait is reported.
+		StartWithin time.Duration `json:"StartWithin,omitempty" yaml:"StartWithin"`
+		// Queue is how many requests of the class one entry holds.
+		Queue int `json:"Queue,omitempty" yaml:"Queue"`
+		// Deadline applies to requests of the class that state none.
+		Deadline time.Duration `json:"Deadline,omitempty" yaml:"Deadline"`
+	}
+
 	// PlacementPolicy steers the placement of tasks.
 	PlacementPolicy struct {
 		// UrgentHeadroom is the part of each data centre, in thousandths, that only urgent work may take.
@@ -137,3 +169,79 @@
 	}
 	return ServiceEntry{}, false
 }
+
+// DataCentre returns the data centre with the name.
+func (d *Document) DataCentre(name types.DataCentre) (DataCentreEntry, bool) {
+	for _, c := range d.DataCentres {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return DataCentreEntry{}, false
+}
+
+// Policy returns what a class may expect, with defaults where the document is silent.
+func (d *Document) Policy(class types.Class) ClassPolicy {
+	out := ClassPolicy{Class: class}
+	for _, p := range d.Classes {
+		if p.Class == class {
+			out = p
+		}
+	}
+	if out.StartWithin == 0 {
+		out.StartWithin = defaultStartWithin(class)
+	}
+	if out.Queue == 0 {
+		out.Queue = d.Requests.Queue
+	}
+	if out.Deadline == 0 {
+		out.Deadline = d.Requests.DefaultDeadline
+	}
+	return out
+}
+
+func defaultStartWithin(class types.Class) time.Duration {
+	switch class {
+	case types.ClassUrgent:
+		return 6 * time.Second
+	case types.ClassNormal:
+		return time.Minute
+	default:
+		return 8 * time.Hour
+	}
+}
+
+// Total returns the sum of the capacity of the data centre's workers.
+func (c DataCentreEntry) Total() types.Resources {
+	var sum types.Resources
+	for _, g := range c.Workers {
+		sum = sum.Add(g.Capacity.Times(g.Count))
+	}
+	return sum
+}
+
+// Room returns how many tasks of one size empty workers of the data centre hold.
+func (c DataCentreEntry) Room(task types.Resources) int {
+	sum := 0
+	for _, g := range c.Workers {
+		sum += g.Count * perWorker(task, g.Capacity)
+	}
+	return sum
+}
+
+func perWorker(task, capacity types.Resources) int {
+	if task.IsZero() || !task.Fits(capacity) {
+		return 0
+	}
+	most := int64(types.MaxTasks)
+	if task.Cores > 0 {
+		most = min(most, int64(capacity.Cores/task.Cores))
+	}
+	if task.Memory > 0 {
+		most = min(most, int64(capacity.Memory/task.Memory))
+	}
+	if task.Accelerators > 0 {
+		most = min(most, int64(capacity.Accelerators/task.Accelerators))
+	}
+	return int(most)
+}
--- /dev/null
+++ b/internal/conf/envdoc/parse.go
@@ -0,0 +1,66 @@
+package envdoc
+
+import (
+	"reflect"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+)
+
+// Parse reads a document strictly, fills in the defaults and checks it. The error lists every problem with
+// its line, path, reason and what is allowed.
+func Parse(body []byte) (*Document, error) {
+	d, problems := Examine(body)
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Examine reads a document like Parse and returns the problems as they are. The document is not nil
+// when it could be read, even if it must be refused.
+func Examine(body []byte) (*Document, Problems) {
+	if len(body) > MaxBody {
+		return nil, Problems{{Reason: "the document is too large", Allowed: "at most 512 KiB"}}
+	}
+	root, problems := root(body)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	document := Default()
+	r := reader{lines: make(map[Path]int)}
+	r.read(root, reflect.ValueOf(&document).Elem(), "")
+	if len(r.problems) > 0 {
+		r.problems.sort()
+		return nil, r.problems
+	}
+	found := document.Problems()
+	for i := range found {
+		found[i].Line = r.line(found[i].Path)
+	}
+	found.sort()
+	return &document, found
+}
+
+// root returns the only YAML document of the body.
+func root(body []byte) (ast.Node, Problems) {
+	file, err := parser.ParseBytes(body, 0)
+	if err != nil {
+		return nil, Problems{{Line: lineOf(err), Reason: errs.Of(err).Message, Allowed: "one YAML document"}}
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return nil, Problems{{Reason: "the body does not hold exactly one document", Allowed: "one YAML document"}}
+	}
+	return file.Docs[0].Body, nil
+}
+
+func lineOf(err error) int {
+	located, ok := err.(interface{ GetToken() *token.Token })
+	if !ok || located.GetToken() == nil || located.GetToken().Position == nil {
+		return 0
+	}
+	return located.GetToken().Position.Line
+}
--- /dev/null
+++ b/internal/conf/envdoc/problem.go
@@ -0,0 +1,89 @@
+package envdoc
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+)
+
+const maxShownProblems = 20
+
+type (
+	// Path names a value of a document, as in Services[0].Task.Resources.Cores.
+	Path string
+
+	// Problem is one reason to refuse a document.
+	Problem struct {
+		// Line is the line of the document, or 0 when there is none.
+		Line int  `json:"Line,omitempty"`
+		Path Path `json:"Path"`
+		// Reason tells what is wrong.
+		Reason string `json:"Reason"`
+		// Allowed tells what would be accepted.
+		Allowed string `json:"Allowed"`
+		// Impossible tells that the form is right but the demand can never be met.
+		Impossible bool `json:"Impossible,omitempty"`
+	}
+
+	// Problems is every reason to refuse a document.
+	Problems []Problem
+)
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	place := string(p.Path)
+	if p.Line > 0 {
+		place = fmt.Sprintf("line %d: %s", p.Line, p.Path)
+	}
+	return fmt.Sprintf("%s: %s; allowed: %s", place, p.Reason, p.Allowed)
+}
+
+// Err returns nil without problems, an error of kind Impossible when all demands are well formed, or else
+// one of kind Invalid. Each problem takes one line of the message.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	kind := errs.Impossible
+	lines := make([]string, 0, len(p))
+	for i, problem := range p {
+		if !problem.Impossible {
+			kind = errs.Invalid
+		}
+		if i < maxShownProblems {
+			lines = append(lines, problem.String())
+		}
+	}
+	if rest := len(p) - maxShownProblems; rest > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", rest))
+	}
+	return errs.New(kind, "the document is refused:\n  %s", strings.Join(lines, "\n  "))
+}
+
+func (p Problems) sort() {
+	sort.SliceStable(p, func(i, j int) bool { return p[i].Line < p[j].Line })
+}
+
+// Key returns the path of a field below the path.
+func (p Path) Key(name string) Path {
+	if p == "" {
+		return Path(name)
+	}
+	return p + "." + Path(name)
+}
+
+// Index returns the path of an element below the path.
+func (p Path) Index(i int) Path {
+	return Path(fmt.Sprintf("%s[%d]", p, i))
+}
+
+// parent returns the path without its last part; the parent of a top-level field is empty.
+func (p Path) parent() Path {
+	cut := strings.LastIndexAny(string(p), ".[")
+	if cut < 0 {
+		return ""
+	}
+	return p[:cut]
+}
--- a/internal/ops/audit/audit.go
+++ b/internal/ops/audit/audit.go
@@ -2,6 +2,7 @@
 package audit
 
 import (
+	"strings"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -45,7 +46,9 @@
 	// Record is one change or decision. Subject is the id of a job, task, attempt, request, worker,
 	// data centre or environment.
 	Record struct {
-		At       time.Time        `json:"At"`
+		At time.Time `json:"At"`
+		// Seq numbers the records of one run of a VM.
+		Seq      uint64           `json:"Seq,omitempty"`
 		VM       types.VMID       `json:"VM"`
 		Site     types.DataCentre `json:"DataCentre"`
 		Actor    string           `json:"Actor"`
@@ -66,5 +69,25 @@
 	Discard struct{}
 )
 
+// Concerns tells whether the record is about the subject: its own id, a part of it, as a task is of a job, the
+// whole of which it is a part, or an input of the decision.
+func (r Record) Concerns(subject string) bool {
+	if r.Subject == subject || within(r.Subject, subject) || within(subject, r.Subject) {
+		return true
+	}
+	for _, input := range r.Inputs {
+		if input.Value == subject || within(input.Value, subject) {
+			return true
+		}
+	}
+	return false
+}
+
+// within tells whether an id is that of a task or attempt of the whole.
+func within(part, whole string) bool {
+	tail, ok := strings.CutPrefix(part, whole)
+	return ok && whole != "" && tail != "" && (tail[0] == '/' || tail[0] == '#')
+}
+
 // Record drops the record.
 func (Discard) Record(Record) {}
--- /dev/null
+++ b/internal/ops/audit/segment.go
@@ -0,0 +1,148 @@
+package audit
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+const (
+	prefix     = "Audit/"
+	hourFormat = "2006010215"
+	// maxInflated is the largest segment that is read, in bytes.
+	maxInflated = 16 << 20
+)
+
+// segment is a batch of records as it stands in the store, compressed.
+type segment struct {
+	Records []byte `json:"Records"`
+}
+
+// hourKey returns the prefix of the keys of one data centre's records of one hour.
+func hourKey(at time.Time, dc types.DataCentre) store.Key {
+	return store.Key(fmt.Sprintf("%s%s/%s/", prefix, at.UTC().Format(hourFormat), dc))
+}
+
+// Flush writes the records that wait to the store, in one write. Records that could not be written wait on.
+func (l *Log) Flush(ctx context.Context) {
+	batch, number := l.take()
+	if len(batch) == 0 {
+		return
+	}
+	limited, cancel := clockwork.WithTimeout(ctx, l.config.Clock, storeTimeout)
+	defer cancel()
+	err := l.write(limited, batch, number)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.pending = l.bound(append(batch, l.pending...), maxPending)
+		l.count("FlushFailures", 1)
+	} else {
+		l.count("Written", int64(len(batch)))
+	}
+	if failing := err != nil; failing != l.failing {
+		l.failing = failing
+		l.config.Log.Warn().Bool("Failing", failing).AnErr("Error", err).Msg("writing the audit to the store")
+	}
+}
+
+// take removes the records that the next write holds.
+func (l *Log) take() ([]Record, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := min(len(l.pending), maxSegment)
+	batch := append([]Record(nil), l.pending[:n]...)
+	l.pending = append([]Record(nil), l.pending[n:]...)
+	batch = append(batch, l.requests...)
+	l.requests = nil
+	if len(batch) > 0 {
+		l.segment++
+	}
+	return batch, l.segment
+}
+
+func (l *Log) write(ctx context.Context, batch []Record, number uint64) error {
+	packed, err := pack(batch)
+	if err != nil {
+		return err
+	}
+	hour := hourKey(l.config.Clock.Now(), l.config.Self.Site.DataCentre)
+	key := store.Key(fmt.Sprintf("%s%s/%s-%08d", hour, l.config.Self.VM, l.run, number))
+	_, err = store.Commit(ctx, l.config.Store, store.Put{Key: key, Expect: store.Absent}, segment{Records: packed})
+	return err
+}
+
+// sweep deletes records of the data centre that are too old to keep; the lead does it for all VMs.
+func (l *Log) sweep(ctx context.Context) {
+	if l.config.Leading == nil {
+		return
+	}
+	if _, leading := l.config.Leading(); !leading {
+		return
+	}
+	oldest := l.config.Clock.Now().Add(-l.config.Keep)
+	const lookBack = 6
+	for back := 1; back <= lookBack; back++ {
+		hour := oldest.Add(-time.Duration(back) * time.Hour)
+		if !l.deleteHour(ctx, hourKey(hour, l.config.Self.Site.DataCentre)) {
+			return
+		}
+	}
+}
+
+func (l *Log) deleteHour(ctx context.Context, hour store.Key) bool {
+	page, err := l.config.Store.List(ctx, hour)
+	if err != nil {
+		return false
+	}
+	for _, entry := range page.Entries {
+		if err := l.config.Store.Delete(ctx, entry.Key, entry.Version); err != nil && !errs.Is(err, errs.Conflict) {
+			return false
+		}
+		l.count("Deleted", 1)
+		select {
+		case <-l.config.Clock.After(sweepPause):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+func pack(records []Record) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errs.New(errs.Internal, "compressing records: %v", err)
+	}
+	if err := json.NewEncoder(w).Encode(records); err != nil {
+		return nil, errs.New(errs.Internal, "encoding records: %v", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, errs.New(errs.Internal, "compressing records: %v", err)
+	}
+	return out.Bytes(), nil
+}
+
+func unpack(packed []byte) ([]Record, error) {
+	r := flate.NewReader(bytes.NewReader(packed))
+	body, err := io.ReadAll(io.LimitReader(r, maxInflated))
+	if err != nil {
+		return nil, errs.New(errs.Internal, "a segment of records is malformed: %v", err)
+	}
+	var records []Record
+	if err := json.Unmarshal(body, &records); err != nil {
+		return nil, errs.New(errs.Internal, "a segment of records is malformed: %v", err)
+	}
+	return records, nil
+}
--- /dev/null
+++ b/internal/ops/report/fleet.go
@@ -0,0 +1,207 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// oldConfirmation is the age above which a revision counts as not confirmed of late.
+const oldConfirmation = 30 * time.Second
+
+type (
+	// Fleet is how the fleet stands, as one daemon sees it.
+	Fleet struct {
+		At          time.Time      `json:"At"`
+		Environment envdoc.Name    `json:"Environment"`
+		Revision    types.Revision `json:"Revision"`
+		DataCentres []DataCentre   `json:"DataCentres"`
+		VMs         []VM           `json:"VMs"`
+		Alarms      []Alarm        `json:"Alarms"`
+	}
+
+	// DataCentre is how one data centre stands, by its lead's word.
+	DataCentre struct {
+		Name   types.DataCentre `json:"Name"`
+		Region types.Region     `json:"Region"`
+		// Lead is empty while no daemon leads.
+		Lead  types.VMID  `json:"Lead,omitempty"`
+		Epoch types.Epoch `json:"Epoch,omitempty"`
+		// Reached tells that the lead answered; the counts are only known then.
+		Reached     bool                `json:"Reached"`
+		Workers     int                 `json:"Workers"`
+		Quarantined int                 `json:"Quarantined"`
+		Unreachable int                 `json:"Unreachable"`
+		Running     int                 `json:"Running"`
+		Waiting     map[types.Class]int `json:"Waiting,omitempty"`
+		// LongestWait is how long the first of the waiting tasks of each class has waited.
+		LongestWait map[types.Class]time.Duration `json:"LongestWait,omitempty"`
+		Capacity    types.Resources               `json:"Capacity"`
+		Used        types.Resources               `json:"Used"`
+	}
+
+	// VM is one entry VM and the revision that it has in force.
+	VM struct {
+		ID         types.VMID       `json:"ID"`
+		DataCentre types.DataCentre `json:"DataCentre"`
+		Reached    bool             `json:"Reached"`
+		Revision   types.Revision   `json:"Revision"`
+		// Age is how long ago the store, directly or through peers, confirmed the revision.
+		Age      time.Duration `json:"Age"`
+		Draining bool          `json:"Draining,omitempty"`
+	}
+
+	// Alarm is something that an operator should know, and what to do.
+	Alarm struct {
+		Name AlarmName `json:"Name"`
+		Text string    `json:"Text"`
+		// Do is what is left to people; empty when the system repairs it alone.
+		Do string `json:"Do,omitempty"`
+	}
+
+	// AlarmName names an alarm as docs/OPERATIONS.md lists it.
+	AlarmName string
+)
+
+// Alarms of the fleet.
+const (
+	AlarmNoLead         AlarmName = "NoLead"
+	AlarmLeadUnreached  AlarmName = "LeadUnreached"
+	AlarmVMUnreached    AlarmName = "VMUnreached"
+	AlarmOldRevision    AlarmName = "OldRevision"
+	AlarmUnconfirmed    AlarmName = "Unconfirmed"
+	AlarmNoDocument     AlarmName = "NoDocument"
+	AlarmQuarantine     AlarmName = "Quarantine"
+	AlarmWorkersMissing AlarmName = "WorkersMissing"
+	AlarmLongWait       AlarmName = "LongWait"
+)
+
+// Status fills in the newest revision and the alarms of a fleet. The document may be nil.
+func Status(fleet Fleet, document *envdoc.Document) Fleet {
+	sort.Slice(fleet.DataCentres, func(i, j int) bool { return fleet.DataCentres[i].Name < fleet.DataCentres[j].Name })
+	sort.Slice(fleet.VMs, func(i, j int) bool { return fleet.VMs[i].ID < fleet.VMs[j].ID })
+	for _, vm := range fleet.VMs {
+		fleet.Revision = max(fleet.Revision, vm.Revision)
+	}
+	fleet.Alarms = nil
+	for _, vm := range fleet.VMs {
+		fleet.checkVM(vm)
+	}
+	for _, dc := range fleet.DataCentres {
+		fleet.checkDataCentre(dc, document)
+	}
+	return fleet
+}
+
+func (f *Fleet) raise(name AlarmName, do, format string, args ...any) {
+	f.Alarms = append(f.Alarms, Alarm{Name: name, Text: fmt.Sprintf(format, args...), Do: do})
+}
+
+func (f *Fleet) checkVM(vm VM) {
+	switch {
+	case !vm.Reached:
+		f.raise(AlarmVMUnreached, "look at the network if several of a data centre are missing",
+			"VM %s in %s does not answer", vm.ID, vm.DataCentre)
+	case vm.Revision == 0:
+		f.raise(AlarmNoDocument, "put a document, or look at the store", "VM %s has no document in force", vm.ID)
+	case vm.Revision < f.Revision:
+		f.raise(AlarmOldRevision, "wait 20 s; if it stays, replace the VM or look at its log for a refused document",
+			"VM %s has revision %d, not %d", vm.ID, vm.Revision, f.Revision)
+	case vm.Age > oldConfirmation:
+		f.raise(AlarmUnconfirmed, "look at the store and the network between the data centres",
+			"the store has not confirmed revision %d to VM %s for %s", vm.Revision, vm.ID, vm.Age.Round(time.Second))
+	}
+}
+
+func (f *Fleet) checkDataCentre(dc DataCentre, document *envdoc.Document) {
+	if dc.Lead == "" {
+		f.raise(AlarmNoLead, "if it stays for a minute: look at the store and the VMs there",
+			"%s has no lead; running tasks and requests go on, nothing new is placed", dc.Name)
+		return
+	}
+	if !dc.Reached {
+		f.raise(AlarmLeadUnreached, "look at the network to "+string(dc.Name), "the lead of %s, %s, does not answer",
+			dc.Name, dc.Lead)
+		return
+	}
+	if dc.Quarantined > 0 {
+		f.raise(AlarmQuarantine, "explain the worker; replace it if probes keep failing",
+			"%d of %d workers of %s are in quarantine", dc.Quarantined, dc.Workers, dc.Name)
+	}
+	if dc.Unreachable > 0 {
+		f.raise(AlarmWorkersMissing, "look at the rack or switch if they stand together",
+			"%d of %d workers of %s do not answer", dc.Unreachable, dc.Workers, dc.Name)
+	}
+	f.checkWaits(dc, document)
+}
+
+func (f *Fleet) checkWaits(dc DataCentre, document *envdoc.Document) {
+	if document == nil {
+		return
+	}
+	for _, class := range types.Classes() {
+		allowed := document.Policy(class).StartWithin
+		if wait := dc.LongestWait[class]; wait > allowed {
+			f.raise(AlarmLongWait, "explain a waiting job; add workers or move quotas",
+				"work of class %s has waited %s in %s, more than %s", class, wait.Round(time.Second), dc.Name, allowed)
+		}
+	}
+}
+
+// WriteText writes the fleet for a terminal.
+func (f Fleet) WriteText(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "environment %s, revision %d, at %s\n", f.Environment, f.Revision, f.At.Format(timeFormat))
+	for _, dc := range f.DataCentres {
+		f.writeDataCentre(&b, dc)
+	}
+	for _, vm := range f.VMs {
+		writeVM(&b, vm)
+	}
+	if len(f.Alarms) == 0 {
+		b.WriteString("no alarms\n")
+	}
+	for _, a := range f.Alarms {
+		fmt.Fprintf(&b, "ALARM %s: %s", a.Name, a.Text)
+		if a.Do != "" {
+			fmt.Fprintf(&b, "; %s", a.Do)
+		}
+		b.WriteString("\n")
+	}
+	if _, err := io.WriteString(w, b.String()); err != nil {
+		return errs.New(errs.Internal, "writing the status: %v", err)
+	}
+	return nil
+}
+
+func (f Fleet) writeDataCentre(b *strings.Builder, dc DataCentre) {
+	lead := string(dc.Lead)
+	if lead == "" {
+		lead = "none"
+	}
+	fmt.Fprintf(b, "%s (%s): lead %s, epoch %d", dc.Name, dc.Region, lead, dc.Epoch)
+	if dc.Reached {
+		fmt.Fprintf(b, "; %d workers, %d in quarantine, %d unreachable; %d tasks run; waiting: %s; used %s of %s",
+			dc.Workers, dc.Quarantined, dc.Unreachable, dc.Running, Classes(dc.Waiting), dc.Used, dc.Capacity)
+	}
+	b.WriteString("\n")
+}
+
+func writeVM(b *strings.Builder, vm VM) {
+	if !vm.Reached {
+		fmt.Fprintf(b, "  %s (%s): not reached\n", vm.ID, vm.DataCentre)
+		return
+	}
+	draining := ""
+	if vm.Draining {
+		draining = ", draining"
+	}
+	fmt.Fprintf(b, "  %s (%s): revision %d, confirmed %s ago%s\n",
+		vm.ID, vm.DataCentre, vm.Revision, vm.Age.Round(100*time.Millisecond), draining)
+}
