Decide placement by small systems over the tables

First fit was the only planner: no classes, quotas, deadlines, gangs, health.

plan.New returns Systems, which runs in each tick: health and quarantine, admission, reservations, trials, urgent starts, preemption, the other lanes, gangs, roll-outs, draining, throttling, hand-over, reasons for waiting. It keeps nothing between ticks; one reservation at a time, held in the tables, so two large gangs never hold halves. A global order by fairness alone was ruled out, since a deadline must rise above it (lane Pressing); strict classes were ruled out, since a flood of urgent work would starve the rest (every eighth start goes to the job that has waited longest).

Random sequences of 150 events with starts and stops confirmed late, checked by table.Verify after each event, found two faults, now tested: cancelling an ended job marked it as cancelled, and a replaced service ended as Failed.

--- a/internal/sched/plan/apply.go
+++ b/internal/sched/plan/apply.go
@@ -17,7 +17,7 @@
 		}
 	case ProbeAction:
 		if w, ok := s.Workers[a.Worker]; ok {
-			s.Probe(w)
+			s.Probe(w, now)
 		}
 	case ReleaseAction:
 		if w, ok := s.Workers[a.Worker]; ok {
@@ -30,6 +30,7 @@
 	case WaitAction:
 		if j, ok := s.Jobs[a.Job]; ok {
 			j.Reason = a.Reason
+			j.ReasonAt = now
 		}
 	default:
 		return false
--- /dev/null
+++ b/internal/sched/plan/least.go
@@ -0,0 +1,24 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+// LeastLoaded is a baseline: it takes tasks in order of arrival and the worker with the most free cores.
+type LeastLoaded struct{}
+
+// Plan starts each waiting task that fits on some worker.
+func (LeastLoaded) Plan(s *table.State, _ time.Time) []Action {
+	return inOrder(s, "worker with the most free cores", func(fitting []*table.Worker, free map[types.VMID]types.Resources) *table.Worker {
+		best := fitting[0]
+		for _, w := range fitting[1:] {
+			if free[w.VM.ID].Cores > free[best.VM.ID].Cores {
+				best = w
+			}
+		}
+		return best
+	})
+}
--- /dev/null
+++ b/internal/sched/plan/preempt.go
@@ -0,0 +1,183 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+// maxPreemptSearches bounds the searches for victims in one tick.
+const maxPreemptSearches = 32
+
+// load is what a worker could free: what is being stopped, and the tasks that may be preempted.
+type load struct {
+	stopping types.Resources
+	victims  []*table.Task
+}
+
+// preemptForUrgent makes room for each urgent task that found none: first by waiting for stops that are
+// under way, else by preempting the fewest tasks that can checkpoint. The room is held for the task.
+func preemptForUrgent(t *tick) {
+	if len(t.stuck) == 0 {
+		return
+	}
+	loads := t.loads()
+	searches := 0
+	for _, e := range t.stuck {
+		if e.job.Spec.Gang != nil {
+			continue
+		}
+		for e.next > 0 && t.barrier(e) == "" && searches < maxPreemptSearches {
+			searches++
+			if !t.claimStopping(e, loads) && !t.preempt(e, loads) {
+				break
+			}
+			e.next--
+		}
+	}
+}
+
+func (t *tick) loads() []load {
+	out := make([]load, len(t.rooms.list))
+	for i := range t.rooms.list {
+		m := &t.rooms.list[i]
+		if m.open() {
+			out[i] = t.loadOf(m.worker)
+		}
+	}
+	return out
+}
+
+func (t *tick) loadOf(w *table.Worker) load {
+	var l load
+	for id := range w.Attempts {
+		k := t.tables.Tasks[id]
+		switch {
+		case k.State == table.TaskStopping:
+			l.stopping = l.stopping.Add(k.Need())
+		case isVictim(k):
+			l.victims = append(l.victims, k)
+		}
+	}
+	slices.SortFunc(l.victims, compareVictims)
+	return l
+}
+
+// isVictim tells whether a task may be preempted: it runs, it can checkpoint, it is not urgent, and it is
+// part of neither a service nor an all-at-once job.
+func isVictim(k *table.Task) bool {
+	spec := &k.Job.Spec
+	return k.State == table.TaskRunning && spec.Task.CanCheckpoint &&
+		spec.Batch != nil && spec.Class != types.ClassUrgent
+}
+
+// compareVictims puts the least urgent class first, then the task that started last.
+func compareVictims(a, b *table.Task) int {
+	if c := b.Job.Spec.Class.Rank() - a.Job.Spec.Class.Rank(); c != 0 {
+		return c
+	}
+	if c := b.Started.Compare(a.Started); c != 0 {
+		return c
+	}
+	return strings.Compare(string(a.ID), string(b.ID))
+}
+
+// claimStopping holds room on a worker whose stops under way will be enough.
+func (t *tick) claimStopping(e *entry, loads []load) bool {
+	need := e.job.Spec.Task.Resources
+	for i := range t.rooms.list {
+		m := &t.rooms.list[i]
+		if m.open() && need.Fits(m.free.Add(loads[i].stopping)) {
+			t.occupy(e, i, 1)
+			e.why = "room is being made by stops under way"
+			return true
+		}
+	}
+	return false
+}
+
+// preempt stops the fewest tasks of one worker that make room for the entry's next task.
+func (t *tick) preempt(e *entry, loads []load) bool {
+	need := e.job.Spec.Task.Resources
+	best := closed
+	var chosen []*table.Task
+	for i := range t.rooms.list {
+		m := &t.rooms.list[i]
+		if !m.open() {
+			continue
+		}
+		found := victimsFor(need, m.free.Add(loads[i].stopping), loads[i].victims, e.job.Spec.Class)
+		if len(found) > 0 && (best == closed || len(found) < len(chosen)) {
+			best, chosen = i, found
+		}
+	}
+	if best == closed {
+		return false
+	}
+	task := e.tasks[e.next-1]
+	for _, k := range chosen {
+		t.stopFor(k, task, &loads[best])
+	}
+	t.occupy(e, best, 1)
+	e.why = "room is being made by preemption"
+	return true
+}
+
+// stopFor plans the preemption of one task.
+func (t *tick) stopFor(victim, task *table.Task, l *load) {
+	l.stopping = l.stopping.Add(victim.Need())
+	l.victims = slices.DeleteFunc(l.victims, func(k *table.Task) bool { return k == victim })
+	t.add(PreemptAction{
+		Task:       victim.ID,
+		Checkpoint: true,
+		For:        task.ID,
+		Reason: fmt.Sprintf("%s task needs %s and no worker has room; this %s task on %s can checkpoint and started last",
+			task.Job.Spec.Class, task.Need(), victim.Job.Spec.Class, victim.Worker),
+	})
+}
+
+// victimsFor returns the fewest tasks whose end makes room for the need, or none when they are not enough.
+func victimsFor(need, free types.Resources, victims []*table.Task, class types.Class) []*table.Task {
+	var out []*table.Task
+	for _, k := range victims {
+		if need.Fits(free) {
+			break
+		}
+		if k.Job.Spec.Class.Rank() > class.Rank() {
+			out = append(out, k)
+			free = free.Add(k.Need())
+		}
+	}
+	if !need.Fits(free) {
+		return nil
+	}
+	for i := len(out) - 1; i >= 0; i-- {
+		if without := free.Sub(out[i].Need()); need.Fits(without) {
+			free = without
+			out = slices.Delete(out, i, i+1)
+		}
+	}
+	return out
+}
+
+// preemptForReservation preempts less urgent tasks on the workers reserved for a job.
+func (t *tick) preemptForReservation(e *entry, r *table.Reservation) {
+	if e == nil || e.next == 0 {
+		return
+	}
+	need := e.job.Spec.Task.Resources
+	for i := range t.rooms.list {
+		m := &t.rooms.list[i]
+		count := r.Workers[m.worker.VM.ID]
+		if count == 0 || !m.open() {
+			continue
+		}
+		l := t.loadOf(m.worker)
+		for _, k := range victimsFor(need.Times(count), m.free.Add(l.stopping), l.victims, e.job.Spec.Class) {
+			t.stopFor(k, e.tasks[0], &l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/plan/random.go
@@ -0,0 +1,26 @@
+package plan
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+// RandomFit is a baseline: it takes tasks in order of arrival and a random worker with room.
+type RandomFit struct {
+	random *rand.Rand
+}
+
+// NewRandomFit returns the baseline with a seed.
+func NewRandomFit(seed uint64) *RandomFit {
+	return &RandomFit{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Plan starts each waiting task that fits on some worker.
+func (r *RandomFit) Plan(s *table.State, _ time.Time) []Action {
+	return inOrder(s, "random worker with room", func(fitting []*table.Worker, _ map[types.VMID]types.Resources) *table.Worker {
+		return fitting[r.random.IntN(len(fitting))]
+	})
+}
--- /dev/null
+++ b/internal/sched/plan/roll.go
@@ -0,0 +1,149 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+// settleTime is how long a task of a new revision has to run before it replaces one of the old revision.
+const settleTime = 10 * time.Second
+
+// rollOut stops tasks of replaced revisions. A service never has fewer running tasks than its floor; as
+// long as there is room for the new tasks beside the old ones, it keeps its full count.
+func rollOut(t *tick) {
+	for _, newer := range sortedRolls(t.tables) {
+		older, ok := t.tables.Jobs[newer.Supersedes]
+		if !ok || older.Counts.Waiting+older.Counts.Occupying() == 0 || newer.Cancelled || newer.Spec.Service == nil {
+			continue
+		}
+		t.roll(older, newer)
+	}
+}
+
+func sortedRolls(s *table.State) []*table.Job {
+	out := make([]*table.Job, 0, len(s.Rolls))
+	for _, j := range s.Rolls {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *table.Job) int { return strings.Compare(string(a.Spec.ID), string(b.Spec.ID)) })
+	return out
+}
+
+func (t *tick) roll(older, newer *table.Job) {
+	settled := t.settled(newer)
+	running := older.Counts.Running + settled
+	whole := newer.Spec.Service.Count
+	if settled >= whole {
+		t.giveUpReplaced(older, newer)
+	}
+	spare := running - whole
+	why := fmt.Sprintf("revision %d has %d of %d tasks running", newer.Spec.Revision, settled, whole)
+	if spare <= 0 && t.isBlocked(newer) && older.Counts.Stopping == 0 {
+		spare = min(1, running-floorOf(newer))
+		why += fmt.Sprintf(" and no room beside the old ones; %d run, the floor is %d", running, floorOf(newer))
+	}
+	t.stopReplaced(older, newer, spare, why)
+}
+
+// settled returns how many tasks have run for long enough to be counted on.
+func (t *tick) settled(j *table.Job) int {
+	n := 0
+	for _, k := range j.Tasks {
+		if k.State == table.TaskRunning && t.now.Sub(k.Started) >= settleTime {
+			n++
+		}
+	}
+	return n
+}
+
+// isBlocked tells whether a task of the job found no room in this tick.
+func (t *tick) isBlocked(j *table.Job) bool {
+	e := t.entryOf(j.Spec.ID)
+	return e != nil && e.next > 0 && e.why != "" && e.why != whyTooBig
+}
+
+func (t *tick) stopReplaced(older, newer *table.Job, count int, why string) {
+	for _, k := range older.Tasks {
+		if count <= 0 {
+			return
+		}
+		if k.State == table.TaskRunning {
+			t.add(PreemptAction{Task: k.ID, Checkpoint: k.Job.Spec.Task.CanCheckpoint, For: newer.Tasks[0].ID, Reason: why})
+			count--
+		}
+	}
+}
+
+// giveUpReplaced ends the waiting tasks of a revision that is fully replaced.
+func (t *tick) giveUpReplaced(older, newer *table.Job) {
+	for _, k := range older.Waiting() {
+		t.add(GiveUpAction{Task: k.ID, Reason: fmt.Sprintf("replaced by revision %d", newer.Spec.Revision)})
+	}
+}
+
+func floorOf(j *table.Job) int {
+	if j.Spec.Service == nil {
+		return 0
+	}
+	return j.Spec.Service.Floor
+}
+
+// drainLeaving moves work off workers that are leaving: services one task at a time and never below
+// their floor, and batch work that can checkpoint.
+func drainLeaving(t *tick) {
+	for _, w := range t.tables.Ordered() {
+		if w.Health != table.WorkerLeaving {
+			continue
+		}
+		for _, k := range t.runningOn(w) {
+			if t.mayMove(k) {
+				t.add(PreemptAction{
+					Task:       k.ID,
+					Checkpoint: k.Job.Spec.Task.CanCheckpoint,
+					Reason:     "worker " + string(w.VM.ID) + " is leaving",
+				})
+			}
+		}
+	}
+}
+
+// mayMove tells whether a stop of the task does no harm now.
+func (t *tick) mayMove(k *table.Task) bool {
+	c := k.Job.Counts
+	switch w := k.Job.Spec.Workload().(type) {
+	case types.Service:
+		isFirst := t.firstRunning(k.Job, table.WorkerLeaving) == k
+		return isFirst && c.Stopping+c.Waiting+c.Intended == 0 && c.Running > w.Floor
+	case types.Batch:
+		return k.Job.Spec.Task.CanCheckpoint
+	default:
+		return false
+	}
+}
+
+// firstRunning returns the job's first running task on a worker of the given health.
+func (t *tick) firstRunning(j *table.Job, h table.Health) *table.Task {
+	for _, k := range j.Tasks {
+		if w, ok := t.tables.Workers[k.Worker]; ok && k.State == table.TaskRunning && w.Health == h {
+			return k
+		}
+	}
+	return nil
+}
+
+// runningOn returns the tasks that run on a worker, by id.
+func (t *tick) runningOn(w *table.Worker) []*table.Task {
+	var out []*table.Task
+	for id := range w.Attempts {
+		if k := t.tables.Tasks[id]; k.State == table.TaskRunning {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b *table.Task) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
--- /dev/null
+++ b/internal/sched/plan/systems.go
@@ -0,0 +1,121 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+type (
+	// Config holds what a planner is made of.
+	Config struct {
+		// Policy is the placement policy in force; zero fields take their defaults.
+		Policy envdoc.PlacementPolicy
+	}
+
+	// Systems is the planner of the lead. Each tick it runs its systems in a fixed order over the
+	// tables; it keeps nothing between ticks but the counter of its work.
+	Systems struct {
+		policy   envdoc.PlacementPolicy
+		examined uint64
+	}
+
+	// system is one step of a tick. It reads the tables and the tick, and adds actions.
+	system func(t *tick)
+)
+
+// New returns the planner of the lead.
+func New(c Config) *Systems {
+	d := envdoc.Default().Placement
+	p := c.Policy
+	if p.GangTimeout <= 0 {
+		p.GangTimeout = d.GangTimeout
+	}
+	if p.MaxAttempts <= 0 {
+		p.MaxAttempts = d.MaxAttempts
+	}
+	if p.MaxQuarantined <= 0 {
+		p.MaxQuarantined = d.MaxQuarantined
+	}
+	if p.UrgentHeadroom <= 0 {
+		p.UrgentHeadroom = d.UrgentHeadroom
+	}
+	return &Systems{policy: p}
+}
+
+// Plan runs the systems once.
+func (p *Systems) Plan(s *table.State, now time.Time) []Action {
+	t := newTick(p.policy, s, now)
+	for _, run := range p.order() {
+		run(t)
+	}
+	p.examined += t.examined
+	return t.out
+}
+
+// Examined returns how many workers were looked at for placements since the planner was made.
+func (p *Systems) Examined() uint64 {
+	return p.examined
+}
+
+func (p *Systems) order() []system {
+	return []system{
+		checkHealth,
+		admit,
+		keepReservations,
+		startTrials,
+		startUrgent,
+		preemptForUrgent,
+		startOthers,
+		reserve,
+		completeGangs,
+		rollOut,
+		drainLeaving,
+		throttle,
+		handOver,
+		explainWaits,
+	}
+}
+
+// tick is what the systems of one tick share: the tables with the planned actions applied.
+type tick struct {
+	policy envdoc.PlacementPolicy
+	tables *table.State
+	now    time.Time
+	rooms  rooms
+	lanes  lanes
+	teams  map[types.TeamID]types.Resources
+	// plain is what work other than urgent occupies, and plainLimit what it may occupy.
+	plain      types.Resources
+	plainLimit types.Resources
+	started    uint64
+	examined   uint64
+	misses     []miss
+	stuck      []*entry
+	wishes     []*entry
+	out        []Action
+}
+
+func newTick(policy envdoc.PlacementPolicy, s *table.State, now time.Time) *tick {
+	t := &tick{policy: policy, tables: s, now: now, teams: make(map[types.TeamID]types.Resources)}
+	t.rooms = newRooms(s)
+	for _, c := range types.Classes() {
+		if c != types.ClassUrgent {
+			t.plain = t.plain.Add(s.UsedBy(c))
+		}
+	}
+	total := t.rooms.capacity
+	kept := int64(perMille - policy.UrgentHeadroom)
+	t.plainLimit = types.Resources{
+		Cores:        total.Cores * types.MilliCores(kept) / perMille,
+		Memory:       total.Memory * types.MiB(kept) / perMille,
+		Accelerators: total.Accelerators,
+	}
+	return t
+}
+
+func (t *tick) add(a Action) {
+	t.out = append(t.out, a)
+}
--- a/internal/sched/table/change.go
+++ b/internal/sched/table/change.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
@@ -18,6 +19,8 @@
 			Foreign:  make(map[types.AttemptID]types.Resources),
 		}
 		s.Workers[vm.ID] = w
+		w.VM = vm
+		s.order(w)
 	}
 	w.VM = vm
 	return w
@@ -33,6 +36,8 @@
 		return errs.New(errs.Internal, "worker %s still has %d attempts", id, len(w.Attempts)+len(w.Foreign))
 	}
 	delete(s.Workers, id)
+	s.ordered = slices.Delete(s.ordered, w.Index, w.Index+1)
+	s.renumber(w.Index)
 	return nil
 }
 
@@ -70,6 +75,7 @@
 	}
 	delete(s.Jobs, id)
 	delete(s.Reservations, id)
+	delete(s.Rolls, id)
 	return nil
 }
 
@@ -86,7 +92,11 @@
 }
 
 // CancelJob marks a job as cancelled, ends its waiting tasks, and returns the tasks that have to be stopped.
+// A job that has ended stays as it is.
 func (s *State) CancelJob(j *Job, reason string, now time.Time) []*Task {
+	if j.Counts.Ended() == len(j.Tasks) {
+		return nil
+	}
 	j.Cancelled = true
 	delete(s.Reservations, j.Spec.ID)
 	var stop []*Task
@@ -106,6 +116,7 @@
 func (s *State) Supersede(older, newer *Job) {
 	older.SupersededBy = newer.Spec.ID
 	newer.Supersedes = older.Spec.ID
+	s.Rolls[newer.Spec.ID] = newer
 }
 
 // SetQuota sets a team's quota. What the team occupies beyond it stays allowed until it is freed.
@@ -129,6 +140,8 @@
 	}
 	t.Number++
 	t.Started = now
+	t.Job.LastStart = now
+	t.Job.Reserved = 0
 	s.Starts++
 	s.occupy(t, w)
 	return nil
--- a/internal/sched/table/index.go
+++ b/internal/sched/table/index.go
@@ -1,6 +1,9 @@
 package table
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/sched/life"
 )
@@ -28,7 +31,12 @@
 		s.enqueue(t)
 	}
 	s.observe(string(t.ID), string(from), string(to), cause)
-	return s.moveJobState(t.Job, t.Job.Counts.jobState(t.Job.Cancelled), cause)
+	return s.moveJobState(t.Job, t.Job.stateNow(), cause)
+}
+
+// stateNow returns the state that the job's tasks put it in. A replaced revision counts as cancelled.
+func (j *Job) stateNow() types.JobState {
+	return j.Counts.jobState(j.Cancelled || j.SupersededBy != "")
 }
 
 func (s *State) moveJobState(j *Job, to types.JobState, cause string) error {
@@ -89,3 +97,18 @@
 	s.waiting = s.waiting[:last]
 	j.slot = noSlot
 }
+
+// order puts a new worker into the list of workers by id.
+func (s *State) order(w *Worker) {
+	at, _ := slices.BinarySearchFunc(s.ordered, w, func(a, b *Worker) int {
+		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
+	})
+	s.ordered = slices.Insert(s.ordered, at, w)
+	s.renumber(at)
+}
+
+func (s *State) renumber(from int) {
+	for i := from; i < len(s.ordered); i++ {
+		s.ordered[i].Index = i
+	}
+}
--- a/internal/sched/table/record.go
+++ b/internal/sched/table/record.go
@@ -31,7 +31,7 @@
 	Record struct {
 		// Ends holds the latest ends of attempts, the oldest first.
 		Ends []End
-		// Since is when the present quarantine began.
+		// Since is when the present quarantine or probe began.
 		Since time.Time
 		// Quarantines counts quarantines and failed probes since the worker last proved healthy.
 		Quarantines int
@@ -57,8 +57,9 @@
 }
 
 // Probe lets a quarantined worker run one task on trial.
-func (s *State) Probe(w *Worker) {
+func (s *State) Probe(w *Worker, now time.Time) {
 	w.Health = WorkerProbing
+	w.Record.Since = now
 	w.Record.Ends = nil
 }
 
--- a/internal/sched/table/reserve.go
+++ b/internal/sched/table/reserve.go
@@ -37,6 +37,9 @@
 // Reserve stores a reservation in place of an older one of the same job.
 func (s *State) Reserve(r *Reservation) {
 	s.Reservations[r.Job] = r
+	if j, ok := s.Jobs[r.Job]; ok {
+		j.Reserved++
+	}
 }
 
 // Unreserve drops the job's reservation.
--- a/internal/sched/table/table.go
+++ b/internal/sched/table/table.go
@@ -55,6 +55,8 @@
 		Foreign map[types.AttemptID]types.Resources
 		// Record holds the worker's latest ends of attempts and its quarantine.
 		Record Record
+		// Index is the worker's place in Ordered.
+		Index int
 	}
 
 	// Task is one task of a job. While State is Intended, Running or Stopping it occupies Worker.
@@ -96,8 +98,13 @@
 		Tasks      []*Task
 		// Counts counts the job's tasks by state.
 		Counts Counts
-		// Reason tells why tasks of the job wait.
-		Reason string
+		// Reason tells why tasks of the job wait, and ReasonAt when that was found.
+		Reason   string
+		ReasonAt time.Time
+		// LastStart is when a task of the job was last given a worker.
+		LastStart time.Time
+		// Reserved counts the reservations that the job had without starting.
+		Reserved int
 
 		waiting []*Task
 		slot    int
@@ -124,6 +131,8 @@
 		Estimates    map[Kind]*Estimate
 		// Peers holds the latest summaries of other data centres.
 		Peers map[types.DataCentre]Peer
+		// Rolls holds the jobs that replace an older revision of their service.
+		Rolls map[types.JobID]*Job
 		// Starts counts the attempts that were assigned here.
 		Starts uint64
 		// Observer, when set, is told of each transition of a task or a job.
@@ -131,6 +140,7 @@
 
 		taskCycle *life.TaskCycle
 		jobCycle  *life.JobCycle
+		ordered   []*Worker
 		waiting   []*Job
 		used      map[types.Class]types.Resources
 	}
@@ -150,6 +160,7 @@
 		Reservations: make(map[types.JobID]*Reservation),
 		Estimates:    make(map[Kind]*Estimate),
 		Peers:        make(map[types.DataCentre]Peer),
+		Rolls:        make(map[types.JobID]*Job),
 		taskCycle:    life.NewTaskCycle(),
 		jobCycle:     life.NewJobCycle(),
 		used:         make(map[types.Class]types.Resources),
@@ -195,6 +206,11 @@
 	return s.waiting
 }
 
+// Ordered returns the workers by id. The slice belongs to the tables.
+func (s *State) Ordered() []*Worker {
+	return s.ordered
+}
+
 // UsedBy returns what tasks of a class occupy.
 func (s *State) UsedBy(c types.Class) types.Resources {
 	return s.used[c]
--- a/internal/sched/table/table_test.go
+++ b/internal/sched/table/table_test.go
@@ -143,6 +143,36 @@
 	assertVerified(t, s)
 }
 
+func TestACancelledJobThatHasEndedStaysAsItIs(t *testing.T) {
+	s, w := newState()
+	j := s.AddJob(batch("j", 1), start)
+	must(t, s.Assign(j.Tasks[0], w, start))
+	must(t, s.Finish(j.Tasks[0], TaskDone, "", start))
+	if stop := s.CancelJob(j, "late", start); len(stop) > 0 || j.Cancelled || j.State != types.JobDone {
+		t.Fatalf("job is %s, cancelled %v", j.State, j.Cancelled)
+	}
+	assertVerified(t, s)
+}
+
+func TestAReplacedServiceEndsAsCancelled(t *testing.T) {
+	s, w := newState()
+	spec := batch("old", 1)
+	spec.Batch, spec.Service = nil, &types.Service{Name: "booking", Count: 1}
+	older := s.AddJob(spec, start)
+	spec.ID = "new"
+	s.Supersede(older, s.AddJob(spec, start))
+	must(t, s.Assign(older.Tasks[0], w, start))
+	must(t, s.Finish(older.Tasks[0], TaskDone, "exited", start))
+	if older.Tasks[0].State != TaskWaiting {
+		t.Fatal("a service's task that ended does not wait again")
+	}
+	must(t, s.Finish(older.Tasks[0], TaskFailed, "replaced", start))
+	if older.State != types.JobCancelled {
+		t.Fatalf("the replaced job is %s", older.State)
+	}
+	assertVerified(t, s)
+}
+
 func TestAdoptMovesATaskAndForeignAttemptsTakeRoom(t *testing.T) {
 	s, w := newState()
 	other := s.AddWorker(types.VM{ID: "w2", Capacity: small})
--- a/internal/sched/table/verify.go
+++ b/internal/sched/table/verify.go
@@ -70,7 +70,13 @@
 }
 
 func verifyWorkers(s *State, found *sums) error {
+	if len(s.ordered) != len(s.Workers) {
+		return errs.New(errs.Internal, "%d workers are ordered, %d are known", len(s.ordered), len(s.Workers))
+	}
 	for id, w := range s.Workers {
+		if s.ordered[w.Index] != w {
+			return errs.New(errs.Internal, "worker %s is not in place %d", id, w.Index)
+		}
 		for task := range w.Attempts {
 			t, ok := s.Tasks[task]
 			if !ok || t.Worker != id || !t.State.Occupies() {
@@ -117,7 +123,7 @@
 		if c != j.Counts || c.Waiting != len(j.waiting) {
 			return errs.New(errs.Internal, "job %s counts %+v with %d queued, its tasks say %+v", id, j.Counts, len(j.waiting), c)
 		}
-		if state := c.jobState(j.Cancelled); state != j.State {
+		if state := j.stateNow(); state != j.State {
 			return errs.New(errs.Internal, "job %s is in state %s, its tasks say %s", id, j.State, state)
 		}
 		if c.Waiting > 0 {
