--- a/internal/plat/worker/memory.go
+++ b/internal/plat/worker/memory.go
@@ -34,6 +34,7 @@
 		epoch    types.Epoch
 		attempts map[types.AttemptID]*attempt
 		stopped  map[types.AttemptID]bool
+		boot     uint64
 		record   []Run
 		failAll  bool
 		usage    func(declared types.Resources) types.Resources
@@ -79,6 +80,7 @@
 		launcher: launcher,
 		attempts: make(map[types.AttemptID]*attempt),
 		stopped:  make(map[types.AttemptID]bool),
+		boot:     1,
 		usage:    func(declared types.Resources) types.Resources { return declared },
 	}
 }
@@ -110,7 +112,8 @@
 	return append([]Run(nil), m.record...)
 }
 
-// Crash ends everything that runs and forgets it, as when the VM is restarted. The epoch is kept.
+// Crash ends everything that runs and forgets it, as when the VM is restarted. The epoch is kept, the
+// boot changes.
 func (m *Memory) Crash() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -121,6 +124,7 @@
 		}
 	}
 	m.attempts = make(map[types.AttemptID]*attempt)
+	m.boot++
 }
 
 // Fence raises the epoch.
@@ -195,12 +199,12 @@
 	if known, ok := m.attempts[r.Attempt]; ok {
 		return known.status, nil
 	}
-	if m.stopped[r.Attempt] {
-		return Status{Attempt: r.Attempt, Phase: PhaseStopped, Epoch: m.epoch, Reason: "stopped before it started"}, nil
+	if _, ok := m.stopped[r.Attempt]; ok {
+		return m.closed(r.Attempt), nil
 	}
 	now := m.clock.Now()
 	a := &attempt{
-		status:  Status{Attempt: r.Attempt, Phase: PhaseRunning, Epoch: r.Epoch, Declared: r.Task.Resources},
+		status:  Status{Attempt: r.Attempt, Phase: PhaseRunning, Epoch: r.Epoch, Boot: m.boot, Declared: r.Task.Resources},
 		expires: now.Add(r.Lease),
 	}
 	if r.Service == nil {
@@ -233,7 +237,7 @@
 	for _, id := range r.Acknowledge {
 		if a, ok := m.attempts[id]; ok && a.status.Phase.Ended() {
 			delete(m.attempts, id)
-			m.stopped[id] = true
+			m.stopped[id] = false
 		}
 	}
 }
@@ -241,8 +245,10 @@
 func (m *Memory) stop(r StopRequest) Status {
 	a, ok := m.attempts[r.Attempt]
 	if !ok {
-		m.stopped[r.Attempt] = true
-		return Status{Attempt: r.Attempt, Phase: PhaseStopped, Epoch: m.epoch, Reason: "was not running"}
+		if _, known := m.stopped[r.Attempt]; !known {
+			m.stopped[r.Attempt] = true
+		}
+		return m.closed(r.Attempt)
 	}
 	if a.status.Phase.Ended() || r.Throttle > 0 {
 		return a.status
@@ -255,6 +261,12 @@
 	return a.status
 }
 
+// closed returns the status of an attempt that is not kept any more or was stopped before it started.
+func (m *Memory) closed(id types.AttemptID) Status {
+	never := m.stopped[id]
+	return Status{Attempt: id, Phase: PhaseStopped, Epoch: m.epoch, Boot: m.boot, Reason: "was not running", NeverStarted: never}
+}
+
 // advance ends the attempts whose run time or lease is over.
 func (m *Memory) advance() {
 	now := m.clock.Now()
@@ -289,7 +301,7 @@
 }
 
 func (m *Memory) report() Report {
-	out := Report{Worker: m.vm.ID, Epoch: m.epoch, Capacity: m.vm.Capacity}
+	out := Report{Worker: m.vm.ID, Epoch: m.epoch, Boot: m.boot, Capacity: m.vm.Capacity}
 	for _, a := range m.attempts {
 		status := a.status
 		status.Usage = m.usage(status.Declared)
--- a/internal/plat/worker/worker.go
+++ b/internal/plat/worker/worker.go
@@ -44,12 +44,18 @@
 		// Endpoint is where the runner of a service task takes requests.
 		Endpoint types.Address `json:"Endpoint,omitempty"`
 		Reason   string        `json:"Reason,omitempty"`
+		// Boot is the worker's boot when it answered Start or Stop.
+		Boot uint64 `json:"Boot,omitempty"`
+		// NeverStarted tells that the worker has not run the attempt since that boot and never will.
+		NeverStarted bool `json:"NeverStarted,omitempty"`
 	}
 
 	// Report is the answer to Fence and Renew: all that the worker knows.
 	Report struct {
-		Worker   types.VMID      `json:"Worker"`
-		Epoch    types.Epoch     `json:"Epoch"`
+		Worker types.VMID  `json:"Worker"`
+		Epoch  types.Epoch `json:"Epoch"`
+		// Boot changes when the worker has ended and forgotten its attempts, as after a restart of its VM.
+		Boot     uint64          `json:"Boot"`
 		Capacity types.Resources `json:"Capacity"`
 		Attempts []Status        `json:"Attempts"`
 	}
--- /dev/null
+++ b/internal/sched/commit/image.go
@@ -0,0 +1,183 @@
+package commit
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+// Retention is how long the image keeps a job that has ended.
+const Retention = 24 * time.Hour
+
+type (
+	// Image is the state that the journal's records add up to.
+	Image struct {
+		Jobs map[types.JobID]*JobImage `json:"Jobs"`
+	}
+
+	// JobImage is the committed state of one job.
+	JobImage struct {
+		Spec      types.Job        `json:"Spec"`
+		Accepted  time.Time        `json:"Accepted"`
+		Hop       int              `json:"Hop,omitempty"`
+		Cancelled bool             `json:"Cancelled,omitempty"`
+		Offer     *Offer           `json:"Offer,omitempty"`
+		MovedTo   types.DataCentre `json:"MovedTo,omitempty"`
+		Ended     time.Time        `json:"Ended,omitzero"`
+		Tasks     []TaskImage      `json:"Tasks"`
+	}
+
+	// TaskImage is the committed state of one task. An empty state means waiting.
+	TaskImage struct {
+		State    table.TaskState `json:"State,omitempty"`
+		Number   int             `json:"Number,omitempty"`
+		Worker   types.VMID      `json:"Worker,omitempty"`
+		Boot     uint64          `json:"Boot,omitempty"`
+		Resume   bool            `json:"Resume,omitempty"`
+		Failures int             `json:"Failures,omitempty"`
+		Reason   string          `json:"Reason,omitempty"`
+		At       time.Time       `json:"At,omitzero"`
+	}
+)
+
+// NewImage returns an empty image.
+func NewImage() *Image {
+	return &Image{Jobs: make(map[types.JobID]*JobImage)}
+}
+
+// Apply adds one committed record. Records that do not fit the state change nothing.
+func (i *Image) Apply(r Record, at time.Time) {
+	switch {
+	case r.Accept != nil:
+		i.accept(r.Accept, at)
+	case r.Cancel != nil:
+		i.cancel(r.Cancel, at)
+	case r.Intent != nil:
+		i.intend(r.Intent, at)
+	case r.End != nil:
+		i.end(r.End, at)
+	case r.Offer != nil:
+		if j, ok := i.Jobs[r.Offer.Job]; ok {
+			j.Offer = r.Offer
+		}
+	case r.Keep != nil:
+		i.keep(r.Keep)
+	case r.Moved != nil:
+		i.moved(r.Moved, at)
+	}
+}
+
+// Task returns the image of a task, or nil when it is not known.
+func (i *Image) Task(id types.TaskID) *TaskImage {
+	j, ok := i.Jobs[id.Job()]
+	index := id.Index()
+	if !ok || index < 0 || index >= len(j.Tasks) {
+		return nil
+	}
+	return &j.Tasks[index]
+}
+
+// Forget drops jobs that ended longer ago than the retention.
+func (i *Image) Forget(now time.Time) {
+	for id, j := range i.Jobs {
+		if !j.Ended.IsZero() && now.Sub(j.Ended) > Retention {
+			delete(i.Jobs, id)
+		}
+	}
+}
+
+func (i *Image) accept(a *Accept, at time.Time) {
+	j, known := i.Jobs[a.Job.ID]
+	if !known || (j.MovedTo != "" && a.Hop > j.Hop) {
+		j = &JobImage{Accepted: at, Hop: a.Hop}
+		i.Jobs[a.Job.ID] = j
+	}
+	j.Spec = a.Job
+	for len(j.Tasks) < max(a.Tasks, a.Job.Workload().Tasks()) {
+		j.Tasks = append(j.Tasks, TaskImage{At: at})
+	}
+	j.settle(at)
+}
+
+func (i *Image) cancel(c *Cancel, at time.Time) {
+	j, ok := i.Jobs[c.Job]
+	if !ok {
+		return
+	}
+	j.Cancelled = true
+	for n := range j.Tasks {
+		if t := &j.Tasks[n]; t.Waiting() {
+			t.State = table.TaskCancelled
+			t.At = at
+		}
+	}
+	j.settle(at)
+}
+
+func (i *Image) intend(n *Intent, at time.Time) {
+	t := i.Task(n.Task)
+	if t == nil || n.Number <= t.Number {
+		return
+	}
+	t.State = table.TaskIntended
+	t.Number = n.Number
+	t.Worker = n.Worker
+	t.Boot = n.Boot
+	t.Resume = n.Resume
+	t.At = at
+}
+
+func (i *Image) end(e *End, at time.Time) {
+	t := i.Task(e.Task)
+	if t == nil || e.Number != t.Number {
+		return
+	}
+	t.State = e.State
+	t.Worker = ""
+	t.Boot = 0
+	t.Resume = e.Resume
+	t.Reason = e.Reason
+	t.At = at
+	if e.Failed {
+		t.Failures++
+	}
+	i.Jobs[e.Task.Job()].settle(at)
+}
+
+func (i *Image) keep(k *Keep) {
+	j, ok := i.Jobs[k.Job]
+	if !ok || j.Offer == nil {
+		return
+	}
+	j.Hop = j.Offer.Hop
+	j.Offer = nil
+}
+
+func (i *Image) moved(m *Moved, at time.Time) {
+	j, ok := i.Jobs[m.Job]
+	if !ok || j.Offer == nil {
+		return
+	}
+	j.MovedTo = m.To
+	j.Offer = nil
+	j.Ended = at
+}
+
+// settle notes when the last task ended, or that one has not.
+func (j *JobImage) settle(at time.Time) {
+	for _, t := range j.Tasks {
+		if !t.State.Ended() {
+			j.Ended = time.Time{}
+			return
+		}
+	}
+	if j.Ended.IsZero() {
+		j.Ended = at
+	}
+}
+
+// Waiting tells whether no attempt of the task may run.
+func (t TaskImage) Waiting() bool {
+	return t.State == "" || t.State == table.TaskWaiting
+}
--- /dev/null
+++ b/internal/sched/commit/journal.go
@@ -0,0 +1,198 @@
+package commit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+const (
+	prefix store.Key = "Journal/"
+
+	// slots is the number of keys that the journal goes round.
+	slots = 1024
+	// maxSince is the number of segments after which a snapshot is due, whatever their size.
+	maxSince = slots / 2
+	// minSnapshotBytes keeps small journals from being snapshotted often.
+	minSnapshotBytes = 256 << 10
+	// partBytes is the size of one piece of a snapshot before it is encoded.
+	partBytes = 512 << 10
+	// MaxBatchBytes is the most that the records of one segment should take when encoded.
+	MaxBatchBytes = 512 << 10
+)
+
+type (
+	// Config says whose journal it is and who writes it.
+	Config struct {
+		Site   types.DataCentre
+		Writer types.VMID
+		Epoch  types.Epoch
+		Store  store.Store
+	}
+
+	// Journal is an append-only log with one writer. The segments go round a fixed ring of keys and each is
+	// written by compare-and-swap over the one that it replaces, so a writer that missed a segment of
+	// another one fails for good. It is used by one goroutine at a time.
+	Journal struct {
+		config   Config
+		versions map[store.Key]store.Version
+		next     uint64
+		// pending is a segment whose fate is not known.
+		pending *store.Put
+		nonce   store.Nonce
+
+		since        int
+		sinceBytes   int
+		snapshotSize int
+	}
+)
+
+// Open seals the journal against all earlier writers and returns it with the image of all its records. An
+// error of kind Fenced means that a later lead has sealed it first.
+func Open(ctx context.Context, c Config, at time.Time) (*Journal, *Image, error) {
+	j := &Journal{config: c}
+	for {
+		image, err := j.load(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		err = j.Append(ctx, at, nil)
+		if err == nil {
+			return j, image, nil
+		}
+		if !errs.Is(err, errs.Fenced) || ctx.Err() != nil {
+			return nil, nil, err
+		}
+		j.pending = nil
+	}
+}
+
+// Unsettled tells whether the fate of the latest segment is not known.
+func (j *Journal) Unsettled() bool {
+	return j.pending != nil
+}
+
+// SnapshotDue tells whether a snapshot should be written.
+func (j *Journal) SnapshotDue() bool {
+	return j.since >= maxSince || j.sinceBytes > max(minSnapshotBytes, j.snapshotSize)
+}
+
+// Append writes one segment with the records. An error of kind Unavailable means that nothing was written;
+// Lost that the fate is not known until Settle tells it; Fenced that another lead took the journal over.
+func (j *Journal) Append(ctx context.Context, at time.Time, records []Record) error {
+	return j.write(ctx, Segment{At: at, Records: records})
+}
+
+// Settle finds out whether the segment with unknown fate was written, and writes it if it was not.
+func (j *Journal) Settle(ctx context.Context) error {
+	if j.pending == nil {
+		return nil
+	}
+	return j.put(ctx)
+}
+
+// Snapshot writes the image. An error leaves the journal as valid as before.
+func (j *Journal) Snapshot(ctx context.Context, at time.Time, image *Image) error {
+	encoded, err := json.Marshal(image)
+	if err != nil {
+		return errs.New(errs.Internal, "encoding the snapshot: %v", err)
+	}
+	parts := split(encoded)
+	for _, part := range parts {
+		if err := j.write(ctx, Segment{At: at, Part: part}); err != nil {
+			return err
+		}
+	}
+	j.snapshotSize = len(encoded)
+	j.since = 0
+	j.sinceBytes = 0
+	return nil
+}
+
+func (j *Journal) write(ctx context.Context, s Segment) error {
+	if j.pending != nil {
+		return errs.New(errs.Internal, "segment %d is not settled", j.next)
+	}
+	s.Sequence = j.next
+	s.Epoch = j.config.Epoch
+	s.Writer = j.config.Writer
+	s.Nonce = store.Nonce(uuid.NewString())
+	value, err := json.Marshal(s)
+	if err != nil {
+		return errs.New(errs.Internal, "encoding segment %d: %v", j.next, err)
+	}
+	key := j.key(j.next)
+	j.pending = &store.Put{Key: key, Value: value, Expect: j.versions[key]}
+	j.nonce = s.Nonce
+	err = j.put(ctx)
+	if errs.Is(err, errs.Unavailable, errs.TooLarge, errs.Invalid) {
+		j.pending = nil
+	}
+	return err
+}
+
+// put writes the pending segment. Writing the same segment over the same version again is harmless: at most
+// one of the writes takes effect, and it does not matter which.
+func (j *Journal) put(ctx context.Context) error {
+	entry, err := j.config.Store.Put(ctx, *j.pending)
+	switch {
+	case err == nil:
+		j.wrote(entry.Version)
+		return nil
+	case errs.Is(err, errs.Lost, errs.Conflict):
+		return j.readBack(ctx)
+	default:
+		return err
+	}
+}
+
+func (j *Journal) readBack(ctx context.Context) error {
+	entry, err := j.config.Store.Get(ctx, j.pending.Key)
+	if errs.Is(err, errs.NotFound) && j.pending.Expect == store.Absent {
+		return errs.New(errs.Lost, "segment %d may still be written", j.next)
+	}
+	if err != nil {
+		return errs.New(errs.Lost, "the fate of segment %d is not known: %v", j.next, err)
+	}
+	if entry.Version == j.pending.Expect {
+		return errs.New(errs.Lost, "segment %d may still be written", j.next)
+	}
+	var found Segment
+	if err := json.Unmarshal(entry.Value, &found); err != nil {
+		return errs.New(errs.Internal, "segment %s is malformed: %v", j.pending.Key, err)
+	}
+	if found.Nonce != j.nonce {
+		return errs.New(errs.Fenced, "epoch %d took the journal over at segment %d", found.Epoch, found.Sequence)
+	}
+	j.wrote(entry.Version)
+	return nil
+}
+
+func (j *Journal) wrote(version store.Version) {
+	j.versions[j.pending.Key] = version
+	j.since++
+	j.sinceBytes += len(j.pending.Value)
+	j.next++
+	j.pending = nil
+}
+
+func (j *Journal) key(sequence uint64) store.Key {
+	return prefix + store.Key(fmt.Sprintf("%s/%04d", j.config.Site, sequence%slots))
+}
+
+func split(encoded []byte) []*Part {
+	total := (len(encoded) + partBytes - 1) / partBytes
+	var out []*Part
+	for i := range total {
+		end := min(len(encoded), (i+1)*partBytes)
+		out = append(out, &Part{Index: i, Total: total, Data: encoded[i*partBytes : end]})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/commit/load.go
@@ -0,0 +1,99 @@
+package commit
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+// load reads all segments in one call and adds them up.
+func (j *Journal) load(ctx context.Context) (*Image, error) {
+	page, err := j.config.Store.List(ctx, prefix+store.Key(j.config.Site)+"/")
+	if err != nil {
+		return nil, err
+	}
+	j.versions = make(map[store.Key]store.Version, len(page.Entries))
+	segments := make([]Segment, 0, len(page.Entries))
+	for _, entry := range page.Entries {
+		j.versions[entry.Key] = entry.Version
+		var s Segment
+		if err := json.Unmarshal(entry.Value, &s); err != nil {
+			return nil, errs.New(errs.Internal, "segment %s is malformed: %v", entry.Key, err)
+		}
+		segments = append(segments, s)
+	}
+	sort.Slice(segments, func(a, b int) bool { return segments[a].Sequence < segments[b].Sequence })
+	return j.replay(segments)
+}
+
+// replay adds up the segments since the last whole snapshot.
+func (j *Journal) replay(segments []Segment) (*Image, error) {
+	j.next, j.since, j.sinceBytes, j.snapshotSize = 0, 0, 0, 0
+	if len(segments) == 0 {
+		return NewImage(), nil
+	}
+	last := segments[len(segments)-1]
+	if last.Epoch > j.config.Epoch {
+		return nil, errs.New(errs.Conflict, "epoch %d has taken the journal over", last.Epoch)
+	}
+	j.next = last.Sequence + 1
+	start, image, err := latestSnapshot(segments)
+	if err != nil {
+		return nil, err
+	}
+	if start == 0 && segments[0].Sequence != 0 {
+		return nil, errs.New(errs.Internal, "journal of %s has no whole snapshot", j.config.Site)
+	}
+	for _, s := range segments[start:] {
+		for _, r := range s.Records {
+			image.Apply(r, s.At)
+		}
+		j.since++
+	}
+	// The size of the old segments is not worth a count: the next snapshot comes a little early.
+	j.sinceBytes = minSnapshotBytes
+	return image, nil
+}
+
+// latestSnapshot returns the last whole snapshot and the index of the segment after it.
+func latestSnapshot(segments []Segment) (int, *Image, error) {
+	for i := len(segments) - 1; i >= 0; i-- {
+		p := segments[i].Part
+		if p == nil || p.Index != p.Total-1 {
+			continue
+		}
+		encoded, whole := join(segments, i)
+		if !whole {
+			continue
+		}
+		image := NewImage()
+		if err := json.Unmarshal(encoded, image); err != nil {
+			return 0, nil, errs.New(errs.Internal, "snapshot is malformed: %v", err)
+		}
+		return i + 1, image, nil
+	}
+	return 0, NewImage(), nil
+}
+
+// join returns the bytes of the snapshot whose last part is at the index.
+func join(segments []Segment, last int) ([]byte, bool) {
+	total := segments[last].Part.Total
+	first := last - total + 1
+	if first < 0 {
+		return nil, false
+	}
+	var out []byte
+	for i := range total {
+		s := segments[first+i]
+		inRun := s.Part != nil && s.Part.Index == i && s.Part.Total == total && s.Writer == segments[last].Writer &&
+			s.Epoch == segments[last].Epoch && s.Sequence == segments[first].Sequence+uint64(i)
+		if !inRun {
+			return nil, false
+		}
+		out = append(out, s.Part.Data...)
+	}
+	return out, true
+}
--- /dev/null
+++ b/internal/sched/jobs/jobs.go
@@ -0,0 +1,166 @@
+// Package jobs takes jobs on any entry to the lead of their home data centre.
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/lead"
+)
+
+// Methods that daemons call on each other.
+const (
+	serviceName = "Jobs"
+
+	MethodSubmit peer.Method = "Jobs.Submit"
+	MethodCancel peer.Method = "Jobs.Cancel"
+	MethodStatus peer.Method = "Jobs.Status"
+)
+
+const (
+	// callTimeout limits one call to a lead.
+	callTimeout = 4 * time.Second
+	// maxTries and tryPause carry a call over a change of leads.
+	maxTries = 20
+	tryPause = 300 * time.Millisecond
+	// maxHops is how often a job that was handed over is followed.
+	maxHops = 8
+)
+
+type (
+	// Leader is the lead that runs in this daemon, whether or not it leads now.
+	Leader interface {
+		Submit(ctx context.Context, job types.Job) (types.JobStatus, error)
+		Cancel(ctx context.Context, id types.JobID) (types.JobStatus, error)
+		Status(ctx context.Context, id types.JobID) (types.JobStatus, error)
+		Take(ctx context.Context, t lead.Transfer) (lead.Taken, error)
+	}
+
+	// FindFunc returns the lead of a data centre.
+	FindFunc func(site types.DataCentre) (peer.Target, types.Epoch, bool)
+
+	// Config holds what the routing of jobs depends on.
+	Config struct {
+		Self  peer.Target
+		Clock clockwork.Clock
+		Peers peer.Caller
+		Local Leader
+		Find  FindFunc
+	}
+
+	// Jobs routes jobs. It is safe for concurrent use.
+	Jobs struct {
+		cfg Config
+	}
+)
+
+// New returns the routing of jobs for one entry.
+func New(c Config) *Jobs {
+	return &Jobs{cfg: c}
+}
+
+// Submit has the home lead of the job accept it. An error of a kind that may have run means that the job may
+// have been accepted; submitting it again under the same id is safe.
+func (j *Jobs) Submit(ctx context.Context, job types.Job) (types.JobStatus, error) {
+	home, err := types.ParseID(string(job.ID))
+	if err != nil {
+		return types.JobStatus{}, err
+	}
+	return j.persist(ctx, home.Home, func(ctx context.Context, to peer.Target) (types.JobStatus, error) {
+		if to.VM == j.cfg.Self.VM {
+			return j.cfg.Local.Submit(ctx, job)
+		}
+		return j.call(ctx, to, MethodSubmit, &job)
+	})
+}
+
+// Cancel has the data centre that owns the job cancel it.
+func (j *Jobs) Cancel(ctx context.Context, id types.JobID) (types.JobStatus, error) {
+	return j.follow(ctx, id, func(ctx context.Context, to peer.Target) (types.JobStatus, error) {
+		if to.VM == j.cfg.Self.VM {
+			return j.cfg.Local.Cancel(ctx, id)
+		}
+		return j.call(ctx, to, MethodCancel, &id)
+	})
+}
+
+// Status asks the data centre that owns the job about it.
+func (j *Jobs) Status(ctx context.Context, id types.JobID) (types.JobStatus, error) {
+	return j.follow(ctx, id, func(ctx context.Context, to peer.Target) (types.JobStatus, error) {
+		if to.VM == j.cfg.Self.VM {
+			return j.cfg.Local.Status(ctx, id)
+		}
+		return j.call(ctx, to, MethodStatus, &id)
+	})
+}
+
+type ask func(ctx context.Context, to peer.Target) (types.JobStatus, error)
+
+// follow asks the home of a job and then each data centre that it was handed over to.
+func (j *Jobs) follow(ctx context.Context, id types.JobID, do ask) (types.JobStatus, error) {
+	home, err := types.ParseID(string(id))
+	if err != nil {
+		return types.JobStatus{}, err
+	}
+	site := home.Home
+	for range maxHops {
+		status, err := j.persist(ctx, site, do)
+		if err != nil || status.State != types.JobMoved {
+			return status, err
+		}
+		site = types.DataCentre(status.Home)
+	}
+	return types.JobStatus{}, errs.New(errs.Internal, "job %s was handed over more than %d times", id, maxHops)
+}
+
+// persist repeats an ask while the lead changes. All asks are idempotent. Once one of them may have taken
+// effect, a later refusal does not hide that.
+func (j *Jobs) persist(ctx context.Context, site types.DataCentre, do ask) (types.JobStatus, error) {
+	doubt := false
+	var last error
+	for range maxTries {
+		status, err := j.once(ctx, site, do)
+		if !errs.Is(err, errs.Unavailable, errs.Lost, errs.Unknown, errs.Fenced) {
+			return status, err
+		}
+		doubt = doubt || errs.AnswerOf(errs.Of(err).Kind).MayHaveRun
+		last = err
+		if !j.pause(ctx) {
+			break
+		}
+	}
+	if doubt {
+		last = errs.New(errs.Unknown, "%s", errs.Of(last).Message)
+	}
+	return types.JobStatus{}, last
+}
+
+func (j *Jobs) once(ctx context.Context, site types.DataCentre, do ask) (types.JobStatus, error) {
+	to, _, ok := j.cfg.Find(site)
+	if !ok {
+		return types.JobStatus{}, errs.After(errs.Unavailable, tryPause, "no lead of %s is known; nothing was done", site)
+	}
+	limited, cancel := clockwork.WithTimeout(ctx, j.cfg.Clock, callTimeout)
+	defer cancel()
+	return do(limited, to)
+}
+
+func (j *Jobs) pause(ctx context.Context) bool {
+	select {
+	case <-j.cfg.Clock.After(tryPause):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (j *Jobs) call(ctx context.Context, to peer.Target, method peer.Method, args any) (types.JobStatus, error) {
+	var out types.JobStatus
+	err := j.cfg.Peers.Call(ctx, to, method, args, &out)
+	return out, err
+}
--- /dev/null
+++ b/internal/sched/lead/submit.go
@@ -0,0 +1,216 @@
+package lead
+
+import (
+	"context"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/commit"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+// waiter is a caller that waits for a commit.
+type waiter struct {
+	done chan error
+}
+
+// Submit accepts a job; it is committed when the answer is not an error. Submitting a known job again changes
+// nothing. An error of kind Unknown means that the job may have been accepted.
+func (l *Lead) Submit(ctx context.Context, job types.Job) (types.JobStatus, error) {
+	l.mu.Lock()
+	w, err := l.submit(job)
+	l.mu.Unlock()
+	return l.await(ctx, job.ID, w, err)
+}
+
+// Cancel cancels a job; the cancellation is committed when the answer is not an error.
+func (l *Lead) Cancel(ctx context.Context, id types.JobID) (types.JobStatus, error) {
+	l.mu.Lock()
+	w, err := l.cancel(id)
+	l.mu.Unlock()
+	return l.await(ctx, id, w, err)
+}
+
+func (l *Lead) await(ctx context.Context, id types.JobID, w *waiter, err error) (types.JobStatus, error) {
+	if err != nil {
+		return types.JobStatus{}, err
+	}
+	if w != nil {
+		select {
+		case err = <-w.done:
+		case <-ctx.Done():
+			err = errs.New(errs.Unknown, "the outcome for %s was not known in time: %v", id, ctx.Err())
+		}
+	}
+	if err != nil {
+		return types.JobStatus{}, err
+	}
+	return l.Status(ctx, id)
+}
+
+func (l *Lead) submit(job types.Job) (*waiter, error) {
+	if err := l.canCommit(); err != nil {
+		return nil, err
+	}
+	if err := job.Check(); err != nil {
+		return nil, err
+	}
+	if _, known := l.image.Jobs[job.ID]; known {
+		return nil, nil
+	}
+	if err := l.admit(&job); err != nil {
+		l.count("Refused")
+		l.record(audit.VerbRefuse, string(job.ID), err.Error())
+		return nil, err
+	}
+	w := &waiter{done: make(chan error, 1)}
+	l.accept(commit.Accept{Job: job}, w.done)
+	return w, nil
+}
+
+// accept has a job committed and then put into the tables.
+func (l *Lead) accept(a commit.Accept, answer chan<- error) {
+	l.writer.add(item{
+		record: commit.Record{Accept: &a},
+		done: func() {
+			if j, ok := l.image.Jobs[a.Job.ID]; ok && j.MovedTo == "" && j.Offer == nil {
+				l.accepted(j)
+			}
+			answer <- nil
+		},
+		failed: func(err error) { answer <- err },
+	})
+}
+
+// accepted puts a committed job into the tables, or adds the tasks that it gained.
+func (l *Lead) accepted(j *commit.JobImage) {
+	id := j.Spec.ID
+	if known, ok := l.state.Jobs[id]; ok {
+		l.grow(known, j)
+		return
+	}
+	l.state.AddJob(j.Spec, j.Accepted)
+	l.count("Accepted")
+	l.record(audit.VerbAccept, string(id), "accepted")
+}
+
+func (l *Lead) grow(j *table.Job, image *commit.JobImage) {
+	j.Spec = image.Spec
+	l.must(l.state.AddTasks(j, len(image.Tasks)-len(j.Tasks), l.now()))
+}
+
+// canCommit tells whether the lead can commit anything now. A refusal means that nothing was done.
+func (l *Lead) canCommit() error {
+	if l.role != roleLead {
+		return errs.After(errs.Unavailable, writeRetry, "this daemon does not lead %s; nothing was done", l.site())
+	}
+	if l.journal.Unsettled() || l.now().Before(l.writer.next) {
+		return errs.After(errs.Unavailable, writeRetry, "the store does not answer; nothing was done")
+	}
+	return nil
+}
+
+// admit refuses a job that the document does not allow or that can never run.
+func (l *Lead) admit(job *types.Job) error {
+	if job.Service != nil {
+		return errs.New(errs.Denied, "services run only from the environment document")
+	}
+	d, revision := l.cfg.Document()
+	if d == nil {
+		return errs.After(errs.Unavailable, writeRetry, "no environment document is in force yet; nothing was done")
+	}
+	team, ok := d.Team(job.Team)
+	if !ok {
+		return errs.New(errs.Denied, "Team %q is not in the environment document", job.Team)
+	}
+	if team.MaxClass != "" && job.Class.Rank() < team.MaxClass.Rank() {
+		return errs.New(errs.Denied, "Team %q may not use a class above %s", job.Team, team.MaxClass)
+	}
+	if job.Revision == 0 {
+		job.Revision = revision
+	}
+	return l.feasible(job, team.Quota)
+}
+
+// feasible refuses a job that no worker of the data centre, or no share of it, can ever hold.
+func (l *Lead) feasible(job *types.Job, quota types.Resources) error {
+	need := job.Task.Resources
+	together := need
+	if job.Gang != nil {
+		together = need.Times(job.Gang.Count)
+	}
+	if !quota.IsZero() && !together.Fits(quota) {
+		return errs.New(errs.Impossible, "needs %s at once; the quota of team %s is %s", together, job.Team, quota)
+	}
+	if !l.hereAllowed(job) || len(l.state.Workers) == 0 {
+		return nil
+	}
+	total, fits := types.Resources{}, false
+	for _, w := range l.state.Workers {
+		total = total.Add(w.VM.Capacity)
+		fits = fits || need.Fits(w.VM.Capacity)
+	}
+	if !fits {
+		return errs.New(errs.Impossible, "each task needs %s; no worker of %s has that", need, l.site())
+	}
+	if !together.Fits(total) {
+		return errs.New(errs.Impossible, "needs %s at once; all workers of %s have %s", together, l.site(), total)
+	}
+	return nil
+}
+
+func (l *Lead) hereAllowed(job *types.Job) bool {
+	if len(job.Task.DataCentres) == 0 {
+		return true
+	}
+	for _, site := range job.Task.DataCentres {
+		if site == l.site() {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Lead) cancel(id types.JobID) (*waiter, error) {
+	if l.role != roleLead {
+		return nil, l.canCommit()
+	}
+	j, ok := l.image.Jobs[id]
+	if !ok {
+		return nil, errs.New(errs.NotFound, "job %s is not known in %s", id, l.site())
+	}
+	if j.Cancelled || !j.Ended.IsZero() {
+		return nil, nil
+	}
+	if err := l.canCommit(); err != nil {
+		return nil, err
+	}
+	if j.Offer != nil || l.offers[id] != nil {
+		return nil, errs.After(errs.Unavailable, writeRetry, "job %s is being handed over; nothing was done", id)
+	}
+	w := &waiter{done: make(chan error, 1)}
+	l.writer.add(item{
+		record: commit.Record{Cancel: &commit.Cancel{Job: id}},
+		done: func() {
+			l.cancelled(id)
+			w.done <- nil
+		},
+		failed: func(err error) { w.done <- err },
+	})
+	return w, nil
+}
+
+// cancelled ends the waiting tasks of a job and stops the others.
+func (l *Lead) cancelled(id types.JobID) {
+	j, ok := l.state.Jobs[id]
+	if !ok {
+		return
+	}
+	l.record(audit.VerbCancel, string(id), "a caller cancelled it")
+	for _, t := range l.state.CancelJob(j, "the job was cancelled", l.now()) {
+		if l.attempt(t.ID).committed {
+			l.stop(t, false, "the job was cancelled")
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/lead/takeover.go
@@ -0,0 +1,97 @@
+package lead
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/commit"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+// takeOver makes this daemon the lead: it rebuilds the tables from the journal and fences every worker.
+// Nothing is placed on a worker before it has accepted the epoch and reported what it runs.
+func (l *Lead) takeOver(t takeover) {
+	l.become(roleLead, t.claim.Epoch, "won the claim")
+	l.standby.last = t.claim
+	l.journal = t.journal
+	l.image = t.image
+	l.taken = l.now()
+	l.interim.try = 0
+	l.renewal.next = l.now().Add(l.claims.TTL() / 3)
+	for _, vm := range l.listing.vms {
+		l.addNode(vm)
+	}
+	for _, j := range l.image.Jobs {
+		l.restore(j)
+	}
+	l.listing.next = l.now()
+	l.count("TakeOvers")
+	l.renewTick()
+}
+
+// restore puts a job of the image into the tables. A job that is being handed over stays out of them.
+func (l *Lead) restore(j *commit.JobImage) {
+	if j.MovedTo != "" {
+		return
+	}
+	if j.Offer != nil {
+		l.offers[j.Spec.ID] = &offer{record: *j.Offer}
+		return
+	}
+	if !j.Ended.IsZero() {
+		return
+	}
+	job := l.state.AddJob(j.Spec, j.Accepted)
+	l.must(l.state.AddTasks(job, len(j.Tasks)-len(job.Tasks), j.Accepted))
+	job.Cancelled = j.Cancelled
+	for i, t := range job.Tasks {
+		l.restoreTask(t, j.Tasks[i])
+	}
+}
+
+func (l *Lead) restoreTask(t *table.Task, i commit.TaskImage) {
+	t.Number = i.Number
+	t.Resume = i.Resume
+	t.Failures = i.Failures
+	t.Reason = i.Reason
+	t.Queued = i.At
+	if i.Waiting() {
+		l.finishCancelled(t)
+		return
+	}
+	if i.State != table.TaskIntended {
+		l.must(l.state.Finish(t, i.State, i.Reason, i.At))
+		return
+	}
+	w := l.workerFor(i.Worker, t.Job.Spec.Task.Resources)
+	state := table.TaskIntended
+	if t.Job.Cancelled {
+		state = table.TaskStopping
+	}
+	l.must(l.state.Adopt(t, w, i.Number, state))
+	t.Started = i.At
+	l.attempts[t.ID] = &attempt{boot: i.Boot, committed: true, sent: true}
+}
+
+// finishCancelled ends a waiting task of a cancelled job, as when its attempt ended after the cancellation.
+func (l *Lead) finishCancelled(t *table.Task) {
+	if t.Job.Cancelled {
+		l.end(t, commit.End{State: table.TaskCancelled, Reason: "the job was cancelled"}, nil)
+	}
+}
+
+// workerFor returns the worker of an adopted attempt. One that the list of VMs does not show gets a row
+// that has just the room that it uses.
+func (l *Lead) workerFor(id types.VMID, need types.Resources) *table.Worker {
+	if w, ok := l.state.Workers[id]; ok {
+		if w.VM.Address == "" {
+			w.VM.Capacity = w.VM.Capacity.Add(need)
+		}
+		return w
+	}
+	site := l.cfg.Self.Site
+	site.Rack = ""
+	n := l.addNode(types.VM{ID: id, Role: types.RoleWorker, State: types.VMLeaving, Site: site, Capacity: need})
+	n.silentSince = l.now()
+	n.missing = l.now()
+	l.refresh(n)
+	return l.state.Workers[id]
+}
--- /dev/null
+++ b/internal/sched/lead/view.go
@@ -0,0 +1,187 @@
+package lead
+
+import (
+	"context"
+	"sort"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/worker"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/commit"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+// Overview is what the lead knows in counts.
+type Overview struct {
+	Epoch   types.Epoch             `json:"Epoch"`
+	Role    string                  `json:"Role"`
+	Workers map[table.Health]int    `json:"Workers"`
+	Used    types.Resources         `json:"Used"`
+	Total   types.Resources         `json:"Total"`
+	Tasks   map[table.TaskState]int `json:"Tasks"`
+	Queue   map[types.Class]int     `json:"Queue"`
+	// StoreDown tells that the store does not answer.
+	StoreDown bool `json:"StoreDown"`
+	// Offers counts the jobs that are being handed over.
+	Offers int `json:"Offers"`
+}
+
+// Overview returns the counts of workers, tasks and the queue.
+func (l *Lead) Overview() Overview {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := Overview{
+		Epoch:     l.epoch,
+		Role:      string(l.role),
+		Workers:   make(map[table.Health]int),
+		Tasks:     make(map[table.TaskState]int),
+		Queue:     make(map[types.Class]int),
+		StoreDown: !l.standby.downSince.IsZero() || l.now().Before(l.writer.next),
+		Offers:    len(l.offers),
+	}
+	for _, w := range l.state.Workers {
+		out.Workers[w.Health]++
+		out.Used = out.Used.Add(w.Used)
+		out.Total = out.Total.Add(w.VM.Capacity)
+	}
+	for _, t := range l.state.Tasks {
+		out.Tasks[t.State]++
+		if t.State == table.TaskWaiting {
+			out.Queue[t.Job.Spec.Class]++
+		}
+	}
+	return out
+}
+
+// Status returns what is known of a job.
+func (l *Lead) Status(_ context.Context, id types.JobID) (types.JobStatus, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.role != roleLead {
+		return types.JobStatus{}, errs.After(errs.Unavailable, writeRetry, "this daemon does not lead %s", l.site())
+	}
+	j, ok := l.image.Jobs[id]
+	if !ok {
+		return types.JobStatus{}, errs.New(errs.NotFound, "job %s is not known in %s", id, l.site())
+	}
+	return l.status(j), nil
+}
+
+func (l *Lead) status(j *commit.JobImage) types.JobStatus {
+	out := types.JobStatus{
+		ID: j.Spec.ID, Tasks: len(j.Tasks), Home: string(l.site()), Cancelled: j.Cancelled,
+	}
+	if j.MovedTo != "" {
+		out.State = types.JobMoved
+		out.Home = string(j.MovedTo)
+		return out
+	}
+	if live, ok := l.state.Jobs[j.Spec.ID]; ok {
+		for _, t := range live.Tasks {
+			tally(&out, t.State, t.Reason)
+		}
+		out.State = live.State
+		if live.Counts.Waiting > 0 && live.Reason != "" {
+			out.Reason = live.Reason
+		}
+		return out
+	}
+	for _, t := range j.Tasks {
+		tally(&out, t.State, t.Reason)
+	}
+	out.State = endedState(out, !j.Ended.IsZero())
+	if j.Offer != nil {
+		out.Reason = "is being handed over to " + string(j.Offer.To)
+	}
+	return out
+}
+
+func tally(s *types.JobStatus, state table.TaskState, reason string) {
+	switch state {
+	case table.TaskRunning, table.TaskStopping:
+		s.Running++
+	case table.TaskDone:
+		s.Done++
+	case table.TaskFailed:
+		s.Failed++
+	case table.TaskUnknown:
+		s.Unknown++
+	default:
+	}
+	if state != table.TaskDone && s.Reason == "" {
+		s.Reason = reason
+	}
+}
+
+// endedState returns the state of a job that is not in the tables: it has ended or is being handed over.
+func endedState(s types.JobStatus, ended bool) types.JobState {
+	switch {
+	case !ended:
+		return types.JobQueued
+	case s.Unknown > 0:
+		return types.JobUnknown
+	case s.Done == s.Tasks:
+		return types.JobDone
+	case s.Cancelled:
+		return types.JobCancelled
+	default:
+		return types.JobFailed
+	}
+}
+
+// Upstreams returns the running service tasks that take requests.
+func (l *Lead) Upstreams() []runner.Upstream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []runner.Upstream
+	if l.role == roleInterim {
+		out = l.interimUpstreams()
+	}
+	for _, t := range l.state.Tasks {
+		s := t.Job.Spec.Service
+		if s == nil || t.Endpoint == "" || t.State != table.TaskRunning {
+			continue
+		}
+		w := l.state.Workers[t.Worker]
+		out = append(out, runner.Upstream{
+			ID: types.RunnerID(t.Attempt()), Service: s.Name, VM: t.Worker, Site: w.VM.Site, Endpoint: t.Endpoint,
+			Slots: s.Slots, Connections: s.Connections,
+			Leaving: w.VM.State == types.VMLeaving || !l.attempt(t.ID).leaving.IsZero(),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// interimUpstreams finds the service of each running attempt in the document in force.
+func (l *Lead) interimUpstreams() []runner.Upstream {
+	d, _ := l.cfg.Document()
+	if d == nil {
+		return nil
+	}
+	byName := make(map[string]int, len(d.Services))
+	for i, s := range d.Services {
+		byName[nameHash(s.Name)] = i
+	}
+	var out []runner.Upstream
+	for id, report := range l.interim.reports {
+		n, ok := l.nodes[id]
+		if !ok {
+			continue
+		}
+		for _, s := range report.Attempts {
+			v, service := parseVersion(s.Attempt.Task().Job())
+			i, known := byName[v.service]
+			if !service || !known || s.Endpoint == "" || s.Phase != worker.PhaseRunning {
+				continue
+			}
+			e := d.Services[i]
+			out = append(out, runner.Upstream{
+				ID: types.RunnerID(s.Attempt), Service: e.Name, VM: id, Site: n.vm.Site, Endpoint: s.Endpoint,
+				Slots: e.Slots, Connections: e.Connections, Leaving: n.vm.State == types.VMLeaving,
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/table/grow.go
@@ -0,0 +1,21 @@
+package table
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/life"
+)
+
+// AddTasks adds waiting tasks to a job that has not ended, as when a service's count is raised.
+func (s *State) AddTasks(j *Job, count int, queued time.Time) error {
+	for range count {
+		t := &Task{
+			ID: j.Spec.ID.Task(len(j.Tasks)), Job: j, State: life.TaskWaiting, Queued: queued, slot: noSlot,
+		}
+		j.Tasks = append(j.Tasks, t)
+		s.Tasks[t.ID] = t
+		j.Counts.Waiting++
+		s.enqueue(t)
+	}
+	return s.moveJobState(j, j.Counts.jobState(j.Cancelled), "tasks were added")
+}
