--- a/internal/node/peer/memory.go
+++ b/internal/node/peer/memory.go
@@ -78,6 +78,16 @@
 	n.lose = calls
 }
 
+// Close ends the connections of all daemons.
+func (n *Network) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, node := range n.nodes {
+		// A connection that is closed already has nothing left to end.
+		_ = node.client.Close()
+	}
+}
+
 // Register makes a service callable under the name.
 func (d *Node) Register(name string, service any) error {
 	if err := d.rpc.RegisterName(name, service); err != nil {
--- a/internal/plat/runner/memory.go
+++ b/internal/plat/runner/memory.go
@@ -38,6 +38,8 @@
 		clock   clockwork.Clock
 		work    time.Duration
 		runners map[types.RunnerID]*state
+		limits  Limits
+		spread  int
 	}
 
 	state struct {
@@ -45,6 +47,10 @@
 		busy      int
 		peak      int
 		record    []Execution
+		// work, when set, replaces the time that all runners take for a call.
+		work    time.Duration
+		running int
+		queue   []chan struct{}
 	}
 
 	// Execution is the runner's own record of one call that ran.
@@ -110,15 +116,14 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	defer m.finish(to.ID)
-	select {
-	case <-m.clock.After(m.work):
-	case <-ctx.Done():
-		return Reply{}, errs.New(errs.Unknown, "waiting for %s: %v", to.ID, ctx.Err())
+	if err := m.serve(ctx, to, call); err != nil {
+		return Reply{}, err
 	}
 	reply := Reply{ID: call.ID, Body: call.Body, Length: types.Bytes(len(call.Body)), Digest: types.DigestOf(call.Body)}
 	switch b {
 	case Hang:
+		m.hold(to.ID, 1)
+		defer m.hold(to.ID, -1)
 		<-ctx.Done()
 		return Reply{}, errs.New(errs.Unknown, "waiting for %s: %v", to.ID, ctx.Err())
 	case Die:
@@ -139,18 +144,15 @@
 	if s.behaviour == Refuse {
 		return Refuse, errs.New(errs.Draining, "runner %s is leaving", to.ID)
 	}
+	if m.limits.Connections > 0 && s.busy >= m.limits.Connections {
+		return s.behaviour, errs.New(errs.Overloaded, "runner %s has %d connections", to.ID, s.busy)
+	}
 	s.busy++
 	s.peak = max(s.peak, s.busy)
 	s.record = append(s.record, Execution{Runner: to.ID, ID: call.ID, Start: m.clock.Now()})
 	return s.behaviour, nil
 }
 
-func (m *Memory) finish(id types.RunnerID) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.get(id).busy--
-}
-
 func (m *Memory) get(id types.RunnerID) *state {
 	s, ok := m.runners[id]
 	if !ok {
--- a/internal/route/entry/wait.go
+++ b/internal/route/entry/wait.go
@@ -152,45 +152,55 @@
 }
 
 func (e *Entry) give(name types.ServiceName, s *service) {
-	for {
-		head := s.queue.Head()
-		if head == nil {
-			break
-		}
-		slot, ok := e.acquire(name, s, head)
+	for head := s.queue.Head(); head != nil; head = s.queue.Head() {
+		slot, ok := e.acquireNear(name, head)
 		if !ok {
 			break
 		}
 		s.queue.Pop()
-		e.waiting[head.Class.Rank()]--
-		head.Value.(*waiter).result <- outcome{slot: slot}
+		e.hand(head, slot)
 	}
+	e.giveFar(name, s)
 	e.config.Holder.Queued(name, s.queue.Len())
 }
 
-// acquire takes a slot of the region, or one over the paid link for a request that waited long enough.
-func (e *Entry) acquire(name types.ServiceName, s *service, head *queue.Item) (lend.Slot, bool) {
-	t := head.Value.(*waiter).task
-	if slot, ok := e.config.Holder.Acquire(name, lend.Regional, t.avoid); ok {
-		return slot, true
+func (e *Entry) hand(x *queue.Item, slot lend.Slot) {
+	e.waiting[x.Class.Rank()]--
+	x.Value.(*waiter).result <- outcome{slot: slot}
+}
+
+// acquireNear takes a slot of the region, at another runner than the one that failed the request if possible.
+func (e *Entry) acquireNear(name types.ServiceName, x *queue.Item) (lend.Slot, bool) {
+	t := x.Value.(*waiter).task
+	slot, ok := e.config.Holder.Acquire(name, lend.Regional, t.avoid)
+	if ok || t.avoid == "" || e.config.Clock.Since(x.Since) < FarAfter {
+		return slot, ok
 	}
+	return e.config.Holder.Acquire(name, lend.Regional, "")
+}
+
+// giveFar takes slots of other regions for the requests that waited longest.
+func (e *Entry) giveFar(name types.ServiceName, s *service) {
 	now := e.config.Clock.Now()
-	if now.Sub(head.Since) < FarAfter && s.near > 0 {
-		return lend.Slot{}, false
-	}
-	if slot, ok := e.config.Holder.Acquire(name, lend.Regional, ""); ok {
-		return slot, true
-	}
-	cost := len(t.body) + linkOverhead
-	if e.link.TokensAt(now) < float64(cost) {
-		return lend.Slot{}, false
-	}
-	slot, ok := e.config.Holder.Acquire(name, lend.Far, "")
-	if ok && slot.Distance == lend.Far {
-		e.link.AllowN(now, cost)
-		e.metrics.far.Inc(1)
+	for x := s.queue.Oldest(); x != nil; x = s.queue.Oldest() {
+		if now.Sub(x.Since) < FarAfter && s.near > 0 {
+			return
+		}
+		cost := len(x.Value.(*waiter).task.body) + linkOverhead
+		if e.link.TokensAt(now) < float64(cost) {
+			return
+		}
+		slot, ok := e.config.Holder.Acquire(name, lend.Far, "")
+		if !ok {
+			return
+		}
+		if slot.Distance == lend.Far {
+			e.link.AllowN(now, cost)
+			e.metrics.far.Inc(1)
+		}
+		s.queue.Remove(x)
+		e.hand(x, slot)
 	}
-	return slot, ok
 }
 
 // overdue removes the requests of a service that waited too long.
--- a/internal/route/lend/grant.go
+++ b/internal/route/lend/grant.go
@@ -8,6 +8,22 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 )
 
+type (
+	// levels is the most slots that an entry of each distance may hold.
+	levels struct {
+		most [distances]int
+		// scarce tells that entries get only what they need now, without headroom.
+		scarce bool
+	}
+
+	// lot is a runner with slots to lend to one entry.
+	lot struct {
+		id   types.RunnerID
+		free int
+		held int
+	}
+)
+
 // reply lends an entry what it may have and tells what it shall give back.
 func (l *Lender) reply(h *holding) *TradeReply {
 	out := &TradeReply{Epoch: l.epoch}
@@ -17,22 +33,20 @@
 			out.Barred = append(out.Barred, id)
 		}
 	}
-	for _, service := range h.services(l) {
+	for _, service := range h.services() {
 		l.balance(h, service, out, now)
 	}
 	return out
 }
 
 // services returns the services that the entry wants or holds slots of, in order of name.
-func (h *holding) services(l *Lender) []types.ServiceName {
+func (h *holding) services() []types.ServiceName {
 	var out []types.ServiceName
 	for s := range h.wants {
 		out = append(out, s)
 	}
-	for id := range h.shares {
-		if r, ok := l.runners[id]; ok {
-			out = append(out, r.up.Service)
-		}
+	for s := range h.held {
+		out = append(out, s)
 	}
 	slices.Sort(out)
 	return slices.Compact(out)
@@ -40,72 +54,85 @@
 
 // balance brings the entry's slots of one service towards its fair part of all of them.
 func (l *Lender) balance(h *holding, service types.ServiceName, out *TradeReply, now time.Time) {
-	level := l.fairLevel(service, now)
-	held := l.heldBy(h, service)
-	target := min(h.wants[service], level)
+	levels := l.levels(service, now)
+	target := h.fairPart(service, levels)
+	held := h.held[service]
 	switch {
 	case held < target:
 		out.Grants = append(out.Grants, l.grant(h, service, target-held, now)...)
-	case held > max(target, FloorSlots) && l.hungry(service, level, now):
-		out.Recall = append(out.Recall, Want{Service: service, Slots: held - max(target, FloorSlots)})
+		if h.held[service] < target {
+			l.wakePoke()
+		}
+	case held > target && l.hungry(service, levels):
+		out.Recall = append(out.Recall, Want{Service: service, Slots: held - target})
 	}
 }
 
-// fairLevel returns the most slots that each entry may hold so that all wants below it are met.
-func (l *Lender) fairLevel(service types.ServiceName, now time.Time) int {
+// fairPart returns how many slots of a service the entry may hold.
+func (h *holding) fairPart(service types.ServiceName, levels levels) int {
+	return min(h.need(service, levels.scarce), levels.most[h.distance])
+}
+
+// levels returns the most slots that each entry of a distance may hold so that all smaller wants are met. Entries
+// that are further away share what the nearer ones leave.
+func (l *Lender) levels(service types.ServiceName, now time.Time) levels {
 	left := 0
 	for _, r := range l.runners {
 		if r.up.Service == service && r.lendable(now) {
 			left += r.up.Slots
 		}
 	}
+	out := levels{scarce: true}
+	for d := Local; d < distances; d++ {
+		out.most[d], left = fill(left, l.sortedWants(service, d))
+	}
+	out.scarce = left == 0
+	return out
+}
+
+// need returns how many slots the entry could use, with headroom when there are enough.
+func (h *holding) need(service types.ServiceName, scarce bool) int {
+	want := h.wants[service]
+	if scarce {
+		return want - want/(headroomPart+1)
+	}
+	return want
+}
+
+func (l *Lender) sortedWants(service types.ServiceName, d Distance) []int {
 	var wants []int
 	for _, h := range l.holders {
-		if want := h.wants[service]; want > 0 {
+		if want := h.need(service, true); want > 0 && h.distance == d {
 			wants = append(wants, want)
 		}
 	}
 	slices.Sort(wants)
+	return wants
+}
+
+// fill shares an amount so that the smallest wants are met first, and returns the level that no share exceeds and
+// what is left.
+func fill(amount int, wants []int) (level, left int) {
 	for i, want := range wants {
-		part := left / (len(wants) - i)
-		if want > part {
-			return part + min(1, left%(len(wants)-i))
+		sharers := len(wants) - i
+		if want*sharers > amount {
+			return (amount + sharers - 1) / sharers, 0
 		}
-		left -= want
+		amount -= want
 	}
-	return maxShares
+	return maxShares, amount
 }
 
 // hungry tells whether an entry holds less than its fair part.
-func (l *Lender) hungry(service types.ServiceName, level int, now time.Time) bool {
+func (l *Lender) hungry(service types.ServiceName, levels levels) bool {
 	for _, h := range l.holders {
-		if l.heldBy(h, service) < min(h.wants[service], level) {
-			return l.pooled(service, now) == 0
+		if h.held[service] < h.fairPart(service, levels) {
+			return true
 		}
 	}
 	return false
 }
 
-func (l *Lender) pooled(service types.ServiceName, now time.Time) int {
-	sum := 0
-	for id, r := range l.runners {
-		if r.up.Service == service && r.lendable(now) {
-			sum += l.free(id, r)
-		}
-	}
-	return sum
-}
-
-func (l *Lender) heldBy(h *holding, service types.ServiceName) int {
-	sum := 0
-	for id, s := range h.shares {
-		if r, ok := l.runners[id]; ok && r.up.Service == service {
-			sum += s.Slots
-		}
-	}
-	return sum
-}
-
 // grant lends up to count slots, first of the runners that have the most left.
 func (l *Lender) grant(h *holding, service types.ServiceName, count int, now time.Time) []Grant {
 	lots := l.lots(h, service, now)
@@ -122,13 +149,6 @@
 	return out
 }
 
-// lot is a runner with slots to lend to one entry.
-type lot struct {
-	id   types.RunnerID
-	free int
-	held int
-}
-
 // round gives one slot of each lot until count is reached, and returns how many it gave.
 func round(lots []lot, given map[types.RunnerID]int, count int) int {
 	n := 0
@@ -149,9 +169,9 @@
 		if r.up.Service != service || !r.lendable(now) {
 			continue
 		}
-		free := l.free(id, r)
-		if l.isFar(h) {
-			free = min(free, r.farLimit()-l.takenFar(id))
+		free := l.free(r)
+		if h.distance == Far {
+			free = min(free, r.farLimit()-r.far)
 		}
 		if free > 0 {
 			out = append(out, lot{id: id, free: free, held: h.shares[id].Slots})
@@ -166,25 +186,24 @@
 func (l *Lender) lend(h *holding, r *lent, slots int) Grant {
 	connections := slots * (r.up.Connections / max(1, r.up.Slots))
 	share := h.shares[r.up.ID]
-	share.Runner = r.up.ID
-	share.Slots += slots
-	share.Connections += connections
-	h.shares[r.up.ID] = share
-	r.returned = max(0, r.returned-slots)
+	l.setShare(h, Share{Runner: r.up.ID, Slots: share.Slots + slots, Connections: share.Connections + connections})
+	r.unheld = max(0, r.unheld-slots)
 	return Grant{Upstream: r.up, Slots: slots, Connections: connections}
 }
 
 // free returns how many slots of a runner are surely held by nobody. As long as an entry near to this data centre
-// has not stated what it holds, these are only the slots that were given back under this epoch.
-func (l *Lender) free(id types.RunnerID, r *lent) int {
+// has not stated what it holds, these are only slots that were free before or were given back under this epoch.
+func (l *Lender) free(r *lent) int {
 	near, far := l.unknown()
-	if near {
-		return min(r.returned, r.up.Slots-l.taken(id))
-	}
-	if far {
-		return r.up.Slots - l.takenNear(id) - max(r.farLimit(), l.takenFar(id))
+	switch {
+	case near:
+		return min(r.unheld, r.up.Slots-r.near-r.far)
+	case far:
+		r.unheld = r.up.Slots - r.near - max(r.farLimit(), r.far)
+	default:
+		r.unheld = r.up.Slots - r.near - r.far
 	}
-	return r.up.Slots - l.taken(id)
+	return r.unheld
 }
 
 // unknown tells whether an entry within the region, or one outside of it, may hold slots that it has not stated.
@@ -196,7 +215,7 @@
 		if h.settled {
 			continue
 		}
-		if l.isFar(h) {
+		if h.distance == Far {
 			far = true
 		} else {
 			near = true
@@ -205,34 +224,6 @@
 	return near, far
 }
 
-func (l *Lender) isFar(h *holding) bool {
-	return h.target.Site.Region != l.config.Self.Site.Region
-}
-
-func (l *Lender) taken(id types.RunnerID) int {
-	return l.takenNear(id) + l.takenFar(id)
-}
-
-func (l *Lender) takenNear(id types.RunnerID) int {
-	sum := 0
-	for _, h := range l.holders {
-		if !l.isFar(h) {
-			sum += h.shares[id].Slots
-		}
-	}
-	return sum
-}
-
-func (l *Lender) takenFar(id types.RunnerID) int {
-	sum := 0
-	for _, h := range l.holders {
-		if l.isFar(h) {
-			sum += h.shares[id].Slots
-		}
-	}
-	return sum
-}
-
 // farLimit returns how many slots the entries of other regions may hold in sum.
 func (r *lent) farLimit() int {
 	return r.up.Slots / farFraction
--- a/internal/route/lend/holder.go
+++ b/internal/route/lend/holder.go
@@ -46,7 +46,9 @@
 	// lender is what an entry knows of the lead of one data centre.
 	lender struct {
 		// epoch is the highest epoch seen; grants of lower ones are refused.
-		epoch    types.Epoch
+		epoch types.Epoch
+		// lead is the one daemon whose grants are taken under the epoch.
+		lead     types.VMID
 		sequence uint64
 		// full tells that the next call must state all that is held.
 		full    bool
@@ -156,12 +158,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	l := o.lender(dc)
-	if lead.Epoch < l.epoch || lead.Epoch == 0 || l.calling {
+	if lead.Epoch == 0 || l.calling || !o.follow(l, lead.Epoch, lead.Target.VM) {
 		return nil
 	}
-	if lead.Epoch > l.epoch {
-		o.raise(l, lead.Epoch)
-	}
 	now := o.config.Clock.Now()
 	back := o.surplus(dc, l, now)
 	wants, hungry := o.wants(dc, l)
@@ -191,13 +190,20 @@
 	return l.full || len(l.refusing) > 0 || !now.Before(l.next)
 }
 
-// raise notes a later epoch; whatever an earlier lead still lends is refused from now on.
-func (o *Holder) raise(l *lender, epoch types.Epoch) {
-	l.epoch = epoch
-	l.full = true
-	l.next = time.Time{}
-	l.wait = 0
-	clear(l.owed)
+// follow notes a later epoch; whatever an earlier lead still lends is refused from now on. It returns false for an
+// epoch that is over, and for a second daemon that leads under the same epoch.
+func (o *Holder) follow(l *lender, epoch types.Epoch, lead types.VMID) bool {
+	if epoch < l.epoch || (epoch == l.epoch && lead != l.lead) {
+		return false
+	}
+	if epoch > l.epoch {
+		l.epoch, l.lead = epoch, lead
+		l.full = true
+		l.next = time.Time{}
+		l.wait = 0
+		clear(l.owed)
+	}
+	return true
 }
 
 // apply takes over what a lead lent. It returns the services that have more slots now.
@@ -214,7 +220,7 @@
 	if err != nil {
 		metrics.GetOrRegisterCounter("Lend.TradeFailures", o.config.Metrics).Inc(1)
 		l.full = true
-		l.wait = TradeEvery
+		l.wait = hungryEvery
 		return nil
 	}
 	l.full = false
@@ -230,7 +236,7 @@
 		o.add(dc, g, now)
 		grown = append(grown, g.Upstream.Service)
 	}
-	l.wait = min(TradeEvery, max(TickEvery, 2*l.wait))
+	l.wait = min(hungryEvery, max(TickEvery, 2*l.wait))
 	if len(grown) > 0 {
 		l.wait = TickEvery
 	}
@@ -251,15 +257,25 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	l := o.lender(args.DataCentre)
-	if args.Epoch < l.epoch {
-		return nil, errs.New(errs.Fenced, "epoch %d of %s is over; %d is known", args.Epoch, args.DataCentre, l.epoch)
-	}
-	if args.Epoch > l.epoch {
-		o.raise(l, args.Epoch)
+	if !o.follow(l, args.Epoch, args.Lead) {
+		return nil, errs.New(errs.Fenced, "%s leads %s under epoch %d, not %s", l.lead, args.DataCentre, l.epoch, args.Lead)
 	}
 	return &HoldingsReply{Life: o.life, Sequence: l.sequence, Shares: o.sharesOf(args.DataCentre)}, nil
 }
 
+// poked makes the next call to a lead due.
+func (o *Holder) poked(args *PokeArgs) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := o.lender(args.DataCentre)
+	if !o.follow(l, args.Epoch, args.Lead) {
+		return errs.New(errs.Fenced, "%s leads %s under epoch %d, not %s", l.lead, args.DataCentre, l.epoch, args.Lead)
+	}
+	l.next = time.Time{}
+	o.wake()
+	return nil
+}
+
 func (o *Holder) sharesOf(dc types.DataCentre) []Share {
 	out := []Share{}
 	for id, r := range o.runners {
--- a/internal/route/lend/lend.go
+++ b/internal/route/lend/lend.go
@@ -17,6 +17,7 @@
 
 	methodTrade    peer.Method = "Lend.Trade"
 	methodHoldings peer.Method = "Lend.Holdings"
+	methodPoke     peer.Method = "Lend.Poke"
 )
 
 const (
@@ -29,6 +30,14 @@
 	// FloorSlots is how many slots of a service an idle entry asks its own data centre for.
 	FloorSlots = 4
 
+	// headroomPart is the part of its need, one in headroomPart, that an entry asks its own data centre for in addition.
+	headroomPart = 8
+
+	// hungryEvery is the longest pause between calls of an entry whose requests wait for slots.
+	hungryEvery = 250 * time.Millisecond
+	// pokeEvery is the shortest time between two pokes of one entry.
+	pokeEvery = 200 * time.Millisecond
+
 	callTimeout = time.Second
 	// farFraction is the part of a runner's slots, one in farFraction, that entries of other regions may hold in sum.
 	farFraction = 4
@@ -94,6 +103,7 @@
 	HoldingsArgs struct {
 		DataCentre types.DataCentre
 		Epoch      types.Epoch
+		Lead       types.VMID
 	}
 
 	// HoldingsReply is all that an entry holds of a data centre's runners.
@@ -103,6 +113,16 @@
 		Shares   []Share
 	}
 
+	// PokeArgs asks an entry to call the lead now, because another one needs slots that it holds.
+	PokeArgs struct {
+		DataCentre types.DataCentre
+		Epoch      types.Epoch
+		Lead       types.VMID
+	}
+
+	// PokeReply is empty.
+	PokeReply struct{}
+
 	// Service answers the remote calls of this package.
 	Service struct {
 		lender *Lender
@@ -135,6 +155,11 @@
 	return nil
 }
 
+// Poke makes this entry call the lead soon.
+func (s *Service) Poke(args *PokeArgs, _ *PokeReply) error {
+	return peer.Wire(s.holder.poked(args))
+}
+
 // Check returns an error when a field of the call is missing or out of bounds.
 func (a *TradeArgs) Check() error {
 	if a.From.VM == "" || a.DataCentre == "" || a.Epoch == 0 || a.Sequence == 0 {
--- a/internal/route/lend/lender.go
+++ b/internal/route/lend/lender.go
@@ -56,6 +56,7 @@
 		active  bool
 		epoch   types.Epoch
 		began   time.Time
+		poke    chan struct{}
 		holders map[types.VMID]*holding
 		runners map[types.RunnerID]*lent
 	}
@@ -69,8 +70,13 @@
 		settled bool
 		shares  map[types.RunnerID]Share
 		wants   map[types.ServiceName]int
+		// held is the sum of the shares by service.
+		held map[types.ServiceName]int
+		// distance is how far the entry is from this data centre.
+		distance Distance
 		// goneAt is when the entry was first known to be gone for good.
-		goneAt time.Time
+		goneAt  time.Time
+		pokedAt time.Time
 		// ended tells that the holding is that of an earlier process of a VM that started anew.
 		ended bool
 	}
@@ -80,8 +86,10 @@
 		up runner.Upstream
 		// listed tells that the runner was among Upstreams at the last tick.
 		listed bool
-		// returned counts slots that were given back under this epoch and not lent again.
-		returned     int
+		// near and far are the slots that entries within the region and outside of it hold.
+		near, far int
+		// unheld counts slots that are known to be held by nobody.
+		unheld       int
 		refusedUntil time.Time
 	}
 )
@@ -100,7 +108,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
-	return &Lender{config: c}
+	return &Lender{config: c, poke: make(chan struct{}, 1)}
 }
 
 // Begin starts lending under the epoch, with a first question to every entry about what it holds.
@@ -135,6 +143,8 @@
 			return nil
 		case <-ticker.Chan():
 			l.Tick(ctx)
+		case <-l.poke:
+			l.pokeAll(ctx)
 		}
 	}
 }
@@ -172,7 +182,7 @@
 			out = append(out, h.target)
 		}
 	}
-	return out, HoldingsArgs{DataCentre: l.config.Self.Site.DataCentre, Epoch: l.epoch}
+	return out, HoldingsArgs{DataCentre: l.config.Self.Site.DataCentre, Epoch: l.epoch, Lead: l.config.Self.VM}
 }
 
 func (l *Lender) askOne(ctx context.Context, target peer.Target, args HoldingsArgs) {
@@ -201,19 +211,45 @@
 	for _, s := range shares {
 		stated[s.Runner] = s
 	}
-	if h.settled {
-		for id, before := range h.shares {
-			l.giveBack(id, before.Slots-stated[id].Slots)
+	for id, before := range h.shares {
+		if h.settled {
+			l.runner(id).unheld += max(0, before.Slots-stated[id].Slots)
 		}
+		if _, ok := stated[id]; !ok {
+			l.setShare(h, Share{Runner: id})
+		}
+	}
+	for _, s := range stated {
+		l.setShare(h, s)
 	}
-	h.shares = stated
 	h.settled = true
 }
 
-func (l *Lender) giveBack(id types.RunnerID, slots int) {
-	if r, ok := l.runners[id]; ok && slots > 0 {
-		r.returned += slots
+// setShare sets what one entry holds of one runner.
+func (l *Lender) setShare(h *holding, s Share) {
+	r := l.runner(s.Runner)
+	more := s.Slots - h.shares[s.Runner].Slots
+	if h.distance == Far {
+		r.far += more
+	} else {
+		r.near += more
+	}
+	h.held[r.up.Service] += more
+	if s.Slots == 0 {
+		delete(h.shares, s.Runner)
+		return
+	}
+	h.shares[s.Runner] = s
+}
+
+// runner returns the record of a runner, an unlisted one when it is not known.
+func (l *Lender) runner(id types.RunnerID) *lent {
+	r, ok := l.runners[id]
+	if !ok {
+		r = &lent{}
+		l.runners[id] = r
 	}
+	return r
 }
 
 // refresh brings the tables up to the lists of runners and entries.
@@ -223,12 +259,7 @@
 		r.listed = false
 	}
 	for _, up := range l.config.Upstreams() {
-		r, ok := l.runners[up.ID]
-		if !ok {
-			r = &lent{}
-			l.runners[up.ID] = r
-		}
-		r.up, r.listed = up, true
+		l.list(up)
 	}
 	for _, target := range l.config.Entries() {
 		l.holder(target)
@@ -236,7 +267,24 @@
 	for vm, h := range l.holders {
 		l.retire(vm, h, now)
 	}
-	l.forget()
+	for id, r := range l.runners {
+		if !r.listed && r.near+r.far == 0 {
+			delete(l.runners, id)
+		}
+	}
+}
+
+// list takes over a runner from the list.
+func (l *Lender) list(up runner.Upstream) {
+	r := l.runner(up.ID)
+	if before := r.up.Service; before != up.Service {
+		for _, h := range l.holders {
+			slots := h.shares[up.ID].Slots
+			h.held[before] -= slots
+			h.held[up.Service] += slots
+		}
+	}
+	r.up, r.listed = up, true
 }
 
 // retire drops an entry that is gone for good, once the calls that it left behind have ended.
@@ -252,29 +300,21 @@
 		return
 	}
 	for id, s := range h.shares {
-		l.giveBack(id, s.Slots)
+		l.runner(id).unheld += s.Slots
+		l.setShare(h, Share{Runner: id})
 	}
 	delete(l.holders, vm)
 	l.config.Log.Info().Str("VM", string(vm)).Msg("slots of a VM that is gone are free")
 }
 
-// forget drops runners that are no longer listed and of which nobody holds a slot.
-func (l *Lender) forget() {
-	for id, r := range l.runners {
-		if !r.listed && l.taken(id) == 0 {
-			delete(l.runners, id)
-		}
-	}
-}
-
 func (l *Lender) holder(target peer.Target) *holding {
 	h, ok := l.holders[target.VM]
 	if !ok {
 		h = &holding{
-			shares: make(map[types.RunnerID]Share),
-			wants:  make(map[types.ServiceName]int),
-			// Entries that were never lent to under any epoch hold nothing.
-			settled: l.epoch == firstEpoch,
+			shares:   make(map[types.RunnerID]Share),
+			wants:    make(map[types.ServiceName]int),
+			held:     make(map[types.ServiceName]int),
+			distance: distanceOf(l.config.Self.Site, target.Site),
 		}
 		l.holders[target.VM] = h
 	}
@@ -341,15 +381,12 @@
 func (l *Lender) takeBack(h *holding, back Share) {
 	held := h.shares[back.Runner]
 	slots := min(held.Slots, back.Slots)
-	held.Runner = back.Runner
-	held.Slots -= slots
-	held.Connections -= min(held.Connections, back.Connections)
-	l.giveBack(back.Runner, slots)
-	if held.Slots == 0 {
-		delete(h.shares, back.Runner)
-		return
-	}
-	h.shares[back.Runner] = held
+	l.runner(back.Runner).unheld += slots
+	l.setShare(h, Share{
+		Runner:      back.Runner,
+		Slots:       held.Slots - slots,
+		Connections: held.Connections - min(held.Connections, back.Connections),
+	})
 }
 
 func (l *Lender) noteRefusals(ids []types.RunnerID) {
--- a/internal/route/lend/pool.go
+++ b/internal/route/lend/pool.go
@@ -57,6 +57,8 @@
 		slots       int
 		connections int
 		busy        int
+		// returning are idle slots that go back to the lead with the next call.
+		returning int
 		// usedAt is when a slot was last taken while no other one was idle.
 		usedAt  time.Time
 		circuit *circuit
@@ -99,7 +101,7 @@
 func (o *Holder) takeSlot(p *pool, r *held, now time.Time) Slot {
 	r.busy++
 	p.busy++
-	if r.busy == r.slots {
+	if r.idle() == 0 {
 		r.usedAt = now
 	}
 	r.circuit.begin()
@@ -135,11 +137,11 @@
 }
 
 func (r *held) idle() int {
-	return r.slots - r.busy
+	return r.slots - r.busy - r.returning
 }
 
 func (r *held) usable(now time.Time) bool {
-	return !r.barred && r.busy < r.slots && r.circuit.allows(now)
+	return !r.barred && r.idle() > 0 && r.circuit.allows(now)
 }
 
 // Release gives a slot back after a call. A slot whose call may still run stays taken until the time.
@@ -176,11 +178,27 @@
 	}
 }
 
+// freeSlot makes a slot idle, or sets it aside when the lead asked for one back.
 func (o *Holder) freeSlot(r *held) {
 	r.busy--
 	if p, ok := o.services[r.up.Service]; ok {
 		p.busy--
 	}
+	if o.setAside(r, 1) > 0 {
+		o.wake()
+	}
+}
+
+// setAside keeps up to count idle slots of a runner for the lead that asked for some back.
+func (o *Holder) setAside(r *held, count int) int {
+	l := o.lender(r.lender)
+	slots := min(count, r.idle(), l.owed[r.up.Service])
+	if slots <= 0 {
+		return 0
+	}
+	r.returning += slots
+	l.owed[r.up.Service] -= slots
+	return slots
 }
 
 // settle frees the slots whose calls have surely ended and returns their services.
@@ -265,7 +283,7 @@
 func (o *Holder) add(dc types.DataCentre, g Grant, now time.Time) {
 	r, ok := o.runners[g.Upstream.ID]
 	if !ok {
-		r = &held{lender: dc, circuit: newCircuit(), distance: o.distance(g.Upstream.Site)}
+		r = &held{lender: dc, circuit: newCircuit(), distance: distanceOf(o.config.Self.Site, g.Upstream.Site)}
 		o.runners[g.Upstream.ID] = r
 		p := o.pool(g.Upstream.Service)
 		p.runners[r.distance] = append(p.runners[r.distance], r)
@@ -277,11 +295,11 @@
 	r.connections += g.Connections
 }
 
-func (o *Holder) distance(site types.Site) Distance {
+func distanceOf(a, b types.Site) Distance {
 	switch {
-	case site.DataCentre == o.config.Self.Site.DataCentre:
+	case a.DataCentre == b.DataCentre:
 		return Local
-	case site.Region == o.config.Self.Site.Region:
+	case a.Region == b.Region:
 		return Regional
 	default:
 		return Far
--- a/internal/route/lend/surplus.go
+++ b/internal/route/lend/surplus.go
@@ -26,23 +26,17 @@
 
 // giveable returns how many idle slots of a runner go back.
 func (o *Holder) giveable(r *held, l *lender, now time.Time) int {
+	o.setAside(r, r.idle())
 	idle := r.idle()
-	if idle <= 0 {
-		return 0
-	}
 	if o.closing || r.barred || l.refusing[r.up.ID] {
-		return idle
-	}
-	if owed := min(idle, l.owed[r.up.Service]); owed > 0 {
-		l.owed[r.up.Service] -= owed
-		return owed
+		return r.returning + idle
 	}
 	p := o.pool(r.up.Service)
-	if now.Sub(r.usedAt) < IdleAfter || p.queued > 0 {
-		return 0
+	if idle == 0 || now.Sub(r.usedAt) < IdleAfter || p.queued > 0 {
+		return r.returning
 	}
 	over := p.total() - p.busy - o.floor(r)
-	return max(0, min(idle, over))
+	return r.returning + max(0, min(idle, over))
 }
 
 func (p *pool) total() int {
@@ -69,6 +63,7 @@
 	}
 	connections := r.connections * slots / r.slots
 	r.slots -= slots
+	r.returning = 0
 	r.connections -= connections
 	return Share{Runner: r.up.ID, Slots: slots, Connections: connections}, true
 }
@@ -95,7 +90,7 @@
 func (o *Holder) want(dc types.DataCentre, p *pool) int {
 	need := p.busy + p.queued
 	if dc == o.config.Self.Site.DataCentre {
-		return max(FloorSlots, need+need/4)
+		return need + max(FloorSlots, need/headroomPart)
 	}
 	if p.queued == 0 {
 		return min(need, p.heldOf(dc))
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -58,6 +58,19 @@
 	return nil
 }
 
+// Oldest returns the item that waits longest, or nil.
+func (q *Queue) Oldest() *Item {
+	var found *Item
+	for i := range q.lanes {
+		for _, line := range q.lanes[i].teams {
+			if x := line.items[0]; found == nil || x.Since.Before(found.Since) {
+				found = x
+			}
+		}
+	}
+	return found
+}
+
 // Pop removes and returns the next item, or nil: the most urgent class first, its teams in turn.
 func (q *Queue) Pop() *Item {
 	r := q.rank()
--- /dev/null
+++ b/internal/route/trial/link.go
@@ -0,0 +1,60 @@
+package trial
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
+)
+
+// linked delays calls by the distance to the runner.
+type linked struct {
+	cell  *Cell
+	from  types.Site
+	inner runner.Runner
+}
+
+func (c *Cell) linked(from types.Site, calls *meter.Meter) runner.Runner {
+	return &linked{cell: c, from: from, inner: c.Runners.As(calls)}
+}
+
+// Call makes one call with the delay of the way there and back.
+func (l *linked) Call(ctx context.Context, to runner.Upstream, call runner.Call) (runner.Reply, error) {
+	delay := l.delay(to.Site)
+	if !l.travel(ctx, delay) {
+		return runner.Reply{}, errs.New(errs.Unknown, "sending to %s: %v", to.ID, ctx.Err())
+	}
+	reply, err := l.inner.Call(ctx, to, call)
+	if !l.travel(ctx, delay) {
+		return runner.Reply{}, errs.New(errs.Unknown, "the answer of %s came late", to.ID)
+	}
+	return reply, err
+}
+
+func (l *linked) travel(ctx context.Context, delay time.Duration) bool {
+	if delay == 0 {
+		return true
+	}
+	timer := l.cell.Config.Clock.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *linked) delay(to types.Site) time.Duration {
+	switch {
+	case to.DataCentre == l.from.DataCentre:
+		return 0
+	case to.Region == l.from.Region:
+		return l.cell.Config.Near
+	default:
+		return l.cell.Config.Far
+	}
+}
--- /dev/null
+++ b/internal/route/trial/load.go
@@ -0,0 +1,183 @@
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/once"
+)
+
+const (
+	maxRecorded    = int64(10 * time.Minute / time.Microsecond)
+	recordedDigits = 3
+	thousand       = 1000
+)
+
+type (
+	// Sender takes requests as an entry does.
+	Sender interface {
+		// Mint returns the id of a request that is yet to be sent.
+		Mint() (types.RequestID, error)
+		// Do runs a request and returns what became of it.
+		Do(ctx context.Context, req *types.Request) *types.Answer
+	}
+
+	// Load is requests that arrive at random times, whether or not earlier ones are answered.
+	Load struct {
+		Clock clockwork.Clock
+		Seed  uint64
+		// PerSecond is the mean rate over all senders.
+		PerSecond float64
+		// WarmUp is not counted; Span is.
+		WarmUp, Span time.Duration
+		// Deadline is how long a caller waits.
+		Deadline time.Duration
+		// Work is taken off the time to the answer to give the time spent waiting.
+		Work time.Duration
+		// Urgent, Batch and Once are the parts of the requests, in thousandths, that are urgent, of class Batch, and
+		// non-idempotent.
+		Urgent, Batch, Once int
+		BodySize            int
+	}
+
+	// Result is what came of a load within its span.
+	Result struct {
+		Sent int
+		Done int
+		// InSpan counts the answers with outcome Done that arrived within the span.
+		InSpan  int
+		NotRun  int
+		Unknown int
+		// Waits are the times that requests with outcome Done spent waiting, in microseconds, by class.
+		Waits map[types.Class]*hdrhistogram.Histogram
+		// Answers are all answers, those of the warm-up too.
+		Answers []*types.Answer
+		// Wrong counts answers that are not the whole answer to their own request.
+		Wrong int
+	}
+
+	recorder struct {
+		load  Load
+		mu    sync.Mutex
+		begin time.Time
+		out   Result
+	}
+)
+
+// Run sends the load to the senders in turn and waits for every answer.
+func (l Load) Run(ctx context.Context, senders []Sender) Result {
+	random := rand.New(rand.NewPCG(l.Seed, l.Seed))
+	r := newRecorder(l)
+	end := l.Clock.Now().Add(l.WarmUp + l.Span)
+	next := l.Clock.Now()
+	var w sync.WaitGroup
+	for i := 0; ; i++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / l.PerSecond * float64(time.Second)))
+		if next.After(end) {
+			break
+		}
+		if wait := next.Sub(l.Clock.Now()); wait > 0 {
+			l.Clock.Sleep(wait)
+		}
+		sender := senders[random.IntN(len(senders))]
+		req := l.request(random, i)
+		w.Go(func() { r.send(ctx, sender, req) })
+	}
+	w.Wait()
+	return r.out
+}
+
+func (l Load) request(random *rand.Rand, i int) *types.Request {
+	class := types.ClassNormal
+	switch n := random.IntN(thousand); {
+	case n < l.Urgent:
+		class = types.ClassUrgent
+	case n >= thousand-l.Batch:
+		class = types.ClassBatch
+	}
+	body := make([]byte, l.BodySize)
+	for j := range body {
+		body[j] = byte(random.Uint32())
+	}
+	return &types.Request{
+		Service: Service, Team: team(i), Class: class, Idempotent: random.IntN(thousand) >= l.Once, Body: body,
+	}
+}
+
+func newRecorder(l Load) *recorder {
+	r := &recorder{load: l, begin: l.Clock.Now().Add(l.WarmUp)}
+	r.out.Waits = make(map[types.Class]*hdrhistogram.Histogram)
+	for _, c := range types.Classes() {
+		r.out.Waits[c] = hdrhistogram.New(1, maxRecorded, recordedDigits)
+	}
+	return r
+}
+
+// send sends one request. An id that could not be minted is one that the senders do not answer.
+func (r *recorder) send(ctx context.Context, s Sender, req *types.Request) {
+	begin := r.load.Clock.Now()
+	id, err := s.Mint()
+	if err != nil {
+		id = once.Mint("none", once.Mark{})
+	}
+	req.ID, req.Deadline = id, begin.Add(r.load.Deadline)
+	answer := s.Do(ctx, req)
+	r.record(begin, req, answer)
+}
+
+func (r *recorder) record(begin time.Time, req *types.Request, a *types.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out.Answers = append(r.out.Answers, a)
+	if a.ID != req.ID || (a.Outcome == types.OutcomeDone && string(a.Body) != string(req.Body)) {
+		r.out.Wrong++
+	}
+	r.countInSpan(a)
+	if begin.Before(r.begin) {
+		return
+	}
+	r.out.Sent++
+	switch a.Outcome {
+	case types.OutcomeDone:
+		r.out.Done++
+		wait := r.load.Clock.Since(begin) - r.load.Work
+		// The histogram takes every value up to maxRecorded, which no deadline exceeds.
+		_ = r.out.Waits[req.Class].RecordValue(max(0, wait.Microseconds()))
+	case types.OutcomeNotRun:
+		r.out.NotRun++
+	default:
+		r.out.Unknown++
+	}
+}
+
+func (r *recorder) countInSpan(a *types.Answer) {
+	now := r.load.Clock.Now()
+	if a.Outcome == types.OutcomeDone && !now.Before(r.begin) && now.Before(r.begin.Add(r.load.Span)) {
+		r.out.InSpan++
+	}
+}
+
+// PerSecond returns how many answers with outcome Done arrived each second of the span.
+func (r Result) PerSecond(span time.Duration) float64 {
+	return float64(r.InSpan) / span.Seconds()
+}
+
+// Wait returns a quantile, in percent, of the time that requests of a class waited.
+func (r Result) Wait(class types.Class, percent float64) time.Duration {
+	return time.Duration(r.Waits[class].ValueAtQuantile(percent)) * time.Microsecond
+}
+
+// All returns the waits of every class together.
+func (r Result) All() *hdrhistogram.Histogram {
+	all := hdrhistogram.New(1, maxRecorded, recordedDigits)
+	for _, h := range r.Waits {
+		all.Merge(h)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/route/trial/trial_test.go
@@ -0,0 +1,68 @@
+package trial
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// cell starts a cell on the clock of a bubble and stops it at the end.
+func cell(t *testing.T, change func(c *Config)) *Cell {
+	t.Helper()
+	c := Config{
+		Clock: clockwork.NewRealClock(), Entries: 8, Runners: 6, Slots: 8, Connections: 64,
+		Work: 20 * time.Millisecond, Near: time.Millisecond, Far: 12 * time.Millisecond,
+	}
+	if change != nil {
+		change(&c)
+	}
+	o := New(c)
+	o.Start(context.Background())
+	t.Cleanup(func() {
+		// The bubble ends when all of its goroutines have ended.
+		o.Stop()
+	})
+	time.Sleep(2 * time.Second)
+	return o
+}
+
+func bubble(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, test)
+}
+
+func request(t *testing.T, d *Daemon, idempotent bool) *types.Request {
+	t.Helper()
+	id, err := d.Entry.Mint()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &types.Request{
+		ID: id, Service: Service, Team: team(0), Class: types.ClassNormal, Idempotent: idempotent,
+		Deadline: time.Now().Add(5 * time.Second), Body: []byte("body of " + string(id)),
+	}
+}
+
+func wantDone(t *testing.T, req *types.Request, a *types.Answer) {
+	t.Helper()
+	if a.Outcome != types.OutcomeDone || a.ID != req.ID || string(a.Body) != string(req.Body) {
+		t.Fatalf("answer to %s is %s %q, reason %v", req.ID, a.Outcome, a.Body, a.Reason)
+	}
+}
+
+func TestEveryEntryAnswers(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := cell(t, nil)
+		for _, d := range c.Daemons {
+			for _, idempotent := range []bool{true, false} {
+				req := request(t, d, idempotent)
+				wantDone(t, req, d.Entry.Do(context.Background(), req))
+			}
+		}
+	})
+}
