--- a/internal/plat/vmlist/http.go
+++ b/internal/plat/vmlist/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -24,6 +25,8 @@
 	// Query is the body of a call.
 	Query struct {
 		From types.DataCentre `json:"From,omitempty"`
+		// Have is the version that the reader has; the answer to it names no VMs while it is current.
+		Have uint64 `json:"Have,omitempty"`
 	}
 
 	// HTTPConfig says where the list is and who reads it.
@@ -39,6 +42,9 @@
 	HTTP struct {
 		config HTTPConfig
 		rest   rest.Client
+
+		mu   sync.Mutex
+		last Snapshot
 	}
 )
 
@@ -54,22 +60,46 @@
 func (h *HTTP) List(ctx context.Context) (Snapshot, error) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	last := h.latest()
 	var out Snapshot
-	traffic, err := h.rest.Post(limited, pathList, Query{From: h.config.From}, &out)
+	traffic, err := h.rest.Post(limited, pathList, Query{From: h.config.From, Have: last.Version}, &out)
 	h.config.Meter.Count(meter.Sample{
 		Kind: KindList, Remote: h.config.Region, Sent: traffic.Sent, Read: traffic.Read, Failed: err != nil,
 	})
 	if err != nil {
 		return Snapshot{}, errs.New(errs.Unavailable, "reading the list of VMs: %s", errs.Of(err).Message)
 	}
-	return out, out.Check()
+	if out.Version != 0 && out.Version == last.Version {
+		return last, nil
+	}
+	if err := out.Check(); err != nil {
+		return Snapshot{}, err
+	}
+	h.keep(out)
+	return out, nil
+}
+
+func (h *HTTP) latest() Snapshot {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.last
+}
+
+func (h *HTTP) keep(s Snapshot) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.last = s
 }
 
 // Handler serves the in-memory list over HTTP, as the stand-in for the platform's list.
 func (m *Memory) Handler() http.Handler {
 	mux := flow.New()
 	mux.HandleFunc(pathList, rest.Handle(bodyLimit, func(ctx context.Context, q *Query) (Snapshot, error) {
-		return m.As(q.From, meter.Discard()).List(ctx)
+		out, err := m.As(q.From, meter.Discard()).List(ctx)
+		if q.Have != 0 && q.Have == out.Version {
+			out.VMs = nil
+		}
+		return out, err
 	}), http.MethodPost)
 	return mux
 }
--- a/internal/plat/vmlist/memory.go
+++ b/internal/plat/vmlist/memory.go
@@ -78,10 +78,12 @@
 	horizon := m.clock.Now().Add(-m.lag)
 	index := make(map[types.VMID]int)
 	var listed []types.VM
+	var visible uint64
 	for _, c := range m.changes {
 		if c.at.After(horizon) {
 			break
 		}
+		visible++
 		i, known := index[c.vm.ID]
 		if !known {
 			i = len(listed)
@@ -93,7 +95,7 @@
 			listed[i] = types.VM{}
 		}
 	}
-	var out Snapshot
+	out := Snapshot{Version: visible}
 	for _, vm := range listed {
 		if vm.ID != "" {
 			out.VMs = append(out.VMs, vm)
--- a/internal/plat/vmlist/vmlist.go
+++ b/internal/plat/vmlist/vmlist.go
@@ -15,6 +15,8 @@
 	// Snapshot is the list as it was some seconds ago.
 	Snapshot struct {
 		VMs []types.VM `json:"VMs"`
+		// Version is the same as long as the list is.
+		Version uint64 `json:"Version,omitempty"`
 	}
 
 	// Source reads the list. Errors are of kind Unavailable.
--- /dev/null
+++ b/internal/proof/fitter/list.go
@@ -0,0 +1,67 @@
+package fitter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/member"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/vmlist"
+)
+
+const (
+	mechanismList = "`plat/vmlist`: a reader names the version that it has and gets the list only when it changed"
+	// changesPerDay is the VMs that fail, are restarted or replaced: each leaves the list and comes back.
+	changesPerDay = 2 * (4 + 180)
+	listed        = TargetWorkers + TargetDataCentres*EntriesPerDataCentre
+	// standbyListEvery is how often a daemon that does not lead reads the list of workers.
+	standbyListEvery = 5 * time.Second
+)
+
+func listMeasures() []Measure {
+	return []Measure{
+		{
+			Role: RoleEntry, Duty: "list of VMs, unchanged", Budget: Control, Mechanism: mechanismList, Driver: "VMs listed",
+			Sizes: []int{100, 200, 400}, AtTarget: listed, Exact: true,
+			Factor: 1/member.DefaultListEvery.Seconds() + 1/standbyListEvery.Seconds(),
+			Run:    func(size int) (float64, error) { return listBytes(size, false) },
+		},
+		{
+			Role: RoleEntry, Duty: "list of VMs, changed", Budget: Control, Mechanism: mechanismList, Driver: "VMs listed",
+			Sizes: []int{100, 200, 400}, AtTarget: listed, Exact: true, Factor: 2 * changesPerDay / float64(secondsPerDay),
+			Run: func(size int) (float64, error) { return listBytes(size, true) },
+		},
+	}
+}
+
+// listBytes returns the bytes of one reading.
+func listBytes(size int, changed bool) (float64, error) {
+	list := vmlist.NewMemory(clockwork.NewFakeClock(), regionOf(0), 0)
+	calls := meter.Discard()
+	reader := vmlist.NewHTTP(vmlist.HTTPConfig{
+		Base: "http://list", Region: regionOf(0), From: siteOf(0).DataCentre, Meter: calls,
+		Client: &http.Client{Transport: switchboard{"list": list.Handler()}},
+	})
+	for i := range size {
+		list.Set(workerVM(0, i))
+	}
+	if _, err := reader.List(context.Background()); err != nil {
+		return 0, err
+	}
+	if changed {
+		vm := workerVM(0, 0)
+		vm.State = types.VMLeaving
+		list.Set(vm)
+	}
+	before := total(calls)
+	_, err := reader.List(context.Background())
+	return total(calls) - before, err
+}
+
+func total(calls *meter.Meter) float64 {
+	return float64(calls.Total("", meter.SentBytes) + calls.Total("", meter.ReadBytes))
+}
--- /dev/null
+++ b/internal/proof/fitter/load.go
@@ -0,0 +1,165 @@
+package fitter
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+const (
+	mechanismWorkers  = "`sched/lead`: one call for each worker renews all of its tasks, a third of the lease apart; a call for each start; a question when a task should have ended"
+	mechanismJournal  = "`sched/commit`: at most one batched segment for each tick and lead; `sched/claim`: one renewal a second"
+	mechanismTick     = "`sched/lead` and `sched/plan`: one pass over the tables every 250 ms; the stand-ins' own work is in it"
+	mechanismTakeover = "`sched/lead`: the claim lapses, the journal is read, each worker is fenced and reports what it runs"
+	driverStarts      = "starts a second of a lead with 363 tasks"
+	driverTasks       = "tasks of the data centre"
+	// takeoverLimit is when a measurement of a take-over gives up.
+	takeoverLimit = 2 * time.Minute
+)
+
+type (
+	// counts is what one lead did in a window or until an event.
+	counts struct {
+		workerBytes float64
+		workerCalls float64
+		storeBytes  float64
+		writes      float64
+		reads       float64
+		seconds     float64
+	}
+
+	// memo runs a load once for each size, for all measures that read its counts.
+	memo struct {
+		run  func(size int) (counts, error)
+		done map[int]counts
+	}
+)
+
+var wall = clockwork.NewRealClock()
+
+// loadMeasures returns what a lead costs under a steady load.
+func loadMeasures() []Measure {
+	m := &memo{run: underLoad, done: make(map[int]counts)}
+	starts := func(role Role, duty, mechanism string, b Budget, factor float64, get func(counts) float64) Measure {
+		return Measure{
+			Role: role, Duty: duty, Budget: b, Mechanism: mechanism, Driver: driverStarts,
+			Sizes: []int{0, 6, 12, 18}, AtTarget: LeadStarts, Factor: factor / loadWindow.Seconds(),
+			Exact: b != Processor, Run: m.get(get),
+		}
+	}
+	return []Measure{
+		starts(RoleLead, "calls to workers", mechanismWorkers, Control, 1, func(c counts) float64 { return c.workerBytes }),
+		starts(RoleLead, "calls to workers", mechanismWorkers, Messages, 1, func(c counts) float64 { return c.workerCalls }),
+		starts(RoleLead, "journal, claim and audit", mechanismJournal, Control, 1, func(c counts) float64 { return c.storeBytes }),
+		starts(RoleStore, "leads' writes", mechanismJournal, StoreWrites, TargetDataCentres, func(c counts) float64 { return c.writes }),
+		starts(RoleStore, "leads' reads", mechanismJournal, StoreReads, TargetDataCentres, func(c counts) float64 { return c.reads }),
+		starts(RoleLead, "ticks", mechanismTick, Processor, 1, func(c counts) float64 { return c.seconds }),
+	}
+}
+
+// takeoverMeasures returns what the failure of a lead costs until an urgent task runs again.
+func takeoverMeasures() []Measure {
+	m := &memo{run: takeover, done: make(map[int]counts)}
+	event := func(b Budget, get func(counts) float64) Measure {
+		return Measure{
+			Role: RoleFailure, Duty: "a lead's VM fails", Budget: b, Mechanism: mechanismTakeover, Driver: driverTasks,
+			Sizes: []int{180, 360, 720}, AtTarget: LeadTasks, Exact: true, Run: m.get(get),
+		}
+	}
+	return []Measure{
+		event(EventBytes, func(c counts) float64 { return c.workerBytes + c.storeBytes }),
+		event(EventMessages, func(c counts) float64 { return c.workerCalls + c.writes + c.reads }),
+		event(EventSeconds, func(c counts) float64 { return c.seconds }),
+	}
+}
+
+func (m *memo) get(read func(counts) float64) func(int) (float64, error) {
+	return func(size int) (float64, error) {
+		if c, ok := m.done[size]; ok {
+			return read(c), nil
+		}
+		c, err := m.run(size)
+		if err != nil {
+			return 0, err
+		}
+		m.done[size] = c
+		return read(c), nil
+	}
+}
+
+// underLoad returns the counts of a window with a steady rate of starts. Its seconds are the wall time of the
+// window, in which one goroutine does all the work without waiting.
+func underLoad(starts int) (counts, error) {
+	c, err := newCentre(fitWorkers)
+	if err != nil {
+		return counts{}, err
+	}
+	if err := c.fill(fitTasks - starts*int(shortRunTime/time.Second)); err != nil {
+		return counts{}, err
+	}
+	if err := c.load(starts, loadWarmUp); err != nil {
+		return counts{}, err
+	}
+	before, began := c.leads[0].counts(), wall.Now()
+	err = c.load(starts, loadWindow)
+	out := c.leads[0].counts().minus(before)
+	out.seconds = wall.Since(began).Seconds()
+	return out, err
+}
+
+// takeover has a second daemon take over from a lead that fails. Its seconds are the time from the failure until
+// an urgent task runs that is submitted as soon as there is a lead.
+func takeover(tasks int) (counts, error) {
+	c, err := newCentre(fitWorkers)
+	if err != nil {
+		return counts{}, err
+	}
+	if err := c.fill(tasks); err != nil {
+		return counts{}, err
+	}
+	if err := c.addLead(1); err != nil {
+		return counts{}, err
+	}
+	c.run(settleTime)
+	c.leads[0].dead = true
+	began, before, next := c.clock.Now(), c.leads[1].counts(), c.leads[1]
+	submitted := false
+	for next.Overview().Tasks[table.TaskRunning] <= tasks || !submitted {
+		if c.clock.Since(began) > takeoverLimit {
+			return counts{}, errs.New(errs.Internal, "no urgent task runs %s after the failure", takeoverLimit)
+		}
+		if _, leading := next.Leading(); leading && !submitted {
+			_, err := c.submit(next, 1, types.ClassUrgent, longRunTime)
+			submitted = err == nil
+		}
+		c.run(leadTickPeriod)
+	}
+	out := next.counts().minus(before)
+	out.seconds = c.clock.Since(began).Seconds()
+	return out, nil
+}
+
+func (m *daemon) counts() counts {
+	return counts{
+		workerBytes: float64(m.bytes(prefixWorker)),
+		workerCalls: float64(m.calls.Total(prefixWorker, meter.Calls)),
+		storeBytes:  float64(m.bytes(prefixStore)),
+		writes:      float64(m.writes()),
+		reads:       float64(m.reads()),
+	}
+}
+
+func (c counts) minus(o counts) counts {
+	return counts{
+		workerBytes: c.workerBytes - o.workerBytes,
+		workerCalls: c.workerCalls - o.workerCalls,
+		storeBytes:  c.storeBytes - o.storeBytes,
+		writes:      c.writes - o.writes,
+		reads:       c.reads - o.reads,
+	}
+}
--- a/internal/proof/fitter/measure.go
+++ b/internal/proof/fitter/measure.go
@@ -16,6 +16,10 @@
 	StoreWrites Budget = "store writes/s"
 	// StoreReads is reads and waiting watches a second, over all daemons.
 	StoreReads Budget = "store reads/s"
+	// EventBytes is the bytes that one failure moves, EventMessages its calls, and EventSeconds its duration.
+	EventBytes    Budget = "bytes in all"
+	EventMessages Budget = "messages in all"
+	EventSeconds  Budget = "seconds until an urgent task runs"
 	// Messages is calls a second that one daemon makes and takes; the target sets no limit for it.
 	Messages Budget = "messages/s"
 )
@@ -28,6 +32,8 @@
 	RoleLead Role = "Lead"
 	// RoleStore is the platform's store as seen by all daemons together.
 	RoleStore Role = "Store"
+	// RoleFailure is what one failure costs.
+	RoleFailure Role = "Failure"
 )
 
 type (
@@ -72,7 +78,10 @@
 func All() []Measure {
 	var out []Measure
 	out = append(out, memberMeasures()...)
+	out = append(out, listMeasures()...)
+	out = append(out, loadMeasures()...)
 	out = append(out, planMeasures()...)
+	out = append(out, takeoverMeasures()...)
 	return out
 }
 
--- a/internal/proof/fitter/page.go
+++ b/internal/proof/fitter/page.go
@@ -18,6 +18,8 @@
 	totalHead   = "| Daemon | Budget | Sum at the target | Limit | Fits |"
 	totalRule   = "|---|---|---|---|---|"
 	significant = "%.4g"
+
+	entryThatLeads = "entry that leads"
 )
 
 type (
@@ -29,6 +31,12 @@
 		Limit  float64
 	}
 
+	// shortfall names a sum that does not fit yet.
+	shortfall struct {
+		of     string
+		budget Budget
+	}
+
 	// sum says which roles a daemon has and which budgets limit it.
 	sum struct {
 		of      string
@@ -46,9 +54,15 @@
 		StoreReads:  LimitStoreReads,
 	}
 
+	// shortfalls are the sums that exceed their limit, with what would bring them within it.
+	shortfalls = map[shortfall]string{
+		{of: entryThatLeads, budget: Control}: "a report that names only attempts that changed since the lead's last call; " +
+			"now each renewal and each question about a task's end brings all attempts of the worker",
+	}
+
 	sums = []sum{
 		{of: "entry", roles: []Role{RoleEntry}, budgets: []Budget{Control, Processor, Memory}},
-		{of: "entry that leads", roles: []Role{RoleEntry, RoleLead}, budgets: []Budget{Control, Processor, Memory}},
+		{of: entryThatLeads, roles: []Role{RoleEntry, RoleLead}, budgets: []Budget{Control, Processor, Memory}},
 		{of: "store", roles: []Role{RoleStore}, budgets: []Budget{StoreWrites, StoreReads}},
 	}
 )
@@ -56,6 +70,9 @@
 // Fits tells whether the sum is within the limit.
 func (t Total) Fits() bool { return t.Sum <= t.Limit }
 
+// Remedy returns what would bring a sum within its limit, or an empty text when none is stated.
+func (t Total) Remedy() string { return shortfalls[shortfall{of: t.Of, budget: t.Budget}] }
+
 // Totals adds up the estimates of each budget that the target limits.
 func Totals(results []Result) []Total {
 	var out []Total
@@ -77,6 +94,8 @@
 	for _, t := range Totals(results) {
 		lines = append(lines, fmt.Sprintf("| %s | %s | "+significant+" | "+significant+" | %s |", t.Of, t.Budget, t.Sum, t.Limit, yesNo(t.Fits())))
 	}
+	lines = append(lines, "", "What does not fit yet, and what would bring it within the limit:", "")
+	lines = append(lines, missing(results)...)
 	lines = append(lines, "", "What carries each duty:", "")
 	lines = append(lines, mechanisms(results)...)
 	if _, err := fmt.Fprintln(w, strings.Join(lines, "\n")); err != nil {
@@ -129,6 +148,19 @@
 		r.Line.Slope*r.Factor, r.Line.Intercept*r.Factor, r.Line.Residual*r.Factor, r.Estimate(), yesNo(r.Exact))
 }
 
+func missing(results []Result) []string {
+	var out []string
+	for _, t := range Totals(results) {
+		if !t.Fits() {
+			out = append(out, fmt.Sprintf("- %s, %s: %s", t.Of, t.Budget, t.Remedy()))
+		}
+	}
+	if out == nil {
+		return []string{"- nothing"}
+	}
+	return out
+}
+
 func mechanisms(results []Result) []string {
 	seen := make(map[string]bool)
 	var out []string
--- a/internal/sched/lead/lead.go
+++ b/internal/sched/lead/lead.go
@@ -73,6 +73,8 @@
 		Entries func() []peer.Target
 		// OnEpoch is called at every change of leadership. It must not call the lead.
 		OnEpoch func(epoch types.Epoch, leading bool)
+		// Spawn runs a call outside of the lock; nil means in a goroutine of its own.
+		Spawn func(run func())
 	}
 
 	// Lead is one daemon's part in the leadership of its data centre. It is safe for concurrent use.
@@ -147,10 +149,13 @@
 	if c.OnEpoch == nil {
 		c.OnEpoch = func(types.Epoch, bool) {}
 	}
+	if c.Spawn == nil {
+		c.Spawn = func(run func()) { go run() }
+	}
 	l := &Lead{
 		cfg:    c,
 		claims: claim.New(claim.Config{Self: c.Self, Store: c.Store}),
-		spawn:  func(run func()) { go run() },
+		spawn:  c.Spawn,
 		hook:   func(step) {},
 		wake:   make(chan struct{}, 1),
 		role:   roleStandby,
