Bring about failures on the request side; move ids to a new lead

Cause: nothing showed what holds when entries, leads, runners and regions fail.

Found and mended: an entry that drained was lent slots again, because its wants stayed at the lead; a home that could not be reached was asked until the deadline instead of 2 s; a planned change of the lead made ids Unknown that had never run. For the last, ways weighed: waiting out the old ids (callers wait), copies of every registration (a call before each dispatch), the old lead's ledger moving to the first lead of a later epoch that asks (taken: no cost per request, and the old lead stops for good before it answers).

--- a/internal/route/lend/holder.go
+++ b/internal/route/lend/holder.go
@@ -125,15 +125,29 @@
 	w.Wait()
 }
 
-// Close gives back every slot as soon as it is free.
+// Close gives back every slot. It returns when none is left, or after a time when a lead cannot be reached.
 func (o *Holder) Close(ctx context.Context) {
 	o.mu.Lock()
 	o.closing = true
+	o.mu.Unlock()
+	end := o.config.Clock.Now().Add(closeWithin)
+	for {
+		o.makeDue()
+		o.Trade(ctx)
+		if len(o.Shares()) == 0 || !o.config.Clock.Now().Before(end) || ctx.Err() != nil {
+			return
+		}
+		o.config.Clock.Sleep(TickEvery)
+	}
+}
+
+// makeDue makes the next call to every lead due.
+func (o *Holder) makeDue() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, l := range o.lenders {
 		l.next = time.Time{}
 	}
-	o.mu.Unlock()
-	o.Trade(ctx)
 }
 
 func (o *Holder) call(ctx context.Context, dc types.DataCentre, lead Lead, args *TradeArgs) {
--- a/internal/route/lend/lend.go
+++ b/internal/route/lend/lend.go
@@ -38,6 +38,9 @@
 	// pokeEvery is the shortest time between two pokes of one entry.
 	pokeEvery = 200 * time.Millisecond
 
+	// closeWithin is how long a draining entry tries to give its slots back.
+	closeWithin = 3 * time.Second
+
 	callTimeout = time.Second
 	// farFraction is the part of a runner's slots, one in farFraction, that entries of other regions may hold in sum.
 	farFraction = 4
--- a/internal/route/lend/surplus.go
+++ b/internal/route/lend/surplus.go
@@ -70,9 +70,6 @@
 
 // wants returns how many slots of each service the entry could use of a data centre, and whether requests wait.
 func (o *Holder) wants(dc types.DataCentre, l *lender) (out []Want, hungry bool) {
-	if o.closing {
-		return nil, false
-	}
 	for service, p := range o.services {
 		want := o.want(dc, p)
 		if p.queued > 0 && want > p.heldOf(dc) {
@@ -88,6 +85,9 @@
 
 // want returns the slots of one data centre that the entry could use, after those of nearer ones.
 func (o *Holder) want(dc types.DataCentre, p *pool) int {
+	if o.closing {
+		return 0
+	}
 	need := p.busy + p.queued
 	if dc == o.config.Self.Site.DataCentre {
 		return need + max(FloorSlots, need/headroomPart)
--- a/internal/route/once/client.go
+++ b/internal/route/once/client.go
@@ -140,13 +140,17 @@
 	waits := &backoff.ExponentialBackOff{
 		InitialInterval: firstRetry, MaxInterval: longestRetry, Multiplier: 2, RandomizationFactor: 0.5,
 	}
-	start := c.config.Clock.Now()
+	var failing time.Time
 	for {
 		reply, err := c.registerOnce(ctx, minted.Home, &args)
 		if err == nil || !errs.Is(err, errs.Unavailable, errs.Lost, errs.Fenced) {
 			return reply, err
 		}
-		if c.config.Clock.Since(start) >= registerWithin+args.Wait || !c.pause(ctx, waits.NextBackOff()) {
+		now := c.config.Clock.Now()
+		if failing.IsZero() {
+			failing = now
+		}
+		if now.Sub(failing) >= registerWithin || !c.pause(ctx, waits.NextBackOff()) {
 			return nil, err
 		}
 	}
--- a/internal/route/once/copies.go
+++ b/internal/route/once/copies.go
@@ -52,14 +52,17 @@
 	return peers[:min(copyPeers, len(peers))]
 }
 
-// collect reads the copies of all peers of the data centre.
-func (t *Table) collect(ctx context.Context) {
+// collect takes over the ledgers of earlier leads and reads the copies of all peers of the data centre.
+func (t *Table) collect(ctx context.Context, epoch types.Epoch) {
 	limited, cancel := clockwork.WithTimeout(ctx, t.config.Clock, copyTimeout)
 	defer cancel()
 	var w sync.WaitGroup
 	for _, from := range t.config.Copies() {
 		if from.VM != t.config.Self.VM {
-			w.Go(func() { t.collectFrom(limited, from) })
+			w.Go(func() {
+				t.adoptFrom(limited, from, epoch)
+				t.collectFrom(limited, from)
+			})
 		}
 	}
 	w.Wait()
@@ -127,6 +130,11 @@
 	if err != nil {
 		return false
 	}
-	_, ok := t.find(id, markOf(minted))
+	m := markOf(minted)
+	g, ok := t.open(m)
+	if !ok {
+		return false
+	}
+	_, ok = g.find(id, m)
 	return ok
 }
--- a/internal/route/once/once.go
+++ b/internal/route/once/once.go
@@ -24,6 +24,7 @@
 	methodMark     peer.Method = "Once.Mark"
 	methodCopy     peer.Method = "Once.Copy"
 	methodCopies   peer.Method = "Once.Copies"
+	methodYield    peer.Method = "Once.Yield"
 )
 
 // Verdicts of the home on an id.
--- a/internal/route/once/register.go
+++ b/internal/route/once/register.go
@@ -39,14 +39,15 @@
 		return nil, nil, err
 	}
 	m := markOf(minted)
-	if !t.isOpen(m) {
+	g, ok := t.open(m)
+	if !ok {
 		return t.final(t.closedForGood(args.ID)), nil, nil
 	}
-	r, ok := t.records[m.Generation][args.ID]
+	r, ok := g.find(args.ID, m)
 	if ok {
 		return t.known(args, r), r, nil
 	}
-	r, err = t.add(args, m)
+	r, err = t.add(g, args, m)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -76,17 +77,12 @@
 }
 
 // add makes the record of an id that was never seen.
-func (t *Table) add(args *RegisterArgs, m Mark) (*record, error) {
+func (t *Table) add(g *ledger, args *RegisterArgs, m Mark) (*record, error) {
 	if t.count >= t.config.MaxIDs {
 		return nil, errs.After(errs.Overloaded, fullRetryAfter, "the table of %s is full with %d ids", t.config.Self.Site.DataCentre, t.count)
 	}
-	ids, ok := t.records[m.Generation]
-	if !ok {
-		ids = make(map[types.RequestID]*record)
-		t.records[m.Generation] = ids
-	}
 	r := &record{content: args.Content, token: args.Token, entry: args.Entry, settled: make(chan struct{})}
-	ids[args.ID] = r
+	g.put(args.ID, m.Generation, r)
 	t.count++
 	if args.Close != nil {
 		t.close(r, &types.Answer{ID: args.ID, Outcome: types.OutcomeNotRun, Digest: types.DigestOf(nil), Reason: args.Close})
@@ -147,13 +143,14 @@
 		return err
 	}
 	m := markOf(minted)
-	if !t.isOpen(m) {
+	g, ok := t.open(m)
+	if !ok {
 		t.settleOld(args)
 		return nil
 	}
-	r, ok := t.records[m.Generation][args.ID]
+	r, ok := g.find(args.ID, m)
 	if !ok {
-		return t.settleAbsent(args, m)
+		return t.settleAbsent(g, args, m)
 	}
 	if r.token != args.Token || r.answer != nil {
 		return nil
@@ -173,11 +170,11 @@
 }
 
 // settleAbsent closes an id whose registration did not arrive, so that it does not run if that comes late.
-func (t *Table) settleAbsent(args *SettleArgs, m Mark) error {
+func (t *Table) settleAbsent(g *ledger, args *SettleArgs, m Mark) error {
 	if args.Answer.Outcome != types.OutcomeNotRun {
 		return errs.New(errs.NotFound, "id %s was not given out", args.ID)
 	}
-	_, err := t.add(&RegisterArgs{ID: args.ID, Content: args.Content, Token: args.Token, Close: args.Answer.Reason}, m)
+	_, err := t.add(g, &RegisterArgs{ID: args.ID, Content: args.Content, Token: args.Token, Close: args.Answer.Reason}, m)
 	return err
 }
 
@@ -211,10 +208,11 @@
 		return nil, err
 	}
 	m := markOf(minted)
-	if !t.isOpen(m) {
+	g, ok := t.open(m)
+	if !ok {
 		return t.closedForGood(id), nil
 	}
-	r, ok := t.records[m.Generation][id]
+	r, ok := g.find(id, m)
 	if !ok {
 		reason := errs.After(errs.NotFound, askAgainAfter, "no non-idempotent request with id %s was registered so far", id)
 		return unknown(id, reason, t.config.Self), nil
--- a/internal/route/once/service.go
+++ b/internal/route/once/service.go
@@ -51,6 +51,16 @@
 	return nil
 }
 
+// Yield hands the ledgers of this daemon's time as lead to a later lead.
+func (s *Service) Yield(args *YieldArgs, reply *YieldReply) error {
+	out, err := s.table.yield(args)
+	if err != nil {
+		return peer.Wire(err)
+	}
+	*reply = *out
+	return nil
+}
+
 // Copy keeps final answers for the home.
 func (s *Service) Copy(args *CopyArgs, _ *CopyReply) error {
 	return peer.Wire(s.table.takeCopies(args))
--- a/internal/route/once/table.go
+++ b/internal/route/once/table.go
@@ -49,30 +49,23 @@
 	Table struct {
 		config TableConfig
 
-		mu      sync.Mutex
-		active  bool
-		epoch   types.Epoch
-		id      TableID
-		current Generation
-		low     Generation
-		turned  time.Time
-		records map[Generation]map[types.RequestID]*record
-		count   int
-		bodies  bodies
-		waiters int
-		outbox  []Copied
-		kept    *archive
-	}
-
-	// record is what the home knows of one id.
-	record struct {
-		content types.Digest
-		token   Token
-		entry   types.VMID
-		// answer is nil as long as the id is given out.
-		answer *types.Answer
-		// settled is closed once the answer is set.
-		settled chan struct{}
+		mu     sync.Mutex
+		active bool
+		// starting tells that Begin still collects what earlier leads know.
+		starting bool
+		epoch    types.Epoch
+		own      *ledger
+		// ledgers holds the own ledger and those of earlier leads that were taken over.
+		ledgers   map[TableID]*ledger
+		turned    time.Time
+		count     int
+		bodies    bodies
+		waiters   int
+		outbox    []Copied
+		kept      *archive
+		frozenAt  time.Time
+		yieldedTo claimant
+		moving    []Moved
 	}
 )
 
@@ -87,53 +80,37 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
-	return &Table{config: c, kept: newArchive(c.MaxIDs, c.MaxBytes)}
+	t := &Table{config: c, kept: newArchive(c.MaxIDs, c.MaxBytes)}
+	t.dropLedgers()
+	return t
 }
 
-// Begin starts an empty table under the epoch and collects the answers that peers keep of earlier leads.
+// Begin starts a table under the epoch. It collects what earlier leads of the data centre and their copies know first;
+// calls that come before that is done are told to try again.
 func (t *Table) Begin(ctx context.Context, epoch types.Epoch) {
 	t.mu.Lock()
-	t.leave()
-	t.active = true
+	t.thaw()
+	t.starting = true
 	t.epoch = epoch
-	t.id = newTableID()
-	t.current, t.low = 0, 0
-	t.turned = t.config.Clock.Now()
-	t.records = make(map[Generation]map[types.RequestID]*record)
-	t.count = 0
-	t.bodies = bodies{limit: t.config.MaxBytes}
 	t.mu.Unlock()
-	t.collect(ctx)
-}
-
-// End stops the table: its final answers stay as copies, and calls that wait are told that the home is gone.
-func (t *Table) End() {
+	t.collect(ctx, epoch)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.leave()
-}
-
-func (t *Table) leave() {
-	if !t.active {
+	if t.epoch != epoch || !t.starting {
 		return
 	}
-	t.active = false
-	for _, ids := range t.records {
-		for _, r := range ids {
-			t.leaveRecord(r)
-		}
-	}
-	t.records = nil
+	t.own = newLedger(epoch)
+	t.ledgers[t.own.id] = t.own
+	t.turned = t.config.Clock.Now()
+	t.active, t.starting = true, false
 }
 
-func (t *Table) leaveRecord(r *record) {
-	if r.answer == nil {
-		close(r.settled)
-		return
-	}
-	if r.answer.Outcome == types.OutcomeDone {
-		t.kept.put(Copied{Content: r.content, Answer: *r.answer})
-	}
+// End stops the table. Its ledgers wait for the next lead, and calls that wait are told to ask that one.
+func (t *Table) End() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.starting = false
+	t.freeze()
 }
 
 // Run turns generations and hands out copies until ctx ends.
@@ -156,6 +133,7 @@
 	if t.active {
 		t.turn()
 	}
+	t.expire()
 	batch := t.outbox
 	t.outbox = nil
 	t.mu.Unlock()
@@ -166,20 +144,27 @@
 func (t *Table) turn() {
 	keep := t.config.Policy().KeepAnswers / Generations
 	old := t.config.Clock.Since(t.turned) >= keep
-	full := len(t.records[t.current]) >= t.config.MaxIDs/(Generations+1)
+	full := len(t.own.records[t.own.current]) >= t.config.MaxIDs/(Generations+1) || t.count >= t.config.MaxIDs
 	if !old && !full {
 		return
 	}
-	t.current++
+	t.own.current++
 	t.turned = t.config.Clock.Now()
-	for t.current-t.low > Generations {
-		t.dropLowest()
+	for t.own.current-t.own.low > Generations {
+		t.dropLowest(t.own)
+	}
+	for id, g := range t.ledgers {
+		if g != t.own {
+			t.dropLowest(g)
+		}
+		if g.isOver() {
+			delete(t.ledgers, id)
+		}
 	}
 }
 
-// dropLowest forgets the ids of the oldest generation. The low-water mark keeps them from running again.
-func (t *Table) dropLowest() {
-	for _, r := range t.records[t.low] {
+func (t *Table) dropLowest(g *ledger) {
+	for _, r := range g.dropLowest() {
 		if r.answer == nil {
 			close(r.settled)
 		} else {
@@ -187,13 +172,11 @@
 		}
 		t.count--
 	}
-	delete(t.records, t.low)
-	t.low++
 }
 
 // mark returns what entries need to mint ids.
 func (t *Table) mark() Mark {
-	return Mark{Epoch: t.epoch, Table: t.id, Generation: t.current}
+	return Mark{Epoch: t.epoch, Table: t.own.id, Generation: t.own.current}
 }
 
 // parse returns the decoded id when this daemon is the lead of its home.
@@ -211,27 +194,19 @@
 	return minted, nil
 }
 
-// isOpen tells whether an id that is not in the table has surely never run: it was minted for this table, within a
-// generation that is still kept.
-func (t *Table) isOpen(m Mark) bool {
-	return m.Epoch == t.epoch && m.Table == t.id && m.Generation >= t.low && m.Generation <= t.current
-}
-
-func (t *Table) find(id types.RequestID, m Mark) (*record, bool) {
-	if !t.isOpen(m) {
-		return nil, false
-	}
-	r, ok := t.records[m.Generation][id]
-	return r, ok
+// open returns the ledger of an id that is still kept. Such an id without a record has surely never run.
+func (t *Table) open(m Mark) (*ledger, bool) {
+	g, ok := t.ledgers[m.Table]
+	return g, ok && g.isOpen(m)
 }
 
-// closedForGood returns the answer to an id that cannot run at this table.
+// closedForGood returns the answer to an id of which this table has no ledger.
 func (t *Table) closedForGood(id types.RequestID) *types.Answer {
 	if c, ok := t.kept.get(id); ok {
 		answer := c.Answer
 		return &answer
 	}
-	return unknown(id, errs.New(errs.Fenced, "id %s is older than what its home keeps; it never runs from now on", id), t.config.Self)
+	return unknown(id, errs.New(errs.Fenced, "id %s is older than what its home keeps; it does not run", id), t.config.Self)
 }
 
 func unknown(id types.RequestID, reason error, home peer.Target) *types.Answer {
--- /dev/null
+++ b/internal/route/trial/check_test.go
@@ -0,0 +1,162 @@
+package trial
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// sent is a request with the answers that its caller got.
+type sent struct {
+	mu      sync.Mutex
+	request *types.Request
+	answers []*types.Answer
+}
+
+// ledger keeps every request of a test.
+type ledger struct {
+	mu   sync.Mutex
+	sent []*sent
+}
+
+func (l *ledger) add(req *types.Request) *sent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &sent{request: req}
+	l.sent = append(l.sent, s)
+	return s
+}
+
+// do sends the request to an entry and keeps the answer.
+func (s *sent) do(d *Daemon) *types.Answer {
+	a := d.Entry.Do(context.Background(), s.request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = append(s.answers, a)
+	return a
+}
+
+// got returns the answers so far.
+func (s *sent) got() []*types.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*types.Answer(nil), s.answers...)
+}
+
+// wantPromises checks what holds after every failure: each answer is its caller's own and whole, no non-idempotent id
+// ran twice, what is NotRun did not run, what is Done ran, and no runner had more calls than slots.
+func wantPromises(t *testing.T, c *Cell, l *ledger) {
+	t.Helper()
+	ran := make(map[types.RequestID]int)
+	for _, x := range c.Runners.Record() {
+		ran[x.ID]++
+	}
+	for _, s := range l.sent {
+		id := s.request.ID
+		if !s.request.Idempotent && ran[id] > 1 {
+			t.Errorf("non-idempotent %s ran %d times", id, ran[id])
+		}
+		for _, a := range s.got() {
+			wantTruth(t, s.request, a, ran[id])
+		}
+	}
+	wantWithinSlots(t, c)
+}
+
+func wantTruth(t *testing.T, req *types.Request, a *types.Answer, ran int) {
+	t.Helper()
+	switch {
+	case a.ID != req.ID:
+		t.Errorf("%s got the answer of %s", req.ID, a.ID)
+	case a.Outcome == types.OutcomeNotRun && ran > 0:
+		t.Errorf("%s was answered NotRun (%v) and ran %d times", req.ID, a.Reason, ran)
+	case a.Outcome == types.OutcomeDone && ran == 0:
+		t.Errorf("%s was answered Done and did not run", req.ID)
+	case a.Outcome == types.OutcomeDone && (string(a.Body) != string(req.Body) || a.Check() != nil):
+		t.Errorf("%s got %d bytes that are not its answer", req.ID, len(a.Body))
+	case a.Outcome != types.OutcomeDone && a.Reason == nil:
+		t.Errorf("%s is %s without a reason", req.ID, a.Outcome)
+	}
+}
+
+// wantWithinSlots checks what runners saw and what entries hold.
+func wantWithinSlots(t *testing.T, c *Cell) {
+	t.Helper()
+	slots, connections := make(map[types.RunnerID]int), make(map[types.RunnerID]int)
+	for _, d := range c.Daemons {
+		for _, s := range d.Holder.Shares() {
+			slots[s.Runner] += s.Slots
+			connections[s.Runner] += s.Connections
+		}
+	}
+	for _, site := range Sites() {
+		for _, up := range c.Upstreams(site.DataCentre) {
+			if peak := c.Runners.Peak(up.ID); peak > up.Slots {
+				t.Errorf("%s had %d calls at a time with %d slots", up.ID, peak, up.Slots)
+			}
+			if slots[up.ID] > up.Slots || connections[up.ID] > up.Connections {
+				t.Errorf("entries hold %d slots and %d connections of %s", slots[up.ID], connections[up.ID], up.ID)
+			}
+		}
+	}
+}
+
+// watchSlots checks the slots every few milliseconds until the returned function is called.
+func watchSlots(t *testing.T, c *Cell) (stop func()) {
+	t.Helper()
+	done := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(7 * time.Millisecond):
+				wantWithinSlots(t, c)
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+// pour sends requests at a steady rate to the entries in turn, a part of them non-idempotent, until the span ends.
+// It returns a function that waits for the answers.
+func pour(t *testing.T, l *ledger, daemons []*Daemon, every, span time.Duration) (wait func()) {
+	t.Helper()
+	var w sync.WaitGroup
+	w.Go(func() {
+		for i := range int(span / every) {
+			time.Sleep(every)
+			d := daemons[i%len(daemons)]
+			id, err := d.Entry.Mint()
+			if err != nil {
+				continue
+			}
+			s := l.add(&types.Request{
+				ID: id, Service: Service, Team: team(i), Class: types.Classes()[i%3], Idempotent: i%4 != 0,
+				Deadline: time.Now().Add(2 * time.Second), Body: []byte("body of " + string(id)),
+			})
+			w.Go(func() { s.do(d) })
+		}
+	})
+	return w.Wait
+}
+
+func (l *ledger) count(outcome types.Outcome) int {
+	n := 0
+	for _, s := range l.sent {
+		for _, a := range s.got() {
+			if a.Outcome == outcome {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/route/trial/ledger_test.go
@@ -0,0 +1,126 @@
+package trial
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/once"
+)
+
+func TestPlannedLeadChangeKeepsIDs(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := cell(t, nil)
+		l := &ledger{}
+		answered := l.add(request(t, c.Daemons[0], false))
+		unused := l.add(request(t, c.Daemons[0], false))
+		wantDone(t, answered.request, answered.do(c.Daemons[1]))
+		c.Lead(context.Background(), c.Daemons[3], "carthage", 2)
+		c.Kill(c.Daemons[0])
+		c.Lead(context.Background(), c.Daemons[6], "carthage", 3)
+		wantDone(t, answered.request, answered.do(c.Daemons[1]))
+		wantDone(t, unused.request, unused.do(c.Daemons[1]))
+		wantPromises(t, c, l)
+	})
+}
+
+func TestLostLeadKeepsAnswersAndRunsNoOldID(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := cell(t, nil)
+		l := &ledger{}
+		answered := l.add(request(t, c.Daemons[0], false))
+		unused := l.add(request(t, c.Daemons[0], false))
+		wantDone(t, answered.request, answered.do(c.Daemons[1]))
+		time.Sleep(time.Second)
+		c.Kill(c.Daemons[0])
+		c.Lead(context.Background(), c.Daemons[3], "carthage", 2)
+		wantDone(t, answered.request, answered.do(c.Daemons[1]))
+		a := unused.do(c.Daemons[1])
+		wantOutcome(t, a, types.OutcomeUnknown)
+		if !errs.Is(a.Reason, errs.Fenced) {
+			t.Errorf("reason is %v", a.Reason)
+		}
+		wantPromises(t, c, l)
+	})
+}
+
+func TestForgottenIDDoesNotRunAgain(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := cell(t, func(c *Config) {
+			c.Document = func(d *envdoc.Document) { d.Requests.KeepAnswers = 16 * time.Second }
+		})
+		l := &ledger{}
+		s := l.add(request(t, c.Daemons[0], false))
+		wantDone(t, s.request, s.do(c.Daemons[0]))
+		time.Sleep(15 * time.Second)
+		wantDone(t, s.request, s.do(c.Daemons[1]))
+		time.Sleep(10 * time.Second)
+		if c.Daemons[0].Table.Known(s.request.ID) {
+			t.Fatal("the id is still in the table")
+		}
+		s.request.Deadline = time.Now().Add(time.Second)
+		wantOutcome(t, s.do(c.Daemons[1]), types.OutcomeUnknown)
+		wantPromises(t, c, l)
+	})
+}
+
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := cell(t, nil)
+		l := &ledger{}
+		req := request(t, c.Daemons[0], false)
+		req.Body = make([]byte, 200<<10)
+		s := l.add(req)
+		wantDone(t, req, s.do(c.Daemons[1]))
+		time.Sleep(time.Second)
+		again := c.Daemons[2].Entry.Do(context.Background(), req)
+		if !once.IsWithheld(again) || again.Length != types.Bytes(len(req.Body)) {
+			t.Errorf("got %s, %d bytes of %d, %v", again.Outcome, len(again.Body), again.Length, again.Reason)
+		}
+		wantPromises(t, c, l)
+	})
+}
+
+func TestOtherBodyUnderTheSameIDIsRefused(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := cell(t, nil)
+		req := request(t, c.Daemons[0], false)
+		wantDone(t, req, c.Daemons[0].Entry.Do(context.Background(), req))
+		other := *req
+		other.Body = []byte("another refund")
+		a := c.Daemons[1].Entry.Do(context.Background(), &other)
+		if a.Outcome != types.OutcomeNotRun || !errs.Is(a.Reason, errs.Conflict) {
+			t.Errorf("got %s, %v", a.Outcome, a.Reason)
+		}
+		if n := len(c.Runners.Record()); n != 1 {
+			t.Errorf("%d runs", n)
+		}
+	})
+}
+
+func TestTableIsBounded(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := cell(t, nil)
+		var last types.RequestID
+		refused := 0
+		for range once.DefaultMaxIDs + 1000 {
+			id, err := c.Daemons[0].Once.Mint()
+			if err != nil {
+				t.Fatal(err)
+			}
+			last = id
+			if a := c.Daemons[0].Entry.Close(context.Background(), id); a.Outcome != types.OutcomeNotRun {
+				refused++
+			}
+		}
+		if refused != 1000 {
+			t.Errorf("%d refused, want 1000 at the limit", refused)
+		}
+		if c.Daemons[0].Table.Known(last) {
+			t.Error("the table grew over its limit")
+		}
+	})
+}
