--- a/internal/sched/lead/lead.go
+++ b/internal/sched/lead/lead.go
@@ -105,6 +105,8 @@
 		state    *table.State
 		attempts map[types.TaskID]*attempt
 		nodes    map[types.VMID]*node
+		// late holds the attempts whose late end waits for its commit.
+		late     map[types.AttemptID]bool
 		listing  listing
 		services services
 		offers   map[types.JobID]*offer
@@ -294,6 +296,7 @@
 	l.state.Observer = l.observe
 	l.attempts = make(map[types.TaskID]*attempt)
 	l.nodes = make(map[types.VMID]*node)
+	l.late = make(map[types.AttemptID]bool)
 	l.services = services{}
 	l.offers = make(map[types.JobID]*offer)
 	l.interim.reports = nil
