--- a/internal/sched/lead/tick.go
+++ b/internal/sched/lead/tick.go
@@ -127,7 +127,7 @@
 	if !ok || n == nil || t.State != table.TaskRunning {
 		return
 	}
-	t.Throttle = a.Permille
+	l.state.SetThrottle(t, a.Permille)
 	l.record(audit.VerbThrottle, string(t.Attempt()), a.Reason)
 	l.enqueue(n, stopCall{request: worker.StopRequest{Epoch: l.epoch, Attempt: t.Attempt(), Throttle: a.Permille}})
 }
