--- a/internal/sched/lead/tick.go
+++ b/internal/sched/lead/tick.go
@@ -18,6 +18,7 @@
 	l.serviceTick()
 	l.planTick()
 	l.offerTick()
+	l.summaryTick()
 	l.writeTick()
 }
 
