Send a want that became known while no call was due

Cause: a holder noted a want as stated even when the tick made no call, so an entry that learned of a service between two calls never asked for its slots. Found in 3 of 5 starts of a cell in one process: one daemon held no slots after 45 s. Ruled out: a lender that waits for an entry's holdings (all had answered), a blocked loop (goroutine dump showed none). Conclusion: state about what was said belongs to the call that says it.

--- a/internal/route/lend/holder.go
+++ b/internal/route/lend/holder.go
@@ -182,6 +182,9 @@
 		return nil
 	}
 	l.calling = true
+	for _, w := range wants {
+		l.wanted[w.Service] = w.Slots
+	}
 	l.sequence++
 	args := &TradeArgs{
 		From: o.config.Self, DataCentre: dc, Epoch: l.epoch, Life: o.life, Sequence: l.sequence,
--- a/internal/route/lend/surplus.go
+++ b/internal/route/lend/surplus.go
@@ -76,7 +76,6 @@
 			hungry = true
 		}
 		if l.full || l.wanted[service] != want {
-			l.wanted[service] = want
 			out = append(out, Want{Service: service, Slots: want})
 		}
 	}
