Put the daemon together: settings, HTTP interface, role changes, drain

Cause: the parts of an entry VM existed side by side without a process that runs them. Ways weighed: one loop that ticks all parts, or a loop for each with one watcher of the lead's role. The second was taken: a part that hangs on the platform doesn't hold up the others. Settings are checked at start with the flag, the value and what is allowed; a daemon without tokens and peer keys does not start. Conclusion: a daemon drains in order: health, requests in flight, connections, claim, audit.

--- /dev/null
+++ b/internal/app/config/config.go
@@ -0,0 +1,256 @@
+// Package config holds the settings of a daemon: flags and environment variables, checked at start.
+package config
+
+import (
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/guard"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// Names of the settings, as flags.
+const (
+	FlagVM          = "vm"
+	FlagRegion      = "region"
+	FlagDataCentre  = "data-centre"
+	FlagEnvironment = "environment"
+	FlagCallers     = "callers-address"
+	FlagPeers       = "peers-address"
+	FlagSeeds       = "seed"
+	FlagStore       = "store-url"
+	FlagStoreRegion = "store-region"
+	FlagVMList      = "vm-list-url"
+	FlagLogLevel    = "log-level"
+	FlagDrain       = "drain-timeout"
+	FlagNotice      = "drain-notice"
+	FlagCallerToken = "caller-token"
+	FlagOperToken   = "operator-token"
+	FlagPeerKey     = "peer-key"
+	FlagCert        = "tls-cert-file"
+	FlagKey         = "tls-key-file"
+)
+
+// Defaults of the settings.
+const (
+	DefaultEnvironment = "production"
+	DefaultCallers     = "127.0.0.1:7400"
+	DefaultPeers       = "127.0.0.1:7401"
+	DefaultDrain       = 25 * time.Second
+	DefaultLogLevel    = "info"
+	DefaultNotice      = 2 * time.Second
+
+	envPrefix = "MAGNOLIAWALK_"
+	minDrain  = time.Second
+	maxDrain  = 10 * time.Minute
+	maxPort   = 65535
+	minSecret = 16
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	VM             types.VMID
+	Site           types.Site
+	Environment    envdoc.Name
+	CallersAddress types.Address
+	PeersAddress   types.Address
+	Seeds          []types.Address
+	StoreURL       string
+	StoreRegion    types.Region
+	VMListURL      string
+	LogLevel       zerolog.Level
+	DrainTimeout   time.Duration
+	// DrainNotice is how long a draining daemon goes on serving, so that the balancer sees it leave.
+	DrainNotice    time.Duration
+	CallerTokens   []guard.Secret
+	OperatorTokens []guard.Secret
+	PeerKeys       []guard.Secret
+	CertFile       string
+	KeyFile        string
+}
+
+// Flags returns the flags of a daemon; each can be given as an environment variable.
+func Flags() []cli.Flag {
+	return []cli.Flag{
+		text(FlagVM, "VM", "id of this VM", ""),
+		text(FlagRegion, "REGION", "region of this VM", ""),
+		text(FlagDataCentre, "DATA_CENTRE", "data centre of this VM", ""),
+		text(FlagEnvironment, "ENVIRONMENT", "environment whose document is in force here", DefaultEnvironment),
+		text(FlagCallers, "CALLERS_ADDRESS", "IP address and port for callers and operators", DefaultCallers),
+		text(FlagPeers, "PEERS_ADDRESS", "IP address and port for other daemons", DefaultPeers),
+		&cli.StringSliceFlag{
+			Name: FlagSeeds, Sources: cli.EnvVars(envPrefix + "SEEDS"),
+			Usage: "peers address of another daemon, used while the list of VMs cannot be read",
+		},
+		text(FlagStore, "STORE_URL", "URL of the platform's store", ""),
+		text(FlagStoreRegion, "STORE_REGION", "region where the store stands", ""),
+		text(FlagVMList, "VM_LIST_URL", "URL of the platform's list of VMs", ""),
+		text(FlagLogLevel, "LOG_LEVEL", "debug, info, warn or error", DefaultLogLevel),
+		&cli.DurationFlag{
+			Name: FlagDrain, Sources: cli.EnvVars(envPrefix + "DRAIN_TIMEOUT"), Value: DefaultDrain,
+			Usage: "longest wait for requests in flight at shutdown, 1s to 10m",
+		},
+		&cli.DurationFlag{
+			Name: FlagNotice, Sources: cli.EnvVars(envPrefix + "DRAIN_NOTICE"), Value: DefaultNotice,
+			Usage: "time for which a draining daemon goes on serving, 0s to the drain timeout",
+		},
+		text(FlagCallerToken, "CALLER_TOKEN", "bearer tokens of callers, separated by commas", ""),
+		text(FlagOperToken, "OPERATOR_TOKEN", "bearer tokens of operators, separated by commas", ""),
+		text(FlagPeerKey, "PEER_KEY", "keys that all daemons share, separated by commas, the first one in use", ""),
+		text(FlagCert, "TLS_CERT_FILE", "file with the TLS certificate for callers", ""),
+		text(FlagKey, "TLS_KEY_FILE", "file with the key of the TLS certificate", ""),
+	}
+}
+
+func text(name, variable, usage, value string) cli.Flag {
+	return &cli.StringFlag{Name: name, Sources: cli.EnvVars(envPrefix + variable), Usage: usage, Value: value}
+}
+
+// From reads the settings of a command and checks them.
+func From(c *cli.Command) (Settings, error) {
+	level, err := zerolog.ParseLevel(c.String(FlagLogLevel))
+	if err != nil || level == zerolog.NoLevel {
+		return Settings{}, wrong(FlagLogLevel, c.String(FlagLogLevel), "debug, info, warn or error")
+	}
+	s := Settings{
+		VM: types.VMID(c.String(FlagVM)),
+		Site: types.Site{
+			Region:     types.Region(c.String(FlagRegion)),
+			DataCentre: types.DataCentre(c.String(FlagDataCentre)),
+		},
+		Environment:    envdoc.Name(c.String(FlagEnvironment)),
+		CallersAddress: types.Address(c.String(FlagCallers)),
+		PeersAddress:   types.Address(c.String(FlagPeers)),
+		StoreURL:       c.String(FlagStore),
+		StoreRegion:    types.Region(c.String(FlagStoreRegion)),
+		VMListURL:      c.String(FlagVMList),
+		LogLevel:       level,
+		DrainTimeout:   c.Duration(FlagDrain),
+		DrainNotice:    c.Duration(FlagNotice),
+		CallerTokens:   guard.ParseSecrets(c.String(FlagCallerToken)),
+		OperatorTokens: guard.ParseSecrets(c.String(FlagOperToken)),
+		PeerKeys:       guard.ParseSecrets(c.String(FlagPeerKey)),
+		CertFile:       c.String(FlagCert),
+		KeyFile:        c.String(FlagKey),
+	}
+	for _, seed := range c.StringSlice(FlagSeeds) {
+		s.Seeds = append(s.Seeds, types.Address(seed))
+	}
+	return s, s.Check()
+}
+
+// Check returns an error that names the first wrong setting, its value and what is allowed.
+func (s *Settings) Check() error {
+	if err := s.checkNames(); err != nil {
+		return err
+	}
+	if err := s.checkAddresses(); err != nil {
+		return err
+	}
+	if s.DrainTimeout < minDrain || s.DrainTimeout > maxDrain {
+		return wrong(FlagDrain, s.DrainTimeout.String(), "1s to 10m")
+	}
+	if s.DrainNotice < 0 || s.DrainNotice > s.DrainTimeout {
+		return wrong(FlagNotice, s.DrainNotice.String(), "0s to the drain timeout")
+	}
+	return s.checkSecrets()
+}
+
+func (s *Settings) checkNames() error {
+	names := []struct{ flag, value string }{
+		{FlagVM, string(s.VM)},
+		{FlagRegion, string(s.Site.Region)},
+		{FlagDataCentre, string(s.Site.DataCentre)},
+		{FlagEnvironment, string(s.Environment)},
+		{FlagStoreRegion, string(s.StoreRegion)},
+	}
+	for _, n := range names {
+		if types.CheckName(n.flag, n.value) != nil {
+			return wrong(n.flag, n.value, "1 to 63 characters of a-z, 0-9 and -")
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkAddresses() error {
+	if err := checkAddress(FlagCallers, s.CallersAddress); err != nil {
+		return err
+	}
+	if err := checkAddress(FlagPeers, s.PeersAddress); err != nil {
+		return err
+	}
+	for _, seed := range s.Seeds {
+		if err := checkAddress(FlagSeeds, seed); err != nil {
+			return err
+		}
+	}
+	if err := checkURL(FlagStore, s.StoreURL); err != nil {
+		return err
+	}
+	return checkURL(FlagVMList, s.VMListURL)
+}
+
+func (s *Settings) checkSecrets() error {
+	lists := []struct {
+		flag    string
+		secrets []guard.Secret
+	}{
+		{FlagCallerToken, s.CallerTokens},
+		{FlagOperToken, s.OperatorTokens},
+		{FlagPeerKey, s.PeerKeys},
+	}
+	for _, l := range lists {
+		if err := checkList(l.flag, l.secrets); err != nil {
+			return err
+		}
+	}
+	if (s.CertFile == "") != (s.KeyFile == "") {
+		return wrong(FlagCert, s.CertFile, "both "+FlagCert+" and "+FlagKey+", or neither")
+	}
+	return nil
+}
+
+func checkList(flag string, secrets []guard.Secret) error {
+	allowed := "one or more of at least " + strconv.Itoa(minSecret) + " characters"
+	if len(secrets) == 0 {
+		return wrong(flag, "", allowed)
+	}
+	for _, secret := range secrets {
+		if len(secret.Reveal()) < minSecret {
+			return wrong(flag, secret.String(), allowed)
+		}
+	}
+	return nil
+}
+
+func checkAddress(flag string, address types.Address) error {
+	const allowed = "an IP address and a port, as in 10.0.0.4:7400"
+	host, port, err := net.SplitHostPort(string(address))
+	if err != nil || net.ParseIP(host) == nil {
+		return wrong(flag, string(address), allowed)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil || number < 0 || number > maxPort {
+		return wrong(flag, string(address), allowed)
+	}
+	return nil
+}
+
+func checkURL(flag, value string) error {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return wrong(flag, value, "a URL, as in http://10.0.0.2:2379")
+	}
+	return nil
+}
+
+func wrong(flag, value, allowed string) error {
+	return errs.New(errs.Invalid, "setting --%s is %q; allowed: %s", flag, value, allowed)
+}
--- a/internal/core/rest/rest.go
+++ b/internal/core/rest/rest.go
@@ -42,11 +42,16 @@
 // Post sends in and decodes the answer into out. Errors keep the kind that the server sent. A call that
 // could not be sent is Unavailable; one whose answer did not arrive is Lost.
 func (c *Client) Post(ctx context.Context, path string, in, out any) (Traffic, error) {
-	body, err := json.Marshal(in)
+	return c.Do(ctx, http.MethodPost, path, in, out)
+}
+
+// Do is Post with another method; a nil in sends no body.
+func (c *Client) Do(ctx context.Context, method, path string, in, out any) (Traffic, error) {
+	body, err := encode(in)
 	if err != nil {
-		return Traffic{}, errs.New(errs.Invalid, "encoding call: %v", err)
+		return Traffic{}, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.Base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
 	if err != nil {
 		return Traffic{}, errs.New(errs.Invalid, "making call: %v", err)
 	}
@@ -71,6 +76,17 @@
 	return traffic, decode(res.StatusCode, answer, out)
 }
 
+func encode(in any) ([]byte, error) {
+	if in == nil {
+		return nil, nil
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, errs.New(errs.Invalid, "encoding call: %v", err)
+	}
+	return body, nil
+}
+
 func decode(status int, answer []byte, out any) error {
 	if status != http.StatusOK {
 		return DecodeError(status, answer)
--- a/internal/core/types/job.go
+++ b/internal/core/types/job.go
@@ -251,3 +251,13 @@
 		return 2
 	}
 }
+
+// Ended tells whether a job in this state will not change any more.
+func (s JobState) Ended() bool {
+	switch s {
+	case JobDone, JobFailed, JobCancelled, JobUnknown:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/node/daemon/build.go
@@ -0,0 +1,211 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/app/config"
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/spread"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/guard"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/vmlist"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/worker"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/entry"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/lend"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/once"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/jobs"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/lead"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/plan"
+	"github.com/magnoliawalk/magnoliawalk/internal/serve/httpd"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = time.Minute
+	// maxIdlePerHost keeps a connection for each slot of a runner.
+	maxIdlePerHost = 16
+	watchEvery     = 100 * time.Millisecond
+)
+
+// newPlatform returns the clients of the platform over HTTP.
+func newPlatform(s config.Settings, calls *meter.Meter) platform {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	}}
+	return platform{
+		store: store.NewHTTP(store.HTTPConfig{
+			Base: s.StoreURL, Region: s.StoreRegion, From: s.Site.DataCentre, Meter: calls, Client: client,
+		}),
+		vms: vmlist.NewHTTP(vmlist.HTTPConfig{
+			Base: s.VMListURL, Region: s.StoreRegion, From: s.Site.DataCentre, Meter: calls, Client: client,
+		}),
+		workers: &worker.HTTPDialer{Client: client, Meter: calls},
+		runner:  &runner.HTTP{Client: client, Meter: calls},
+	}
+}
+
+func (d *Daemon) buildDocuments() error {
+	var err error
+	d.audit, err = audit.NewLog(audit.Config{
+		Self: d.self, Clock: d.config.Clock, Store: d.platform.store, Peers: d.remote, Registrar: d.server,
+		Entries: d.members.Known, Leading: d.leading, Metrics: d.metrics, Log: d.log,
+	})
+	if err != nil {
+		return err
+	}
+	d.spread, err = spread.New(spread.Config{
+		Self: d.self, Environment: d.config.Settings.Environment, Clock: d.config.Clock,
+		Store: d.platform.store, StoreRegion: d.config.Settings.StoreRegion,
+		Peers: d.remote, Registrar: d.server, Entries: d.members.Known,
+		Leading: d.leading, Leads: d.members.Leader,
+		Audit: d.audit, Log: d.log, Metrics: d.metrics,
+	})
+	return err
+}
+
+// leading may be asked before the lead is built.
+func (d *Daemon) leading() (types.Epoch, bool) {
+	if d.lead == nil {
+		return 0, false
+	}
+	return d.lead.Leading()
+}
+
+func (d *Daemon) buildLead() error {
+	var err error
+	d.lead, err = lead.New(lead.Config{
+		Self: d.self, Clock: d.config.Clock, Store: d.platform.store, Workers: d.platform.workers,
+		VMs: d.platform.vms, Planner: plan.New(plan.Config{}), Audit: d.audit, Peers: d.remote,
+		Log: d.log, Metrics: d.metrics, Document: d.spread.Current, Entries: d.members.Entries,
+	})
+	if err != nil {
+		return err
+	}
+	d.jobs = jobs.New(jobs.Config{
+		Self: d.self, Clock: d.config.Clock, Peers: d.remote, Local: d.lead, Find: d.members.Leader,
+	})
+	return d.jobs.Register(d.server)
+}
+
+func (d *Daemon) buildRoutes() error {
+	d.lender = lend.NewLender(lend.LenderConfig{
+		Self: d.self, Clock: d.config.Clock, Peers: d.remote, Audit: d.audit, Log: d.log, Metrics: d.metrics,
+		Upstreams: d.lead.Upstreams, Entries: d.members.Known, Gone: d.members.GoneForGood,
+	})
+	d.holder = lend.NewHolder(lend.HolderConfig{
+		Self: d.self, Clock: d.config.Clock, Peers: d.remote, Audit: d.audit, Log: d.log, Metrics: d.metrics,
+		Leads: d.lenders,
+	})
+	d.table = once.NewTable(once.TableConfig{
+		Self: d.self, Clock: d.config.Clock, Peers: d.remote, Audit: d.audit, Log: d.log, Metrics: d.metrics,
+		Copies: d.members.Site, Policy: d.requestPolicy,
+	})
+	d.once = once.NewClient(once.ClientConfig{
+		Self: d.self, Clock: d.config.Clock, Peers: d.remote, Metrics: d.metrics, Table: d.table,
+		Leads: d.members.Leader,
+	})
+	d.entry = entry.New(entry.Config{
+		Self: d.self, Clock: d.config.Clock, Runner: d.platform.runner, Holder: d.holder, Once: d.once,
+		Audit: d.audit, Log: d.log, Metrics: d.metrics, Document: d.spread.Current,
+		Entries: func() int { return len(d.members.Site()) + 1 },
+	})
+	if err := d.server.Register(lend.ServiceName, lend.NewService(d.lender, d.holder)); err != nil {
+		return err
+	}
+	return d.server.Register(once.ServiceName, once.NewService(d.table))
+}
+
+func (d *Daemon) lenders() map[types.DataCentre]lend.Lead {
+	out := make(map[types.DataCentre]lend.Lead)
+	for site, l := range d.members.Leaders() {
+		out[site] = lend.Lead{Target: l.Target, Epoch: l.Epoch}
+	}
+	return out
+}
+
+func (d *Daemon) requestPolicy() envdoc.RequestPolicy {
+	if doc, _ := d.spread.Current(); doc != nil {
+		return doc.Requests
+	}
+	return envdoc.Default().Requests
+}
+
+func (d *Daemon) buildHTTP() error {
+	access, err := guard.New(guard.Config{
+		CallerTokens: d.config.Settings.CallerTokens, OperatorTokens: d.config.Settings.OperatorTokens,
+	})
+	if err != nil {
+		return err
+	}
+	d.http = httpd.New(httpd.Config{
+		Jobs: d.jobs, Requests: d.entry, Documents: d.spread.Current, Guard: access,
+		Operators: &operators{daemon: d}, Editors: d.editor, Metrics: d.metrics, Now: d.config.Clock.Now,
+	})
+	return nil
+}
+
+func (d *Daemon) editor(by string) *edit.Editor {
+	return edit.New(edit.Config{
+		Store: d.platform.store, Clock: d.config.Clock, Audit: d.audit, By: by, InForce: d.spread.InForce,
+	})
+}
+
+// watch starts and ends the lead's duties towards requests whenever the lead changes its role, and has slots
+// asked for whenever a document comes into force.
+func (d *Daemon) watch(ctx context.Context) error {
+	ticker := d.config.Clock.NewTicker(watchEvery)
+	defer ticker.Stop()
+	var current types.Epoch
+	var seen types.Revision
+	for {
+		epoch, leading := d.lead.Leading()
+		if !leading {
+			epoch = 0
+		}
+		if epoch != current {
+			d.changeRole(ctx, current, epoch)
+			current = epoch
+		}
+		seen = d.expectServices(seen)
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (d *Daemon) changeRole(ctx context.Context, from, to types.Epoch) {
+	if from != 0 {
+		d.lender.End()
+		d.table.End()
+	}
+	if to == 0 {
+		return
+	}
+	d.members.SetLeading(to)
+	d.lender.Begin(ctx, to)
+	d.table.Begin(ctx, to)
+}
+
+// expectServices tells the holder of a new document's services and returns the document's revision.
+func (d *Daemon) expectServices(seen types.Revision) types.Revision {
+	doc, revision := d.spread.Current()
+	if doc == nil || revision == seen {
+		return seen
+	}
+	for _, s := range doc.Services {
+		d.holder.Expect(s.Name)
+	}
+	return revision
+}
--- /dev/null
+++ b/internal/node/daemon/daemon.go
@@ -0,0 +1,274 @@
+// Package daemon puts together the parts of one entry VM's process and runs them until it is told to drain.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/app/config"
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/spread"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/guard"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/member"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/vmlist"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/worker"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/entry"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/lend"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/once"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/jobs"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/lead"
+	"github.com/magnoliawalk/magnoliawalk/internal/serve/httpd"
+)
+
+type (
+	// Config is what a Daemon needs.
+	Config struct {
+		Settings config.Settings
+		Clock    clockwork.Clock
+		Log      zerolog.Logger
+		// Wrap changes the caller of other daemons, as tests do to part data centres; nil changes nothing.
+		Wrap func(peer.Caller) peer.Caller
+	}
+
+	// Daemon is the process of one entry VM.
+	Daemon struct {
+		config  Config
+		self    peer.Target
+		metrics metrics.Registry
+		log     zerolog.Logger
+
+		callers net.Listener
+		peers   net.Listener
+		server  *peer.Server
+		client  *peer.Client
+		remote  peer.Caller
+
+		platform platform
+		members  *member.Member
+		audit    *audit.Log
+		spread   *spread.Spread
+		lead     *lead.Lead
+		jobs     *jobs.Jobs
+		lender   *lend.Lender
+		holder   *lend.Holder
+		table    *once.Table
+		once     *once.Client
+		entry    *entry.Entry
+		http     *httpd.Server
+
+		loops sync.WaitGroup
+	}
+
+	// platform is the daemon's clients of the platform.
+	platform struct {
+		store   store.Store
+		vms     vmlist.Source
+		workers worker.Dialer
+		runner  runner.Runner
+	}
+)
+
+// New opens the daemon's listeners and builds its parts. Nothing runs before Run.
+func New(c Config) (*Daemon, error) {
+	d := &Daemon{config: c, metrics: metrics.NewRegistry()}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	if err := d.build(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Self returns the daemon's place and its address for other daemons.
+func (d *Daemon) Self() peer.Target { return d.self }
+
+// URL returns where callers and operators reach the daemon.
+func (d *Daemon) URL() string {
+	scheme := "http://"
+	if d.config.Settings.CertFile != "" {
+		scheme = "https://"
+	}
+	return scheme + d.callers.Addr().String()
+}
+
+// Metrics returns the daemon's counters.
+func (d *Daemon) Metrics() metrics.Registry { return d.metrics }
+
+// Revision returns the revision of the document that is in force here.
+func (d *Daemon) Revision() types.Revision {
+	_, revision := d.spread.Current()
+	return revision
+}
+
+// Leading returns the epoch and whether the daemon leads its data centre.
+func (d *Daemon) Leading() (types.Epoch, bool) { return d.lead.Leading() }
+
+// Runners returns how many runners the lead in this daemon knows.
+func (d *Daemon) Runners() int { return len(d.lead.Upstreams()) }
+
+// Shares returns how many runners this daemon holds slots of.
+func (d *Daemon) Shares() int { return len(d.holder.Shares()) }
+
+// Run serves until ctx ends, then drains: it takes no new work, finishes what is in flight, hands over its
+// slots and its claim, and returns nil.
+func (d *Daemon) Run(ctx context.Context) error {
+	return d.RunUntil(ctx, context.Background())
+}
+
+// RunUntil is Run with a second context whose end stops the daemon at once without draining, as when its VM is lost.
+func (d *Daemon) RunUntil(running, alive context.Context) error {
+	work, stop := context.WithCancel(alive)
+	defer d.loops.Wait()
+	defer d.halt()
+	defer stop()
+	failed := d.start(work)
+	select {
+	case err := <-failed:
+		return err
+	case <-alive.Done():
+		return nil
+	case <-running.Done():
+		return d.drain(alive)
+	}
+}
+
+// start runs the listeners and loops. The channel carries the first failure of a listener.
+func (d *Daemon) start(ctx context.Context) <-chan error {
+	failed := make(chan error, 1)
+	d.loop(func() { d.server.Serve(d.peers) })
+	d.loop(func() {
+		s := d.config.Settings
+		if err := d.http.Serve(d.callers, s.CertFile, s.KeyFile); !errors.Is(err, http.ErrServerClosed) {
+			failed <- errs.New(errs.Unavailable, "serving callers: %v", err)
+		}
+	})
+	runs := []func(context.Context) error{
+		d.members.Run, d.audit.Run, d.spread.Run, d.lead.Run, d.lender.Run,
+		d.holder.Run, d.table.Run, d.entry.Run, d.watch,
+	}
+	for _, run := range runs {
+		d.loop(func() { d.supervise(ctx, run) })
+	}
+	d.log.Info().Str("Callers", d.URL()).Str("Peers", string(d.self.Address)).Msg("serving")
+	return failed
+}
+
+func (d *Daemon) loop(run func()) {
+	d.loops.Add(1)
+	go func() {
+		defer d.loops.Done()
+		run()
+	}()
+}
+
+// supervise logs the error of a loop that ended although its context had not.
+func (d *Daemon) supervise(ctx context.Context, run func(context.Context) error) {
+	err := run(ctx)
+	if err != nil && ctx.Err() == nil {
+		d.log.Error().Err(err).Msg("a loop ended")
+	}
+}
+
+// drain finishes what is in flight within the drain timeout.
+func (d *Daemon) drain(alive context.Context) error {
+	ctx, cancel := clockwork.WithTimeout(alive, d.config.Clock, d.config.Settings.DrainTimeout)
+	defer cancel()
+	d.log.Info().Msg("draining")
+	d.http.SetDraining()
+	d.members.SetDraining()
+	d.config.Clock.Sleep(d.config.Settings.DrainNotice)
+	var failures []error
+	failures = append(failures, d.entry.Drain(ctx), d.http.Shutdown(ctx), d.lead.StepDown(ctx))
+	d.audit.Flush(ctx)
+	if err := errors.Join(failures...); err != nil {
+		d.log.Error().Err(err).Msg("drained in part")
+		return errs.New(errs.Deadline, "draining: %v", err)
+	}
+	d.log.Info().Msg("drained")
+	return nil
+}
+
+// halt breaks whatever is still connected.
+func (d *Daemon) halt() {
+	d.http.Close()
+	d.server.Close()
+	d.client.Close()
+	d.closeListeners()
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.callers, err = net.Listen("tcp", string(d.config.Settings.CallersAddress)); err != nil {
+		return errs.New(errs.Unavailable, "listening for callers: %v", err)
+	}
+	if d.peers, err = net.Listen("tcp", string(d.config.Settings.PeersAddress)); err != nil {
+		_ = d.callers.Close()
+		return errs.New(errs.Unavailable, "listening for peers: %v", err)
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	_ = d.callers.Close()
+	_ = d.peers.Close()
+}
+
+// build makes the parts in the order in which they depend on each other.
+func (d *Daemon) build() error {
+	s := d.config.Settings
+	d.self = peer.Target{VM: s.VM, Site: s.Site, Address: types.Address(d.peers.Addr().String())}
+	d.log = d.config.Log.With().Str("VM", string(s.VM)).Str("DataCentre", string(s.Site.DataCentre)).Logger()
+	calls := meter.New(d.metrics, s.Site.Region)
+	d.platform = newPlatform(s, calls)
+	steps := []func() error{
+		func() error { return d.buildPeers(calls) },
+		d.buildMembers, d.buildDocuments, d.buildLead, d.buildRoutes, d.buildHTTP,
+		func() error { return d.server.Register(fleetService, &FleetService{daemon: d}) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) buildPeers(calls *meter.Meter) error {
+	security, err := guard.NewPeerTLS(d.config.Settings.PeerKeys)
+	if err != nil {
+		return err
+	}
+	d.server = peer.NewServer()
+	d.server.Security = security
+	d.client = peer.NewClient(calls)
+	d.client.Security = security
+	d.remote = d.client
+	if d.config.Wrap != nil {
+		d.remote = d.config.Wrap(d.client)
+	}
+	return nil
+}
+
+func (d *Daemon) buildMembers() error {
+	var err error
+	d.members, err = member.New(member.Config{
+		Self: d.self, Clock: d.config.Clock, VMs: d.platform.vms, Peers: d.remote, Registrar: d.server,
+		Log: d.log, Metrics: d.metrics, Seeds: d.config.Settings.Seeds,
+	})
+	return err
+}
--- /dev/null
+++ b/internal/node/daemon/operators.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/report"
+)
+
+// operators answers the questions of operators from the daemon's parts.
+type operators struct {
+	daemon *Daemon
+}
+
+// Status returns the fleet at a glance.
+func (o *operators) Status(ctx context.Context) (any, error) {
+	return o.daemon.fleet(ctx), nil
+}
+
+// Explain returns what happened to the subject and why.
+func (o *operators) Explain(ctx context.Context, subject string) (any, error) {
+	answer, err := o.daemon.audit.Query(ctx, subject)
+	if err != nil {
+		return nil, err
+	}
+	return report.Explain(answer.Records, subject), nil
+}
+
+// InForce returns the revision that each known VM has in force.
+func (o *operators) InForce(ctx context.Context) (any, error) {
+	return o.daemon.spread.Status(ctx), nil
+}
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -181,6 +181,28 @@
 	return out
 }
 
+// Known returns every entry that is not gone for good, live or not, in order of id.
+func (m *Member) Known() []peer.Target {
+	var out []peer.Target
+	for _, e := range m.All() {
+		if e.State != Gone {
+			out = append(out, e.Target)
+		}
+	}
+	return out
+}
+
+// Site returns the live entries of the own data centre but this one.
+func (m *Member) Site() []peer.Target {
+	var out []peer.Target
+	for _, target := range m.Entries() {
+		if target.Site.DataCentre == m.config.Self.Site.DataCentre && target.VM != m.config.Self.VM {
+			out = append(out, target)
+		}
+	}
+	return out
+}
+
 // All returns every known entry in order of id.
 func (m *Member) All() []Entry {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/serve/httpd/operators.go
@@ -0,0 +1,167 @@
+package httpd
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/alexedwards/flow"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rest"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// Paths for operators. All but status take a JSON body.
+const (
+	PathStatus     = "/v1/status"
+	PathExplain    = "/v1/explain"
+	PathEnvGet     = "/v1/environments/get"
+	PathEnvPut     = "/v1/environments/put"
+	PathEnvPromote = "/v1/environments/promote"
+	PathEnvHistory = "/v1/environments/history"
+	PathEnvStatus  = "/v1/environments/status"
+)
+
+const (
+	maxHistory = 100
+	maxBy      = 100
+	maxSubject = 300
+)
+
+type (
+	// Editors returns an editor of documents for the named operator.
+	Editors func(by string) *edit.Editor
+
+	// Operators answers the questions of operators. The answers are encoded as JSON.
+	Operators interface {
+		// Status returns the fleet at a glance.
+		Status(ctx context.Context) (any, error)
+		// Explain returns what happened to a job, task, request or worker, and why.
+		Explain(ctx context.Context, subject string) (any, error)
+		// InForce returns the revision that each known VM has in force.
+		InForce(ctx context.Context) (any, error)
+	}
+
+	// ExplainQuery names the job, task, request or worker to explain.
+	ExplainQuery struct {
+		Subject string `json:"Subject"`
+	}
+
+	// EnvQuery names an environment, and for history how many records to return.
+	EnvQuery struct {
+		Environment envdoc.Name `json:"Environment"`
+		Limit       int         `json:"Limit,omitempty"`
+	}
+
+	// EnvPut replaces a document while the environment has the expected revision.
+	EnvPut struct {
+		Environment envdoc.Name    `json:"Environment"`
+		Expect      types.Revision `json:"Expect"`
+		Body        []byte         `json:"Body"`
+		By          string         `json:"By"`
+	}
+
+	// EnvPromote makes the document of one environment that of another one.
+	EnvPromote struct {
+		From         envdoc.Name    `json:"From"`
+		To           envdoc.Name    `json:"To"`
+		ExpectDigest types.Digest   `json:"ExpectDigest"`
+		Expect       types.Revision `json:"Expect"`
+		By           string         `json:"By"`
+	}
+)
+
+// Check returns an error when the subject is missing.
+func (q *ExplainQuery) Check() error {
+	if q.Subject == "" || len(q.Subject) > maxSubject {
+		return errs.New(errs.Invalid, "Subject must have 1 to %d characters", maxSubject)
+	}
+	return nil
+}
+
+// Check returns an error when the name or the limit is wrong.
+func (q *EnvQuery) Check() error {
+	if q.Limit < 0 || q.Limit > maxHistory {
+		return errs.New(errs.Invalid, "Limit %d must be within 0 and %d", q.Limit, maxHistory)
+	}
+	return types.CheckName("Environment", string(q.Environment))
+}
+
+// Check returns an error when a field is missing or wrong.
+func (p *EnvPut) Check() error {
+	if err := checkBy(p.By); err != nil {
+		return err
+	}
+	return types.CheckName("Environment", string(p.Environment))
+}
+
+// Check returns an error when a field is missing or wrong.
+func (p *EnvPromote) Check() error {
+	if err := checkBy(p.By); err != nil {
+		return err
+	}
+	if err := types.CheckName("From", string(p.From)); err != nil {
+		return err
+	}
+	return types.CheckName("To", string(p.To))
+}
+
+func checkBy(by string) error {
+	if by == "" || len(by) > maxBy {
+		return errs.New(errs.Invalid, "By must name the operator with 1 to %d characters", maxBy)
+	}
+	return nil
+}
+
+func (s *Server) operatorRoutes(m *flow.Mux) {
+	m.HandleFunc(PathStatus, s.fleet, http.MethodGet)
+	m.HandleFunc(PathExplain, rest.Handle(bodyLimit, s.explain), http.MethodPost)
+	m.HandleFunc(PathEnvGet, rest.Handle(bodyLimit, s.envGet), http.MethodPost)
+	m.HandleFunc(PathEnvPut, rest.Handle(bodyLimit, s.envPut), http.MethodPost)
+	m.HandleFunc(PathEnvPromote, rest.Handle(bodyLimit, s.envPromote), http.MethodPost)
+	m.HandleFunc(PathEnvHistory, rest.Handle(bodyLimit, s.envHistory), http.MethodPost)
+	m.HandleFunc(PathEnvStatus, s.envStatus, http.MethodGet)
+}
+
+func (s *Server) fleet(w http.ResponseWriter, r *http.Request) {
+	answer(w, r, s.config.Operators.Status)
+}
+
+func (s *Server) envStatus(w http.ResponseWriter, r *http.Request) {
+	answer(w, r, s.config.Operators.InForce)
+}
+
+func answer(w http.ResponseWriter, r *http.Request, ask func(context.Context) (any, error)) {
+	out, err := ask(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	rest.Write(w, http.StatusOK, out)
+}
+
+func (s *Server) explain(ctx context.Context, q *ExplainQuery) (any, error) {
+	return s.config.Operators.Explain(ctx, q.Subject)
+}
+
+func (s *Server) envGet(ctx context.Context, q *EnvQuery) (edit.Accepted, error) {
+	return s.config.Editors("").Get(ctx, q.Environment)
+}
+
+func (s *Server) envPut(ctx context.Context, p *EnvPut) (edit.Accepted, error) {
+	return s.config.Editors(p.By).Put(ctx, p.Environment, p.Expect, p.Body)
+}
+
+func (s *Server) envPromote(ctx context.Context, p *EnvPromote) (edit.Accepted, error) {
+	return s.config.Editors(p.By).Promote(ctx, p.From, p.To, p.ExpectDigest, p.Expect)
+}
+
+func (s *Server) envHistory(ctx context.Context, q *EnvQuery) ([]edit.Accepted, error) {
+	limit := q.Limit
+	if limit == 0 {
+		limit = maxHistory
+	}
+	return s.config.Editors("").History(ctx, q.Environment, limit)
+}
