Run the whole path from the command line: serve, dev, standin, env, job, request, status, explain

Ways weighed: stand-ins called in memory by dev, or served over HTTP on loopback as for separate processes. The second was taken, so that dev runs the very clients that a deployment runs. Conclusion: the path stands; the parts can now be hardened against each other.

--- a/internal/app/cmds/cmds.go
+++ b/internal/app/cmds/cmds.go
@@ -23,7 +23,11 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands:       []*cli.Command{versionCommand()},
+		Commands: []*cli.Command{
+			serveCommand(), devCommand(), standinCommand(),
+			envCommand(), jobCommand(), requestCommand(),
+			statusCommand(), explainCommand(), versionCommand(),
+		},
 	}
 	err := root.Run(ctx, args)
 	if err == nil {
--- /dev/null
+++ b/internal/app/cmds/remote.go
@@ -0,0 +1,82 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rest"
+)
+
+const (
+	flagEntry = "entry"
+	flagToken = "token"
+	flagJSON  = "json"
+	flagBy    = "by"
+
+	defaultEntry = "http://127.0.0.1:7400"
+	callTimeout  = 30 * time.Second
+	answerLimit  = 64 << 20
+)
+
+// remoteFlags returns the flags of commands that call a daemon.
+func remoteFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringSliceFlag{
+			Name: flagEntry, Sources: cli.EnvVars("MAGNOLIAWALK_ENTRIES"), Value: []string{defaultEntry},
+			Usage: "URL of a daemon or of the balancer; may be given more than once",
+		},
+		&cli.StringFlag{
+			Name: flagToken, Sources: cli.EnvVars("MAGNOLIAWALK_TOKEN"), Usage: "bearer token",
+		},
+		&cli.BoolFlag{Name: flagJSON, Usage: "print JSON"},
+	}, more...)
+}
+
+// call asks the first daemon that can be reached.
+func call(ctx context.Context, c *cli.Command, method, path string, in, out any) error {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var err error
+	for _, entry := range c.StringSlice(flagEntry) {
+		remote := rest.Client{HTTP: http.DefaultClient, Base: entry, Limit: answerLimit, Token: c.String(flagToken)}
+		_, err = remote.Do(limited, method, path, in, out)
+		if !errs.Is(err, errs.Unavailable) {
+			return err
+		}
+	}
+	return err
+}
+
+// show prints a value as JSON or by the text function.
+func show(c *cli.Command, value any, text func() string) error {
+	if !c.Bool(flagJSON) {
+		return printLine(c, text())
+	}
+	body, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return errs.New(errs.Internal, "encoding the answer: %v", err)
+	}
+	return printLine(c, string(body))
+}
+
+func printLine(c *cli.Command, line string) error {
+	if _, err := fmt.Fprintln(c.Root().Writer, line); err != nil {
+		return errs.New(errs.Internal, "printing: %v", err)
+	}
+	return nil
+}
+
+// argument returns the positional argument with the index, or an error that names it.
+func argument(c *cli.Command, index int, name string) (string, error) {
+	value := c.Args().Get(index)
+	if value == "" {
+		return "", errs.New(errs.Invalid, "argument %s is missing: %s", name, c.UsageText)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/app/cmds/serve.go
@@ -0,0 +1,165 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/app/config"
+	"github.com/magnoliawalk/magnoliawalk/internal/app/local"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/daemon"
+)
+
+const (
+	flagAddress = "callers-address"
+	flagStore   = "store-address"
+	flagList    = "vm-list-address"
+	flagVM      = "entry-vm"
+	flagWorkers = "workers"
+	flagLag     = "lag"
+	flagLevel   = "log-level"
+
+	entryVMParts   = 4
+	defaultWorkers = 4
+	maxWorkers     = 100
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the daemon of one entry VM",
+		Flags: config.Flags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := config.From(c)
+			if err != nil {
+				return err
+			}
+			d, err := daemon.New(daemon.Config{
+				Settings: settings, Clock: clockwork.NewRealClock(), Log: newLog(c.Root().ErrWriter, settings.LogLevel),
+			})
+			if err != nil {
+				return err
+			}
+			return d.Run(ctx)
+		},
+	}
+}
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "run three daemons and stand-ins of the platform in one process",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagAddress, Value: config.DefaultCallers, Usage: "address of the first daemon for callers"},
+			&cli.StringFlag{Name: flagLevel, Value: zerolog.LevelWarnValue, Usage: "debug, info, warn or error"},
+		},
+		Action: runDev,
+	}
+}
+
+func runDev(ctx context.Context, c *cli.Command) error {
+	level, err := zerolog.ParseLevel(c.String(flagLevel))
+	if err != nil {
+		return errs.New(errs.Invalid, "setting --%s is %q; allowed: debug, info, warn or error", flagLevel, c.String(flagLevel))
+	}
+	dev, err := local.StartDev(ctx, types.Address(c.String(flagAddress)), newLog(c.Root().ErrWriter, level))
+	if err != nil {
+		return err
+	}
+	if err := printLine(c, devText(dev)); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	if err := printLine(c, "draining"); err != nil {
+		return err
+	}
+	return dev.Cluster.Close()
+}
+
+func devText(dev *local.Dev) string {
+	caller, operator := dev.Cluster.CallerToken.Reveal(), dev.Cluster.OperatorToken.Reveal()
+	lines := []string{
+		"The cell is ready: " + strings.Join(dev.URLs, " "),
+		"",
+		"In another shell:",
+		"  export MAGNOLIAWALK_ENTRIES=" + strings.Join(dev.URLs, ","),
+		"  export MAGNOLIAWALK_TOKEN=" + operator,
+		"  magnoliawalk request send --service booking-desk --team bookings hello",
+		"  magnoliawalk job submit --wait contract-bundles",
+		"  magnoliawalk status",
+		"",
+		"Callers use the token " + caller,
+		"Ctrl-C drains and ends.",
+	}
+	return strings.Join(lines, "\n")
+}
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "serve stand-ins of the platform on loopback for separate daemons",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagStore, Value: "127.0.0.1:7500", Usage: "address of the store"},
+			&cli.StringFlag{Name: flagList, Value: "127.0.0.1:7501", Usage: "address of the list of VMs"},
+			&cli.StringSliceFlag{
+				Name: flagVM, Usage: "entry VM to list, as ID/REGION/DATA-CENTRE/PEERS-ADDRESS; may be given more than once",
+			},
+			&cli.IntFlag{Name: flagWorkers, Value: defaultWorkers, Usage: "workers of each data centre, 1 to 100"},
+			&cli.DurationFlag{Name: flagLag, Value: 2 * time.Second, Usage: "how late the list of VMs shows changes"},
+		},
+		Action: runStandin,
+	}
+}
+
+func runStandin(ctx context.Context, c *cli.Command) error {
+	workers := c.Int(flagWorkers)
+	if workers < 1 || workers > maxWorkers {
+		return errs.New(errs.Invalid, "setting --%s is %d; allowed: 1 to %d", flagWorkers, workers, maxWorkers)
+	}
+	layout := local.DefaultLayout(workers)
+	layout.StoreAddress = types.Address(c.String(flagStore))
+	layout.ListAddress = types.Address(c.String(flagList))
+	layout.ListLag = c.Duration(flagLag)
+	platform, err := local.StartPlatform(clockwork.NewRealClock(), layout)
+	if err != nil {
+		return err
+	}
+	defer platform.Close()
+	for _, text := range c.StringSlice(flagVM) {
+		if err := addEntry(platform, text); err != nil {
+			return err
+		}
+	}
+	line := fmt.Sprintf("store %s\nlist of VMs %s\nstore region %s", platform.StoreURL, platform.ListURL, layout.StoreRegion)
+	if err := printLine(c, line); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func addEntry(platform *local.Platform, text string) error {
+	parts := strings.Split(text, "/")
+	if len(parts) != entryVMParts {
+		return errs.New(errs.Invalid, "setting --%s is %q; allowed: ID/REGION/DATA-CENTRE/PEERS-ADDRESS", flagVM, text)
+	}
+	site := types.Site{Region: types.Region(parts[1]), DataCentre: types.DataCentre(parts[2])}
+	platform.AddEntry(types.VMID(parts[0]), site, types.Address(parts[3]))
+	return nil
+}
+
+func newLog(w io.Writer, level zerolog.Level) zerolog.Logger {
+	if w == nil {
+		w = os.Stderr
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/internal/app/local/dev.go
@@ -0,0 +1,124 @@
+package local
+
+import (
+	"context"
+	_ "embed" // Embeds the sample document.
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+const (
+	devWorkers   = 4
+	devDrain     = 20 * time.Second
+	readyTimeout = 45 * time.Second
+	readyEvery   = 100 * time.Millisecond
+)
+
+//go:embed sample.yaml
+var sample []byte
+
+type (
+	// Dev is a cell of three daemons in two data centres and two regions, with a sample document in force.
+	Dev struct {
+		Cluster *Cluster
+		// URLs are where the daemons take callers; the first one comes first.
+		URLs []string
+	}
+)
+
+// Sample returns the sample document.
+func Sample() []byte {
+	return append([]byte(nil), sample...)
+}
+
+// StartDev starts the cell and waits until the sample document is in force and its service runs.
+func StartDev(ctx context.Context, callers types.Address, log zerolog.Logger) (*Dev, error) {
+	cluster, err := StartCluster(ClusterConfig{
+		Clock: clockwork.NewRealClock(), Log: log, Layout: DevLayout(devWorkers), Drain: devDrain,
+		CallersAddress: callers,
+	})
+	if err != nil {
+		return nil, err
+	}
+	dev := &Dev{Cluster: cluster}
+	if err := dev.start(ctx); err != nil {
+		_ = cluster.Close()
+		return nil, err
+	}
+	return dev, nil
+}
+
+// DevLayout is two data centres in two regions.
+func DevLayout(workers int) Layout {
+	layout := DefaultLayout(workers)
+	layout.Sites = []SiteLayout{layout.Sites[0], layout.Sites[2]}
+	return layout
+}
+
+func (d *Dev) start(ctx context.Context) error {
+	sites := d.Cluster.Platform.Layout().Sites
+	entries := []struct {
+		id   types.VMID
+		site types.Site
+	}{
+		{"entry-1", sites[0].Site},
+		{"entry-2", sites[0].Site},
+		{"entry-3", sites[1].Site},
+	}
+	for _, e := range entries {
+		started, err := d.Cluster.StartEntry(e.id, e.site)
+		if err != nil {
+			return err
+		}
+		d.URLs = append(d.URLs, started.URL())
+	}
+	if _, err := d.Cluster.Put(ctx, sample); err != nil {
+		return err
+	}
+	return d.Cluster.WaitReady(ctx, 1, readyTimeout)
+}
+
+// WaitReady waits until every daemon has at least the revision in force, and every data centre a lead
+// and a runner, and every daemon slots of some runner.
+func (c *Cluster) WaitReady(ctx context.Context, revision types.Revision, limit time.Duration) error {
+	end := c.config.Clock.Now().Add(limit)
+	for missing := c.missing(revision); missing != ""; missing = c.missing(revision) {
+		if c.config.Clock.Now().After(end) {
+			return errs.New(errs.Deadline, "the cell was not ready after %s: %s", limit, missing)
+		}
+		select {
+		case <-c.config.Clock.After(readyEvery):
+		case <-ctx.Done():
+			return errs.New(errs.Draining, "stopped while starting")
+		}
+	}
+	return nil
+}
+
+// missing tells what the cell still lacks, or nothing once it is ready.
+func (c *Cluster) missing(revision types.Revision) string {
+	led := make(map[types.DataCentre]bool)
+	for id, d := range c.Entries() {
+		if d.Revision() < revision {
+			return fmt.Sprintf("%s has revision %d in force", id, d.Revision())
+		}
+		if d.Shares() == 0 {
+			return fmt.Sprintf("%s holds no slots", id)
+		}
+		if _, leading := d.Leading(); leading && d.Runners() > 0 {
+			led[d.Self().Site.DataCentre] = true
+		}
+	}
+	for _, d := range c.Entries() {
+		if site := d.Self().Site.DataCentre; !led[site] {
+			return fmt.Sprintf("data centre %s has no lead with runners", site)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/app/local/local_test.go
@@ -0,0 +1,183 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rest"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/serve/httpd"
+)
+
+const (
+	testLimit = 30 * time.Second
+	testPoll  = 50 * time.Millisecond
+)
+
+type cell struct {
+	t   *testing.T
+	dev *Dev
+}
+
+func startCell(t *testing.T) *cell {
+	t.Helper()
+	dev, err := StartDev(context.Background(), "127.0.0.1:0", zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &cell{t: t, dev: dev}
+}
+
+func (c *cell) client(entry int) *rest.Client {
+	return &rest.Client{
+		HTTP: http.DefaultClient, Base: c.dev.URLs[entry], Limit: 1 << 20, Token: c.dev.Cluster.CallerToken.Reveal(),
+	}
+}
+
+func (c *cell) call(entry int, method, path string, in, out any) error {
+	_, err := c.client(entry).Do(context.Background(), method, path, in, out)
+	return err
+}
+
+func (c *cell) mint(entry int) string {
+	c.t.Helper()
+	var minted httpd.Minted
+	c.wantOK(c.call(entry, http.MethodPost, "/v1/ids", nil, &minted))
+	return minted.ID
+}
+
+func (c *cell) wantOK(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// wantAnswer sends a request at one entry and checks that its own whole answer arrives.
+func (c *cell) wantAnswer(entry int, id string, idempotent bool, body string) {
+	c.t.Helper()
+	request := types.Request{
+		ID: types.RequestID(id), Service: "booking-desk", Team: "bookings", Class: types.ClassUrgent,
+		Idempotent: idempotent, Body: []byte(body),
+	}
+	var a types.Answer
+	c.wantOK(c.call(entry, http.MethodPost, "/v1/requests", &request, &a))
+	c.wantOK(a.Check())
+	if a.Outcome != types.OutcomeDone || !bytes.Equal(a.Body, []byte(body)) || string(a.ID) != id {
+		c.t.Fatalf("got %+v", a)
+	}
+}
+
+// wantJob waits until a job has the state.
+func (c *cell) wantJob(entry int, id string, want types.JobState) types.JobStatus {
+	c.t.Helper()
+	var status types.JobStatus
+	for end := time.Now().Add(testLimit); time.Now().Before(end); time.Sleep(testPoll) {
+		c.wantOK(c.call(entry, http.MethodGet, "/v1/jobs/"+id, nil, &status))
+		if status.State == want {
+			return status
+		}
+	}
+	c.t.Fatalf("job is %+v, want state %s", status, want)
+	return status
+}
+
+func TestWholePath(t *testing.T) {
+	c := startCell(t)
+	t.Run("RequestsAtEachEntry", func(t *testing.T) {
+		for entry := range c.dev.URLs {
+			c.wantAnswer(entry, c.mint(entry), true, "idempotent")
+			c.wantAnswer(entry, c.mint(entry), false, "not idempotent")
+		}
+	})
+	t.Run("SameIDRunsOnce", func(t *testing.T) {
+		id := c.mint(0)
+		for entry := range c.dev.URLs {
+			c.wantAnswer(entry, id, false, "refund")
+		}
+		if n := c.runs(id); n != 1 {
+			t.Fatalf("the request ran %d times", n)
+		}
+	})
+	t.Run("BatchAndGangRunToTheEnd", func(t *testing.T) {
+		for _, work := range []string{"contract-bundles", "weekend-rosters"} {
+			id := c.mint(1)
+			var status types.JobStatus
+			c.wantOK(c.call(1, http.MethodPut, "/v1/jobs/"+id, httpd.Submission{Work: work}, &status))
+			done := c.wantJob(2, id, types.JobDone)
+			if done.Done != done.Tasks {
+				t.Fatalf("got %+v", done)
+			}
+		}
+	})
+	t.Run("RefusalsChangeNothing", func(t *testing.T) { refusals(t, c) })
+	t.Run("DrainEndsCleanly", func(t *testing.T) { c.wantOK(c.dev.Cluster.Close()) })
+}
+
+func (c *cell) runs(id string) int {
+	n := 0
+	for _, e := range c.dev.Cluster.Platform.Runners.Record() {
+		if string(e.ID) == id {
+			n++
+		}
+	}
+	return n
+}
+
+func refusals(t *testing.T, c *cell) {
+	id := c.mint(0)
+	job := types.Job{
+		Name: "huge", Team: "contracts", Class: types.ClassNormal, Batch: &types.Batch{Count: 1},
+		Task: types.TaskSpec{Resources: types.Resources{Cores: 1000 * types.Core, Memory: types.GiB}},
+	}
+	urgent := job
+	urgent.Class = types.ClassUrgent
+	stranger := job
+	stranger.Team = "nobody"
+	cases := []struct {
+		name string
+		in   any
+		want errs.Kind
+	}{
+		{"NeverFits", httpd.Submission{Job: &job}, errs.Impossible},
+		{"TooUrgent", httpd.Submission{Job: &urgent}, errs.Denied},
+		{"UnknownTeam", httpd.Submission{Job: &stranger}, errs.Denied},
+		{"UnknownWork", httpd.Submission{Work: "nope"}, errs.NotFound},
+		{"Neither", httpd.Submission{}, errs.Invalid},
+		{"UnknownField", map[string]int{"Nope": 1}, errs.Invalid},
+	}
+	for _, e := range cases {
+		t.Run(e.name, func(t *testing.T) {
+			err := c.call(0, http.MethodPut, "/v1/jobs/"+id, e.in, &types.JobStatus{})
+			if !errs.Is(err, e.want) {
+				t.Fatalf("got %v, want kind %s", err, e.want)
+			}
+			if err := c.call(0, http.MethodGet, "/v1/jobs/"+id, nil, &types.JobStatus{}); !errs.Is(err, errs.NotFound) {
+				t.Fatalf("the refused job is known: %v", err)
+			}
+		})
+	}
+}
+
+func TestWrongTokenIsDenied(t *testing.T) {
+	c := startCell(t)
+	defer func() { c.wantOK(c.dev.Cluster.Close()) }()
+	for _, token := range []string{"", "wrong-wrong-wrong-wrong"} {
+		client := c.client(0)
+		client.Token = token
+		_, err := client.Post(context.Background(), "/v1/ids", nil, &httpd.Minted{})
+		if !errs.Is(err, errs.Denied) {
+			t.Fatalf("got %v", err)
+		}
+	}
+	_, err := c.client(0).Do(context.Background(), http.MethodGet, httpd.PathStatus, nil, &struct{}{})
+	if !errs.Is(err, errs.Denied) {
+		t.Fatalf("a caller may see the fleet: %v", err)
+	}
+}
--- a/internal/sched/jobs/jobs.go
+++ b/internal/sched/jobs/jobs.go
@@ -11,7 +11,6 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/sched/lead"
-	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
 )
 
 // Methods that daemons call on each other.
@@ -40,7 +39,6 @@
 		Cancel(ctx context.Context, id types.JobID) (types.JobStatus, error)
 		Status(ctx context.Context, id types.JobID) (types.JobStatus, error)
 		Take(ctx context.Context, t lead.Transfer) (lead.Taken, error)
-		Summary(ctx context.Context) (table.Peer, error)
 	}
 
 	// FindFunc returns the lead of a data centre.
