Tell an operator the truth when an accepted record was replaced before the read-back

Cause: a put whose answer was lost, and whose record another operator replaced before it was read back, was reported as not taken, though revision 2 had been in force. The other operator archives what it replaces, so the history settles the question; a list of accepted nonces in the record was ruled out, as it would grow. Tests: races, lost answers, a writer that dies between its writes, a restored store; all pass under the race detector.

--- /dev/null
+++ b/internal/conf/edit/edit_test.go
@@ -0,0 +1,351 @@
+package edit
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+const trial, production envdoc.Name = "trial", "production"
+
+// bench is a store with editors over it.
+type bench struct {
+	clock  *clockwork.FakeClock
+	memory *store.Memory
+	calls  *meter.Meter
+}
+
+func newBench() *bench {
+	clock := clockwork.NewFakeClock()
+	return &bench{clock: clock, memory: store.NewMemory(clock, "tunis-north"), calls: meter.Discard()}
+}
+
+func (b *bench) store() store.Store {
+	return b.memory.As("carthage", b.calls)
+}
+
+func (b *bench) editor(by string) *Editor {
+	return New(Config{Store: b.store(), Clock: b.clock, By: by})
+}
+
+// body returns a document whose quota has the number of cores.
+func body(cores int) []byte {
+	return fmt.Appendf(nil, `DataCentres:
+  - Name: carthage
+    Region: tunis-north
+    Workers:
+      - {Count: 2, Capacity: {Cores: 64, Memory: 256GiB}}
+Teams:
+  - Name: bookings
+    Quota: {Cores: %d, Memory: 400GiB}
+    MaxClass: Normal
+`, cores)
+}
+
+func assertKind(t *testing.T, err error, kind errs.Kind, texts ...string) {
+	t.Helper()
+	if !errs.Is(err, kind) {
+		t.Fatalf("got %v, want kind %s", err, kind)
+	}
+	for _, text := range texts {
+		if !strings.Contains(err.Error(), text) {
+			t.Fatalf("%q is missing in: %v", text, err)
+		}
+	}
+}
+
+func put(t *testing.T, e *Editor, env envdoc.Name, expect types.Revision, cores int) Accepted {
+	t.Helper()
+	accepted, err := e.Put(context.Background(), env, expect, body(cores))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return accepted
+}
+
+func assertCurrent(t *testing.T, e *Editor, env envdoc.Name, revision types.Revision, cores int) {
+	t.Helper()
+	got, err := e.Get(context.Background(), env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Revision != revision || string(got.Body) != string(body(cores)) {
+		t.Fatalf("got revision %d by %s, want revision %d with %d cores", got.Revision, got.By, revision, cores)
+	}
+}
+
+func TestPutAndGet(t *testing.T) {
+	e := newBench().editor("amel")
+	if first := put(t, e, trial, 0, 10); first.Revision != 1 {
+		t.Fatalf("got revision %d", first.Revision)
+	}
+	put(t, e, trial, 1, 11)
+	assertCurrent(t, e, trial, 2, 11)
+}
+
+func TestGetOfNothingSaysWhatToDo(t *testing.T) {
+	_, err := newBench().editor("amel").Get(context.Background(), trial)
+	assertKind(t, err, errs.NotFound, "expected revision 0")
+}
+
+func TestMalformedDocumentIsNotAccepted(t *testing.T) {
+	b := newBench()
+	_, err := b.editor("amel").Put(context.Background(), trial, 0, []byte("Teams: 3"))
+	assertKind(t, err, errs.Invalid, "line 1")
+	if n := b.calls.Total("Store.", meter.Calls); n != 0 {
+		t.Fatalf("%d store calls for a refused document", n)
+	}
+}
+
+func TestOldRevisionShowsTheOtherChange(t *testing.T) {
+	b := newBench()
+	amel, sami := b.editor("amel"), b.editor("sami")
+	put(t, amel, trial, 0, 10)
+	put(t, sami, trial, 1, 20)
+	_, err := amel.Put(context.Background(), trial, 1, body(30))
+	assertKind(t, err, errs.Conflict, "put by sami", "Quota of team bookings changes", "Get revision 2")
+	assertCurrent(t, amel, trial, 2, 20)
+}
+
+func TestRaceHasExactlyOneWinner(t *testing.T) {
+	for round := range 20 {
+		b := newBench()
+		put(t, b.editor("amel"), trial, 0, 10)
+		const operators = 4
+		results := make([]error, operators)
+		var group sync.WaitGroup
+		for i := range operators {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				_, results[i] = b.editor(fmt.Sprint("operator-", i)).Put(context.Background(), trial, 1, body(20+i))
+			}()
+		}
+		group.Wait()
+		winner := -1
+		for i, err := range results {
+			switch {
+			case err == nil && winner < 0:
+				winner = i
+			case err == nil:
+				t.Fatalf("round %d: operators %d and %d both won", round, winner, i)
+			default:
+				assertKind(t, err, errs.Conflict, "was not taken", "Get revision 2")
+			}
+		}
+		assertCurrent(t, b.editor("amel"), trial, 2, 20+winner)
+	}
+}
+
+func TestPromoteMovesTheVeryBytes(t *testing.T) {
+	e := newBench().editor("amel")
+	tried := put(t, e, trial, 0, 10)
+	moved, err := e.Promote(context.Background(), trial, production, tried.Digest, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if moved.Digest != tried.Digest || moved.From != trial || moved.Environment != production {
+		t.Fatalf("got %+v", moved)
+	}
+	assertCurrent(t, e, production, 1, 10)
+}
+
+func TestPromoteRefusesWhatWasNotTried(t *testing.T) {
+	b := newBench()
+	e := b.editor("amel")
+	tried := put(t, e, trial, 0, 10)
+	put(t, b.editor("sami"), trial, 1, 20)
+	_, err := e.Promote(context.Background(), trial, production, tried.Digest, 0)
+	assertKind(t, err, errs.Conflict, "put by sami", "try that revision")
+	_, err = e.Get(context.Background(), production)
+	assertKind(t, err, errs.NotFound)
+}
+
+func TestDocumentForOneEnvironmentStaysThere(t *testing.T) {
+	e := newBench().editor("amel")
+	bound := append([]byte("Environment: trial\n"), body(10)...)
+	tried, err := e.Put(context.Background(), trial, 0, bound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = e.Promote(context.Background(), trial, production, tried.Digest, 0)
+	assertKind(t, err, errs.Invalid, "leave Environment out")
+	_, err = e.Put(context.Background(), production, 0, bound)
+	assertKind(t, err, errs.Invalid, "only for environment trial")
+}
+
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	b := newBench()
+	e := b.editor("amel")
+	put(t, e, trial, 0, 10)
+	for _, lost := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			now, err := e.Get(context.Background(), trial)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.memory.Faults.LoseAnswers(lost)
+			accepted, err := e.Put(context.Background(), trial, now.Revision, body(20+lost))
+			b.memory.Faults.LoseAnswers(0)
+			after, getErr := e.Get(context.Background(), trial)
+			if getErr != nil {
+				t.Fatal(getErr)
+			}
+			assertTruth(t, accepted, err, now, after)
+		})
+	}
+}
+
+// assertTruth checks that what the operator was told agrees with what the store holds.
+func assertTruth(t *testing.T, accepted Accepted, err error, before, after Accepted) {
+	t.Helper()
+	switch {
+	case err == nil && (accepted.Revision != after.Revision || accepted.Digest != after.Digest):
+		t.Fatalf("told revision %d, the store has %d", accepted.Revision, after.Revision)
+	case errs.Is(err, errs.Unavailable, errs.Conflict) && after.Revision != before.Revision:
+		t.Fatalf("told %v, but the store moved from %d to %d", err, before.Revision, after.Revision)
+	case err != nil && !errs.Is(err, errs.Unavailable, errs.Conflict, errs.Lost):
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestStoreDownSaysThatNothingChanged(t *testing.T) {
+	b := newBench()
+	b.memory.Faults.SetDown(true)
+	_, err := b.editor("amel").Put(context.Background(), trial, 0, body(10))
+	assertKind(t, err, errs.Unavailable, "nothing was changed", "try again")
+}
+
+// failingStore fails its writes after a number of them, as a writer that dies.
+type failingStore struct {
+	store.Store
+	writes int
+}
+
+func (f *failingStore) Put(ctx context.Context, p store.Put) (store.Entry, error) {
+	if f.writes == 0 {
+		return store.Entry{}, errs.New(errs.Unavailable, "the writer died")
+	}
+	f.writes--
+	return f.Store.Put(ctx, p)
+}
+
+func TestHistoryIsWholeWhenTheWriterDiesBetweenWrites(t *testing.T) {
+	for writes := range 3 {
+		t.Run(fmt.Sprint(writes), func(t *testing.T) {
+			b := newBench()
+			e := b.editor("amel")
+			put(t, e, trial, 0, 10)
+			put(t, e, trial, 1, 11)
+			dying := New(Config{Store: &failingStore{Store: b.store(), writes: writes}, Clock: b.clock, By: "sami"})
+			_, err := dying.Put(context.Background(), trial, 2, body(12))
+			next := types.Revision(2)
+			if err == nil {
+				next = 3
+			}
+			put(t, e, trial, next, 13)
+			assertHistory(t, e, next+1)
+		})
+	}
+}
+
+func assertHistory(t *testing.T, e *Editor, newest types.Revision) {
+	t.Helper()
+	history, err := e.History(context.Background(), trial, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(history) != int(newest) {
+		t.Fatalf("got %d records, want %d", len(history), newest)
+	}
+	for i, record := range history {
+		if record.Revision != newest-types.Revision(i) {
+			t.Fatalf("record %d has revision %d", i, record.Revision)
+		}
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	b := newBench()
+	e := b.editor("amel")
+	for i := range KeepRevisions + 20 {
+		put(t, e, trial, types.Revision(i), 10+i%50)
+	}
+	page, err := b.store().List(context.Background(), historyPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(page.Entries) > KeepRevisions {
+		t.Fatalf("%d records are kept", len(page.Entries))
+	}
+	limited, err := e.History(context.Background(), trial, 5)
+	if err != nil || len(limited) != 5 {
+		t.Fatalf("got %d records, %v", len(limited), err)
+	}
+}
+
+func TestPutCostsAtMostSixCalls(t *testing.T) {
+	b := newBench()
+	e := b.editor("amel")
+	for i := range 110 {
+		put(t, e, trial, types.Revision(i), 10+i%50)
+	}
+	before := b.calls.Total("Store.", meter.Calls)
+	put(t, e, trial, 110, 10)
+	if n := b.calls.Total("Store.", meter.Calls) - before; n > 6 {
+		t.Fatalf("a put took %d store calls", n)
+	}
+}
+
+func TestAcceptanceTimesGrowThoughClocksDiffer(t *testing.T) {
+	b := newBench()
+	put(t, b.editor("amel"), trial, 0, 10)
+	slow := New(Config{Store: b.store(), Clock: clockwork.NewFakeClockAt(b.clock.Now().Add(-time.Hour)), By: "sami"})
+	second := put(t, slow, trial, 1, 11)
+	first, err := slow.Revision(context.Background(), trial, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !second.At.After(first.At) {
+		t.Fatalf("revision 2 is dated %s, revision 1 %s", second.At, first.At)
+	}
+}
+
+// lossyStore loses the answer of the first write of the current record and lets another operator in.
+type lossyStore struct {
+	store.Store
+	meanwhile func()
+}
+
+func (l *lossyStore) Put(ctx context.Context, p store.Put) (store.Entry, error) {
+	entry, err := l.Store.Put(ctx, p)
+	if err != nil || p.Key != CurrentKey(trial) || l.meanwhile == nil {
+		return entry, err
+	}
+	l.meanwhile()
+	l.meanwhile = nil
+	return store.Entry{}, errs.New(errs.Lost, "the answer was lost")
+}
+
+func TestLostAnswerOfARecordThatWasReplacedSince(t *testing.T) {
+	b := newBench()
+	put(t, b.editor("amel"), trial, 0, 10)
+	lossy := &lossyStore{Store: b.store()}
+	lossy.meanwhile = func() { put(t, b.editor("sami"), trial, 2, 30) }
+	accepted, err := New(Config{Store: lossy, Clock: b.clock, By: "amel"}).Put(context.Background(), trial, 1, body(20))
+	if err != nil || accepted.Revision != 2 {
+		t.Fatalf("revision 2 was accepted and replaced, but the operator was told %v", err)
+	}
+	assertCurrent(t, b.editor("amel"), trial, 3, 30)
+}
--- a/internal/conf/edit/replace.go
+++ b/internal/conf/edit/replace.go
@@ -40,16 +40,32 @@
 		return Accepted{}, unwritten(err)
 	}
 	_, err = store.Commit(ctx, e.config.Store, store.Put{Key: CurrentKey(d.env), Expect: found.version}, next)
-	if errs.Is(err, errs.Conflict) {
+	if errs.Is(err, errs.Conflict) && !e.passedBy(ctx, next) {
 		return Accepted{}, e.refuse(d.env, e.overtaken(ctx, d))
 	}
-	if err != nil {
+	if err != nil && !errs.Is(err, errs.Conflict) {
 		return Accepted{}, unwritten(err)
 	}
 	e.accepted(d, next)
 	return next, nil
 }
 
+// passedBy tells whether the record was accepted although another one is there by now: the answer was lost, and
+// another operator, who archived the record, was faster than the reading back.
+func (e *Editor) passedBy(ctx context.Context, record Accepted) bool {
+	page, err := e.config.Store.List(ctx, HistoryKey(record.Environment, record.Revision))
+	if err != nil {
+		return false
+	}
+	for _, entry := range page.Entries {
+		found, err := Decode(entry)
+		if err == nil && found.Digest == record.Digest && found.By == record.By && found.At.Equal(record.At) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Editor) accepted(d draft, next Accepted) {
 	inputs := []audit.Input{{Name: "Digest", Value: fmt.Sprintf("%016x", uint64(next.Digest))}}
 	cause := "the operator read revision " + fmt.Sprint(d.expect)
--- /dev/null
+++ b/internal/conf/edit/settle_test.go
@@ -0,0 +1,130 @@
+package edit
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+// restore makes the store hold an older record, as after a restoration from a copy.
+func (b *bench) restore(t *testing.T, record Accepted) {
+	t.Helper()
+	ctx := context.Background()
+	entry, err := b.store().Get(ctx, CurrentKey(record.Environment))
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := store.Put{Key: CurrentKey(record.Environment), Expect: entry.Version}
+	if _, err := store.Commit(ctx, b.store(), put, record); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (b *bench) settle(t *testing.T, inForce Accepted, want Settlement) {
+	t.Helper()
+	got, err := Settle(context.Background(), b.store(), inForce)
+	if err != nil || got != want {
+		t.Fatalf("got %s, %v, want %s", got, err, want)
+	}
+}
+
+func TestRestoredStoreGetsTheRecordInForceBack(t *testing.T) {
+	b := newBench()
+	e := b.editor("amel")
+	old := put(t, e, trial, 0, 10)
+	b.clock.Advance(time.Minute)
+	inForce := put(t, e, trial, 1, 20)
+	b.restore(t, old)
+	b.settle(t, inForce, SettledReinstated)
+	assertCurrent(t, e, trial, 2, 20)
+	b.settle(t, inForce, SettledNothing)
+}
+
+func TestEditAfterARestorationIsIssuedAboveTheRecordInForce(t *testing.T) {
+	b := newBench()
+	e := b.editor("amel")
+	old := put(t, e, trial, 0, 10)
+	b.clock.Advance(time.Minute)
+	put(t, e, trial, 1, 20)
+	inForce := put(t, e, trial, 2, 30)
+	b.restore(t, old)
+	b.clock.Advance(time.Minute)
+	put(t, e, trial, 1, 40)
+	b.settle(t, inForce, SettledReissued)
+	assertCurrent(t, e, trial, 4, 40)
+	if _, err := e.Revision(context.Background(), trial, 3); err != nil {
+		t.Fatalf("the record that was in force is not in the history: %v", err)
+	}
+}
+
+func TestPutThroughADaemonThatKnowsMoreThanTheStore(t *testing.T) {
+	b := newBench()
+	plain := b.editor("amel")
+	old := put(t, plain, trial, 0, 10)
+	b.clock.Advance(time.Minute)
+	inForce := put(t, plain, trial, 1, 20)
+	b.restore(t, old)
+	e := New(Config{Store: b.store(), Clock: b.clock, By: "sami", InForce: func(envdoc.Name) *Accepted { return &inForce }})
+	if _, err := e.Put(context.Background(), trial, 1, body(30)); err == nil {
+		t.Fatal("a put on the restored revision was accepted")
+	}
+	put(t, e, trial, 2, 30)
+	assertCurrent(t, e, trial, 3, 30)
+}
+
+func TestTwinRevisionsAreBothKept(t *testing.T) {
+	b := newBench()
+	e := b.editor("amel")
+	old := put(t, e, trial, 0, 10)
+	put(t, e, trial, 1, 20)
+	put(t, e, trial, 2, 25)
+	b.restore(t, old)
+	put(t, e, trial, 1, 30)
+	put(t, e, trial, 2, 35)
+	history, err := e.History(context.Background(), trial, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	twins := 0
+	for _, record := range history {
+		if record.Revision == 2 {
+			twins++
+		}
+	}
+	if twins != 2 {
+		t.Fatalf("%d records of revision 2 are kept: %v", twins, revisions(history))
+	}
+}
+
+func revisions(records []Accepted) []string {
+	var out []string
+	for _, r := range records {
+		out = append(out, fmt.Sprintf("%d/%x", r.Revision, uint64(r.Digest)))
+	}
+	return out
+}
+
+func TestNewerIsATotalOrder(t *testing.T) {
+	r := rand.New(rand.NewSource(1))
+	draw := func() *Accepted {
+		return &Accepted{
+			Revision: types.Revision(r.Intn(3)), At: time.Unix(int64(r.Intn(3)), 0), Digest: types.Digest(r.Intn(3)),
+		}
+	}
+	for range 2000 {
+		a, b, c := draw(), draw(), draw()
+		same := a.Revision == b.Revision && a.At.Equal(b.At) && a.Digest == b.Digest
+		if a.Newer(b) == b.Newer(a) && !same {
+			t.Fatalf("%+v and %+v are not ordered", a, b)
+		}
+		if a.Newer(b) && b.Newer(c) && !a.Newer(c) {
+			t.Fatalf("%+v, %+v and %+v are not transitive", a, b, c)
+		}
+	}
+}
