--- a/internal/conf/envdoc/parse_test.go
+++ b/internal/conf/envdoc/parse_test.go
@@ -1,6 +1,7 @@
 package envdoc
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -193,6 +194,20 @@
 	return out
 }
 
+func BenchmarkParse(b *testing.B) {
+	var body strings.Builder
+	body.WriteString(strings.Split(valid, "Teams:")[0] + "Teams:\n")
+	for i := range 270 {
+		fmt.Fprintf(&body, "  - Name: team-%d\n    Quota: {Cores: 64, Memory: 400GiB}\n    MaxClass: Normal\n", i)
+	}
+	b.SetBytes(int64(body.Len()))
+	for b.Loop() {
+		if _, err := Parse([]byte(body.String())); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	for _, r := range refusals {
--- a/internal/conf/spread/feed.go
+++ b/internal/conf/spread/feed.go
@@ -171,8 +171,8 @@
 		for _, t := range own {
 			lists = append(lists, []peer.Target{t})
 		}
-	} else if len(own) > 0 {
-		lists = [][]peer.Target{own[:1]}
+	} else {
+		lists = [][]peer.Target{own}
 	}
 	var group sync.WaitGroup
 	for _, targets := range lists {
@@ -227,8 +227,11 @@
 	defer cancel()
 	var reply PushReply
 	args := &PushArgs{Environment: s.config.Environment, Update: update, Age: s.age()}
-	err := s.config.Peers.Call(limited, to, methodPush, args, &reply)
-	return reply, err
+	if err := s.config.Peers.Call(limited, to, methodPush, args, &reply); err != nil {
+		// A late answer may still be written to the reply, so it must not be read.
+		return PushReply{}, err
+	}
+	return reply, nil
 }
 
 // baseOf returns the base that a peer most likely has.
--- a/internal/conf/spread/pull.go
+++ b/internal/conf/spread/pull.go
@@ -36,13 +36,7 @@
 	s.pulls++
 	own, region, far := s.routes.plan()
 	if !s.routes.acts() {
-		if s.pullAny(ctx, own) {
-			return
-		}
-		s.pullEach(ctx, region)
-		if !s.held.filled() {
-			s.pullEach(ctx, far)
-		}
+		s.pullEntry(ctx, own, region, far)
 		return
 	}
 	if s.routes.watches(s.config.Self.Site.Region) {
@@ -52,6 +46,23 @@
 	s.pullFed(ctx, own, region, far)
 }
 
+// pullEntry compares revisions for a daemon that does not act for its data centre: with the one that does, and
+// further away while that one does not answer or has no recent word of the store.
+func (s *Spread) pullEntry(ctx context.Context, own []peer.Target, region, far [][]peer.Target) {
+	answered := s.pullAny(ctx, own)
+	if answered && !s.stale() {
+		return
+	}
+	answered = s.pullEach(ctx, region) || answered
+	if !answered {
+		s.pullEach(ctx, far)
+	}
+	if s.held.filled() && s.stale() && s.routes.watches(s.config.Self.Site.Region) && s.mayEscalate() {
+		s.count("Escalations", 1)
+		s.load(ctx)
+	}
+}
+
 // pullWatching compares revisions for a data centre that watches the store: now and then with a sibling, and
 // with all of them while the store can't be reached.
 func (s *Spread) pullWatching(ctx context.Context, own []peer.Target, region, far [][]peer.Target) {
@@ -59,7 +70,7 @@
 		_ = s.pullAny(ctx, own) || s.pullEach(ctx, region) || s.pullEach(ctx, far)
 		return
 	}
-	if s.age() > staleAfter {
+	if s.stale() {
 		s.pullEach(ctx, region)
 		return
 	}
@@ -76,13 +87,10 @@
 		return
 	}
 	if s.routes.gateway() {
-		if s.pullFar(ctx, far) {
-			return
-		}
-		s.pullEach(ctx, region)
+		s.pullGateway(ctx, region, far)
 		return
 	}
-	if s.pullEach(ctx, region) && s.age() <= staleAfter {
+	if s.pullEach(ctx, region) && !s.stale() {
 		return
 	}
 	if s.mayEscalate() {
@@ -91,6 +99,16 @@
 	}
 }
 
+// pullGateway asks across the paid link, less often than the other daemons ask their neighbours.
+func (s *Spread) pullGateway(ctx context.Context, region, far [][]peer.Target) {
+	if !s.stale() && s.pulls%farEvery != 0 {
+		return
+	}
+	if !s.pullFar(ctx, far) {
+		s.pullEach(ctx, region)
+	}
+}
+
 // pullFar asks the data centres that watch the store, in order, until one has recent word of the store.
 func (s *Spread) pullFar(ctx context.Context, far [][]peer.Target) bool {
 	answered := false
@@ -101,13 +119,22 @@
 		if s.pullAny(ctx, targets) {
 			answered = true
 		}
-		if answered && s.age() <= staleAfter {
+		if answered && !s.stale() {
 			return true
 		}
 	}
 	return answered
 }
 
+// stale tells whether the daemon has no recent word of the store.
+func (s *Spread) stale() bool {
+	if s.routes.watches(s.config.Self.Site.Region) {
+		return s.age() > staleAfter
+	}
+	return s.age() > fedStaleAfter
+}
+
+// mayEscalate tells whether a stale daemon may now ask further away, which costs more.
 func (s *Spread) mayEscalate() bool {
 	now := s.config.Clock.Now()
 	s.mu.Lock()
@@ -126,7 +153,7 @@
 		if s.pullAny(ctx, targets) {
 			answered = true
 		}
-		if answered && s.held.filled() && s.age() <= staleAfter {
+		if answered && s.held.filled() && !s.stale() {
 			return true
 		}
 	}
--- a/internal/conf/spread/spread.go
+++ b/internal/conf/spread/spread.go
@@ -30,17 +30,21 @@
 	// callTimeout is how long one call to a peer may take.
 	callTimeout = time.Second
 	// watchTimeout is how long one watch may wait; a restored store is noticed after it.
-	watchTimeout = 4 * time.Second
+	watchTimeout = 3 * time.Second
 	// storeTimeout is how long one read or write of the store may take.
 	storeTimeout = 3 * time.Second
 	// dutyEvery is how often a daemon that has no watch asks whether it should.
 	dutyEvery = 500 * time.Millisecond
 	// retryStore is the pause after a failed call of the store.
 	retryStore = time.Second
-	// staleAfter is the time without word from the store after which a data centre asks further away.
+	// staleAfter is the time without word from the store after which a daemon asks further away.
 	staleAfter = 6 * time.Second
-	// escalateEvery is how often a stale data centre asks across the paid link.
+	// fedStaleAfter is the same in a region without the store.
+	fedStaleAfter = 12 * time.Second
+	// escalateEvery is how often a stale daemon asks across the paid link, or the store itself.
 	escalateEvery = 10 * time.Second
+	// farEvery is how often the first data centre of a fed region asks across the paid link, in pulls.
+	farEvery = 2
 	// siblingEvery is how often a watching data centre compares revisions with another one, in pulls.
 	siblingEvery = 4
 )
@@ -78,7 +82,7 @@
 		known map[types.VMID]Stamp
 		// verified is when the store, or a peer's word of it, last confirmed the record in force.
 		verified time.Time
-		// escalated is when this daemon last asked across the paid link because it was stale.
+		// escalated is when this daemon last asked across the paid link, or the store, because it was stale.
 		escalated time.Time
 		pulls     int
 
--- a/internal/node/peer/memory.go
+++ b/internal/node/peer/memory.go
@@ -50,6 +50,10 @@
 	node.client = rpc.NewClient(near)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if old, ok := n.nodes[self.Address]; ok {
+		// Nobody calls the replaced daemon any more.
+		_ = old.client.Close()
+	}
 	n.nodes[self.Address] = node
 	return node
 }
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -23,7 +23,8 @@
 	}
 
 	// Caller calls other daemons. An error keeps the kind that the remote method returned. A call that could
-	// not be sent is Unavailable; one whose answer did not arrive is Lost.
+	// not be sent is Unavailable; one whose answer did not arrive is Lost. After an error the reply must not be
+	// read, since a late answer may still be written to it.
 	Caller interface {
 		Call(ctx context.Context, to Target, method Method, args, reply any) error
 	}
