--- a/internal/sched/plan/admit.go
+++ b/internal/sched/plan/admit.go
@@ -37,6 +37,7 @@
 	e.latest = t.latestStart(e.job)
 	e.lane = t.laneOf(e)
 	t.lanes.all = append(t.lanes.all, e)
+	t.noteSmallest(e)
 	if !allowedHere(e.job, t.tables.DataCentre) {
 		e.why = whyElsewhere
 		return
@@ -51,6 +52,22 @@
 	t.missed(e)
 }
 
+func (t *tick) noteSmallest(e *entry) {
+	if e.lane == laneUrgent {
+		return
+	}
+	need := e.job.Spec.Task.Resources
+	if t.smallest.Cores == 0 {
+		t.smallest = need
+		return
+	}
+	t.smallest = types.Resources{
+		Cores:        min(t.smallest.Cores, need.Cores),
+		Memory:       min(t.smallest.Memory, need.Memory),
+		Accelerators: min(t.smallest.Accelerators, need.Accelerators),
+	}
+}
+
 // shapeOf returns why a size cannot start anywhere in this tick, or nothing when it may. One look at
 // each size is enough.
 func (t *tick) shapeOf(need types.Resources) string {
@@ -131,7 +148,7 @@
 		return time.Time{}
 	}
 	rounds := 1
-	if j.Spec.Batch != nil {
+	if j.Spec.Batch != nil && j.Counts.Waiting > 1 {
 		wide := max(1, table.Fit(j.Spec.Task.Resources, t.plainLimit))
 		rounds = max(1, (j.Counts.Waiting+wide-1)/wide)
 	}
--- a/internal/sched/plan/lanes.go
+++ b/internal/sched/plan/lanes.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"container/heap"
 	"slices"
 	"strings"
 	"time"
@@ -54,16 +53,6 @@
 		spread  *spread
 	}
 
-	// teamQueue is one team's entries in a lane, the first to be served first.
-	teamQueue struct {
-		team    *table.Team
-		share   float64
-		entries []*entry
-	}
-
-	// teamHeap orders teams by what they occupy in parts of their quota.
-	teamHeap []*teamQueue
-
 	// lanes holds all waiting jobs, and by lane those that may start now.
 	lanes struct {
 		all  []*entry
@@ -72,31 +61,6 @@
 	}
 )
 
-// Len, Less, Swap, Push and Pop make the heap.
-func (h teamHeap) Len() int { return len(h) }
-
-// Less puts the team with the smaller share first.
-func (h teamHeap) Less(i, j int) bool {
-	if h[i].share != h[j].share {
-		return h[i].share < h[j].share
-	}
-	return h[i].team.ID < h[j].team.ID
-}
-
-// Swap swaps two teams.
-func (h teamHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push is not used, since teams only leave the heap.
-func (h *teamHeap) Push(x any) { *h = append(*h, x.(*teamQueue)) }
-
-// Pop removes the last team.
-func (h *teamHeap) Pop() any {
-	last := len(*h) - 1
-	q := (*h)[last]
-	*h = (*h)[:last]
-	return q
-}
-
 // file puts an entry into its lane and, when it has waited for long, into the list of aged jobs.
 func (l *lanes) file(e *entry, now time.Time) {
 	l.by[e.lane] = append(l.by[e.lane], e)
@@ -122,9 +86,10 @@
 	}
 }
 
+// sort orders the lanes that are served as a whole. The others are queued by team.
 func (l *lanes) sort() {
-	for i := range l.by {
-		slices.SortFunc(l.by[i], func(a, b *entry) int { return compareEntries(lane(i), a, b) })
+	for _, i := range []lane{laneUrgent, lanePressing} {
+		slices.SortFunc(l.by[i], func(a, b *entry) int { return compareEntries(i, a, b) })
 	}
 	slices.SortFunc(l.aged, func(a, b *entry) int {
 		if c := a.idle.Compare(b.idle); c != 0 {
@@ -164,49 +129,3 @@
 func compareIDs(a, b *entry) int {
 	return strings.Compare(string(a.job.Spec.ID), string(b.job.Spec.ID))
 }
-
-// queues groups a sorted lane by team.
-func (t *tick) queues(entries []*entry) teamHeap {
-	if len(entries) == 0 {
-		return nil
-	}
-	index := make([]*teamQueue, len(t.teams))
-	var out teamHeap
-	for _, e := range entries {
-		team := e.job.Owner
-		q := index[team.Index]
-		if q == nil {
-			q = &teamQueue{team: team, share: t.share(team)}
-			index[team.Index] = q
-			out = append(out, q)
-		}
-		q.entries = append(q.entries, e)
-	}
-	heap.Init(&out)
-	return out
-}
-
-// share returns the largest part of its quota that a team occupies in any resource; a team without a
-// quota is measured by the data centre's capacity.
-func (t *tick) share(team *table.Team) float64 {
-	used := team.Used.Add(t.teams[team.Index])
-	whole := team.Quota
-	if whole.IsZero() {
-		whole = t.rooms.capacity
-	}
-	return max(
-		part(int64(used.Cores), int64(whole.Cores)),
-		part(int64(used.Memory), int64(whole.Memory)),
-		part(int64(used.Accelerators), int64(whole.Accelerators)),
-	)
-}
-
-func part(used, whole int64) float64 {
-	if used == 0 {
-		return 0
-	}
-	if whole <= 0 {
-		return 1
-	}
-	return float64(used) / float64(whole)
-}
--- a/internal/sched/plan/preempt.go
+++ b/internal/sched/plan/preempt.go
@@ -24,7 +24,9 @@
 // load is what a worker could free: what is being stopped, and the tasks that may be preempted.
 type load struct {
 	stopping types.Resources
-	victims  []*table.Task
+	// plain is the part of stopping that belongs to work that is not urgent.
+	plain   types.Resources
+	victims []*table.Task
 }
 
 // preemptForUrgent makes room for each urgent task that found none.
@@ -76,14 +78,35 @@
 		t.held = t.loads()
 	}
 	for _, e := range t.stuck[l] {
-		for e.next > 0 && t.barrier(e) == "" && t.searches < maxPreemptSearches {
+		t.unclaim(e)
+		for e.next > 0 && t.searches < maxPreemptSearches {
 			t.searches++
-			if !t.claimStopping(e) && !t.preempt(e) {
+			if t.overQuota(e) || (!t.claimStopping(e) && !t.preempt(e)) {
 				break
 			}
 			e.next--
 		}
+		if e.next > 0 {
+			t.claim(e)
+		}
+	}
+}
+
+// unclaim takes back what an entry holds of the headroom, before it is counted with the room made for it.
+func (t *tick) unclaim(e *entry) {
+	if e.claimed {
+		e.claimed = false
+		t.plain = t.plain.Sub(t.needOf(e))
+	}
+}
+
+// overHeadroom tells whether the entry's next task would take from the headroom even when all stops under
+// way have ended.
+func (t *tick) overHeadroom(e *entry) bool {
+	if e.lane == laneUrgent || t.isWholeSite(e) {
+		return false
 	}
+	return !t.plain.Sub(t.stopping).Add(t.needOf(e)).Fits(t.plainLimit)
 }
 
 func (t *tick) loads() []load {
@@ -92,6 +115,7 @@
 		m := &t.rooms.list[i]
 		if m.open() {
 			out[i] = t.loadOf(m.worker)
+			t.stopping = t.stopping.Add(out[i].plain)
 		}
 	}
 	return out
@@ -104,6 +128,9 @@
 		switch {
 		case k.State == table.TaskStopping:
 			l.stopping = l.stopping.Add(k.Need())
+			if k.Job.Spec.Class != types.ClassUrgent {
+				l.plain = l.plain.Add(k.Need())
+			}
 		case isVictim(k):
 			l.victims = append(l.victims, k)
 		}
@@ -133,6 +160,9 @@
 
 // claimStopping holds room on a worker whose stops under way will be enough.
 func (t *tick) claimStopping(e *entry) bool {
+	if t.overHeadroom(e) {
+		return false
+	}
 	need := e.job.Spec.Task.Resources
 	for i := range t.rooms.list {
 		m := &t.rooms.list[i]
@@ -149,13 +179,19 @@
 func (t *tick) preempt(e *entry) bool {
 	need := e.job.Spec.Task.Resources
 	best := closed
+	isOver := t.overHeadroom(e)
 	var chosen []*table.Task
 	for i := range t.rooms.list {
 		m := &t.rooms.list[i]
 		if !m.open() || !t.admits(m, e) {
 			continue
 		}
-		found := t.victimsFor(e, need, m.free.Add(t.held[i].stopping), t.held[i].victims)
+		free := m.free.Add(t.held[i].stopping)
+		if isOver {
+			// The victims alone have to make up for the task, whatever the worker has left.
+			free = types.Resources{}
+		}
+		found := t.victimsFor(e, need, free, t.held[i].victims)
 		if len(found) > 0 && (best == closed || len(found) < len(chosen)) {
 			best, chosen = i, found
 		}
@@ -175,6 +211,7 @@
 // stopFor plans the preemption of one task.
 func (t *tick) stopFor(victim, task *table.Task, l *load) {
 	l.stopping = l.stopping.Add(victim.Need())
+	t.stopping = t.stopping.Add(victim.Need())
 	l.victims = slices.DeleteFunc(l.victims, func(k *table.Task) bool { return k == victim })
 	t.add(PreemptAction{
 		Task:       victim.ID,
--- a/internal/sched/plan/start.go
+++ b/internal/sched/plan/start.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"container/heap"
 	"fmt"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -28,7 +27,7 @@
 // startUrgent starts urgent tasks; what finds no room is left to preemption.
 func startUrgent(t *tick) {
 	t.startOldest(t.lanes.by[laneUrgent])
-	t.fill(t.queues(t.lanes.by[laneUrgent]))
+	t.fill(t.queues(laneUrgent))
 }
 
 // startOldest offers a start to the oldest job of each team that has waited for urgentPatience, the oldest
@@ -48,7 +47,7 @@
 
 // startPressing starts work that has to start soon. Meanwhile normal work gets every normalEvery-th start.
 func startPressing(t *tick) {
-	t.normal = t.queues(t.lanes.by[laneNormal])
+	t.normal = t.queues(laneNormal)
 	pressing := t.lanes.by[lanePressing]
 	for len(pressing) > 0 {
 		t.offerAged()
@@ -64,7 +63,7 @@
 // startOthers starts normal and batch work.
 func startOthers(t *tick) {
 	t.fill(t.normal)
-	t.fill(t.queues(t.lanes.by[laneBatch]))
+	t.fill(t.queues(laneBatch))
 }
 
 // fill starts all tasks of the queues that can start.
@@ -77,28 +76,6 @@
 	}
 }
 
-// serve starts one task, for the team that occupies the least part of its quota and has one that can
-// start. What cannot start leaves the queues.
-func (t *tick) serve(queues *teamHeap) bool {
-	for queues.Len() > 0 {
-		q := (*queues)[0]
-		done := t.step(q.entries[0])
-		if !done {
-			q.entries = q.entries[1:]
-		}
-		if len(q.entries) == 0 {
-			heap.Pop(queues)
-		} else {
-			q.share = t.share(q.team)
-			heap.Fix(queues, 0)
-		}
-		if done {
-			return true
-		}
-	}
-	return false
-}
-
 // isTurn tells whether the next start is one of every so many. It counts all starts of the data centre,
 // so that a turn also comes round when each tick starts only a few tasks.
 func (t *tick) isTurn(every uint64) bool {
@@ -167,11 +144,10 @@
 
 // barrier returns why the entry's next task may not start whatever the room, or nothing.
 func (t *tick) barrier(e *entry) string {
-	need := t.needOf(e)
-	team := e.job.Owner
-	if !team.Room(t.teams[team.Index].Add(need)) {
+	if t.overQuota(e) {
 		return whyQuota
 	}
+	need := t.needOf(e)
 	if e.lane == laneUrgent || t.plain.Add(need).Fits(t.plainLimit) {
 		return ""
 	}
@@ -181,6 +157,12 @@
 	return whyHeadroom
 }
 
+// overQuota tells whether the entry's next start would exceed its team's quota.
+func (t *tick) overQuota(e *entry) bool {
+	team := e.job.Owner
+	return !team.Room(t.teams[team.Index].Add(t.needOf(e)))
+}
+
 // needOf returns what the entry's next start takes.
 func (t *tick) needOf(e *entry) types.Resources {
 	need := e.job.Spec.Task.Resources
@@ -230,16 +212,16 @@
 
 // missed files an entry that found no room with the systems that make room.
 func (t *tick) missed(e *entry) {
-	isGang := e.job.Spec.Gang != nil
-	lacksRoom := e.why == whyRoom || e.why == whyGang || (isGang && e.why == whyHeadroom)
-	if e.noted || !lacksRoom {
+	if e.noted || (e.why != whyRoom && e.why != whyGang && e.why != whyHeadroom) {
 		return
 	}
 	e.noted = true
 	if t.mayPreempt(e) {
 		t.stuck[e.lane] = append(t.stuck[e.lane], e)
 	}
-	if isGang || e.isAged(t.now) || e.lane == lanePressing {
+	isGang := e.job.Spec.Gang != nil
+	isSingle := e.why == whyRoom && (e.isAged(t.now) || e.lane == lanePressing)
+	if isGang || isSingle {
 		t.wishes = append(t.wishes, e)
 	}
 }
--- a/internal/sched/plan/systems.go
+++ b/internal/sched/plan/systems.go
@@ -108,16 +108,20 @@
 	// plain is what work other than urgent occupies, and plainLimit what it may occupy.
 	plain      types.Resources
 	plainLimit types.Resources
-	started    uint64
-	examined   uint64
-	misses     []miss
-	overruns   overruns
-	stuck      [laneCount][]*entry
-	normal     teamHeap
-	held       []load
-	searches   int
-	wishes     []*entry
-	out        []Action
+	// smallest is at most as large, in each resource, as any waiting task that is not urgent.
+	smallest types.Resources
+	started  uint64
+	examined uint64
+	misses   []miss
+	overruns overruns
+	stuck    [laneCount][]*entry
+	normal   teamHeap
+	held     []load
+	// stopping is what stops under way and planned ones give back to work that is not urgent.
+	stopping types.Resources
+	searches int
+	wishes   []*entry
+	out      []Action
 }
 
 func newTick(policy envdoc.PlacementPolicy, s *table.State, now time.Time, m *scratch) *tick {
