--- a/internal/plat/store/handler.go
+++ b/internal/plat/store/handler.go
@@ -55,7 +55,11 @@
 }
 
 func (s server) watch(ctx context.Context, q *Query) (Page, error) {
-	limited, cancel := context.WithTimeout(ctx, watchWait)
+	wait := watchWait
+	if q.TTL > 0 {
+		wait = min(wait, q.TTL)
+	}
+	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	return s.memory.As(q.From, meter.Discard()).Watch(limited, q.Key, q.Expect)
 }
--- a/internal/plat/store/http.go
+++ b/internal/plat/store/http.go
@@ -23,7 +23,11 @@
 
 	answerLimit = 64 << 20
 	callTimeout = 3 * time.Second
-	watchWait   = 30 * time.Second
+	// watchWait is how long the service lets a watch wait at most.
+	watchWait = 30 * time.Second
+	// askedWait is how long a client asks it to wait: short, so that an empty answer soon shows that the
+	// service is there and has not gone back to an older state.
+	askedWait = 2 * time.Second
 )
 
 type (
@@ -33,7 +37,8 @@
 		Key    Key              `json:"Key,omitempty"`
 		Expect Version          `json:"Expect,omitempty"`
 		Lease  LeaseID          `json:"Lease,omitempty"`
-		TTL    time.Duration    `json:"TTL,omitempty"`
+		// TTL is a lease's time to live, or how long a watch may wait.
+		TTL time.Duration `json:"TTL,omitempty"`
 	}
 
 	// PutQuery is the body of Put.
@@ -110,10 +115,10 @@
 	return h.call(ctx, KindRenew, pathRenew, h.query(Query{Lease: lease}), &Empty{})
 }
 
-// Watch waits for changes under the prefix, for at most the service's own waiting time.
+// Watch waits for changes under the prefix, for at most askedWait.
 func (h *HTTP) Watch(ctx context.Context, prefix Key, after Version) (Page, error) {
 	var out Page
-	err := h.send(ctx, KindWatch, pathWatch, h.query(Query{Key: prefix, Expect: after}), &out)
+	err := h.send(ctx, KindWatch, pathWatch, h.query(Query{Key: prefix, Expect: after, TTL: askedWait}), &out)
 	return out, readable(err)
 }
 
--- a/internal/plat/store/store_test.go
+++ b/internal/plat/store/store_test.go
@@ -153,3 +153,20 @@
 		t.Fatal("the crossing was not counted")
 	}
 }
+
+func TestWatchOverHTTPAnswersBeforeItsCallerGivesUp(t *testing.T) {
+	memory := NewMemory(clockwork.NewRealClock(), "r")
+	server := httptest.NewServer(memory.Handler())
+	defer server.Close()
+	c := NewHTTP(HTTPConfig{Base: server.URL, Region: "r", Meter: meter.Discard(), Client: server.Client()})
+	entry, err := c.Put(context.Background(), Put{Key: "a", Value: []byte("1"), Expect: Absent})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askedWait+10*time.Second)
+	defer cancel()
+	page, err := c.Watch(ctx, "a", entry.Version)
+	if err != nil || len(page.Entries) != 0 || page.Version != entry.Version {
+		t.Fatalf("got %+v, %v", page, err)
+	}
+}
