Keep ended jobs small, seal doubtful starts, respect what a worker reports it has

An ended job now keeps counts only, unless the fate of an attempt is unknown. A start with a lost answer on a worker without a boot number was run again without stopping the first attempt; it is stopped first now, whatever the boot. Nothing is planned before the quotas are known.

New failure tests: a rack and the lead at once, a destroyed worker with a booking, a data centre cut from the store and from the others, a worker that fails everything.

--- a/internal/sched/commit/image.go
+++ b/internal/sched/commit/image.go
@@ -25,7 +25,18 @@
 		Offer     *Offer           `json:"Offer,omitempty"`
 		MovedTo   types.DataCentre `json:"MovedTo,omitempty"`
 		Ended     time.Time        `json:"Ended,omitzero"`
-		Tasks     []TaskImage      `json:"Tasks"`
+		// Tasks is empty once the job has ended and the fate of each attempt is known; Ends is kept.
+		Tasks []TaskImage `json:"Tasks,omitempty"`
+		Ends  Ends        `json:"Ends,omitzero"`
+	}
+
+	// Ends counts the tasks of a job that has ended.
+	Ends struct {
+		Done      int    `json:"Done,omitempty"`
+		Failed    int    `json:"Failed,omitempty"`
+		Cancelled int    `json:"Cancelled,omitempty"`
+		Unknown   int    `json:"Unknown,omitempty"`
+		Reason    string `json:"Reason,omitempty"`
 	}
 
 	// TaskImage is the committed state of one task. An empty state means waiting.
@@ -89,6 +100,9 @@
 
 func (i *Image) accept(a *Accept, at time.Time) {
 	j, known := i.Jobs[a.Job.ID]
+	if known && !j.Ended.IsZero() && j.MovedTo == "" {
+		return
+	}
 	if !known || (j.MovedTo != "" && a.Hop > j.Hop) {
 		j = &JobImage{Accepted: at, Hop: a.Hop}
 		i.Jobs[a.Job.ID] = j
@@ -162,19 +176,53 @@
 	j.MovedTo = m.To
 	j.Offer = nil
 	j.Ended = at
+	j.compact()
 }
 
-// settle notes when the last task ended, or that one has not.
+// settle notes that the last task ended, and drops what nobody asks about any more.
 func (j *JobImage) settle(at time.Time) {
+	var ends Ends
 	for _, t := range j.Tasks {
 		if !t.State.Ended() {
 			j.Ended = time.Time{}
 			return
 		}
+		ends.add(t)
 	}
+	j.Ends = ends
 	if j.Ended.IsZero() {
 		j.Ended = at
 	}
+	if ends.Unknown == 0 {
+		j.compact()
+	}
+}
+
+func (j *JobImage) compact() {
+	j.Tasks = nil
+	j.Spec.Task.Payload = ""
+}
+
+// Total returns the number of tasks that ended.
+func (e Ends) Total() int {
+	return e.Done + e.Failed + e.Cancelled + e.Unknown
+}
+
+func (e *Ends) add(t TaskImage) {
+	switch t.State {
+	case table.TaskDone:
+		e.Done++
+		return
+	case table.TaskFailed:
+		e.Failed++
+	case table.TaskUnknown:
+		e.Unknown++
+	default:
+		e.Cancelled++
+	}
+	if e.Reason == "" {
+		e.Reason = t.Reason
+	}
 }
 
 // Waiting tells whether no attempt of the task may run.
--- a/internal/sched/lead/attempts.go
+++ b/internal/sched/lead/attempts.go
@@ -20,6 +20,8 @@
 	sent bool
 	// seen tells that the worker has reported the attempt.
 	seen bool
+	// refused tells that the worker surely did not take the start.
+	refused bool
 	// ending tells that the end waits for its commit.
 	ending bool
 	// leaving is when the task's runner was told to take no new requests.
@@ -40,6 +42,7 @@
 // takeReport compares what a worker runs with the tables.
 func (l *Lead) takeReport(n *node, r worker.Report) {
 	n.boot = r.Boot
+	n.capacity = r.Capacity
 	l.dropForeign(n)
 	listed := make(map[types.AttemptID]struct{}, len(r.Attempts))
 	usage := types.Resources{}
@@ -138,12 +141,13 @@
 	t.Usage = s.Usage
 }
 
-// unlisted deals with an attempt that should occupy the worker and that the worker does not report.
+// unlisted deals with an attempt that should occupy the worker and that the worker does not report. One that
+// was never seen there is stopped first, so that a start still on its way cannot take effect later.
 func (l *Lead) unlisted(n *node, t *table.Task) {
 	a := l.attempt(t.ID)
 	switch {
 	case !a.sent || a.ending:
-	case !a.seen && a.boot == n.boot && n.boot != 0:
+	case !a.seen:
 		l.enqueueStop(n, t.Attempt(), false)
 	default:
 		l.end(t, l.fate(t, worker.PhaseLapsed, false, "worker "+string(n.vm.ID)+" lost it"), nil)
@@ -202,6 +206,9 @@
 func (l *Lead) ended(t *table.Task, e commit.End) {
 	now := l.now()
 	a := &attempt{}
+	if l.attempt(t.ID).refused {
+		a.notBefore = now.Add(retryPeriod)
+	}
 	if e.Failed {
 		t.Failures++
 		a.notBefore = now.Add(retryDelay(t.Failures))
--- a/internal/sched/lead/failure_test.go
+++ b/internal/sched/lead/failure_test.go
@@ -223,3 +223,93 @@
 		return true
 	})
 }
+
+func TestRackAndLeadGoTogether(t *testing.T) {
+	r := newRig(t, 10)
+	r.addLead(testSite, "e1")
+	r.addLead(testSite, "e2")
+	r.until(2*time.Second, "a lead", r.hasLead)
+	jobs := r.submitAll(mixedWork(r))
+	r.run(time.Second)
+	rack := func(down bool) {
+		for id, vm := range r.vms {
+			if vm.Site.Rack == "rack0" {
+				r.workers[id].Faults.SetDown(down)
+			}
+		}
+	}
+	rack(true)
+	r.lead().dead = true
+	r.until(2*time.Minute, "the work that may run twice to end elsewhere", func() bool {
+		return r.state(jobs[0].ID) == types.JobDone
+	})
+	// An earlier lead might still renew what stands on the rack, so a booking is not moved yet.
+	r.run(time.Minute)
+	r.wantState(jobs[1].ID, types.JobRunning)
+	rack(false)
+	r.until(3*time.Minute, "the end of all jobs", r.ended(jobs))
+	r.wantState(jobs[1].ID, types.JobDone)
+}
+
+func TestBookingOnADestroyedWorkerIsRunAgain(t *testing.T) {
+	r := newRig(t, 2)
+	r.addLead(testSite, "e1")
+	r.addLead(testSite, "e2")
+	r.until(2*time.Second, "a lead", r.hasLead)
+	j := r.job("booking", func(j *types.Job) { j.Task.Booking = true; j.Task.RunTime = 10 * time.Second })
+	r.accept(j)
+	r.run(time.Second)
+	r.workers["carthage-w00"].Faults.SetDown(true)
+	r.list.Remove("carthage-w00")
+	r.lead().dead = true
+	r.run(5 * time.Minute)
+	r.wantState(j.ID, types.JobRunning)
+	r.until(10*time.Minute, "the end of the booking", r.ended([]types.Job{j}))
+	r.wantState(j.ID, types.JobDone)
+}
+
+func TestDataCentreCutFromTheStore(t *testing.T) {
+	for name, parted := range map[string]bool{"alone": false, "and from the others": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3)
+			r.addWorker(otherSite, 0)
+			r.addLead(testSite, "e1")
+			r.addLead(testSite, "e2")
+			r.addLead(otherSite, "f1")
+			r.until(2*time.Second, "both leads", func() bool { return r.leadOf(testSite) != nil && r.leadOf(otherSite) != nil })
+			long := r.job("long", func(j *types.Job) { j.Task.RunTime = time.Minute; j.Task.Idempotent = false })
+			r.accept(long)
+			r.run(time.Second)
+			before := r.leadOf(testSite).epoch
+			r.store.Faults.Cut(testSite, true)
+			r.net.Cut(testSite, otherSite, parted)
+			r.run(20 * time.Second)
+			if r.leadOf(testSite) == nil || r.leadOf(otherSite) == nil {
+				t.Fatal("a data centre lost its lead")
+			}
+			r.store.Faults.Cut(testSite, false)
+			r.net.Cut(testSite, otherSite, false)
+			r.until(2*time.Minute, "the end of the job", r.ended([]types.Job{long}))
+			r.wantState(long.ID, types.JobDone)
+			if after := r.leadOf(testSite).epoch; after <= before {
+				t.Fatalf("epoch %d follows %d", after, before)
+			}
+		})
+	}
+}
+
+func TestWorkerThatFailsEverything(t *testing.T) {
+	r := newRig(t, 2)
+	r.addLead(testSite, "e1")
+	r.until(2*time.Second, "a lead", r.hasLead)
+	r.workers["carthage-w00"].FailEverything(true)
+	j := r.job("idempotent", func(j *types.Job) { j.Batch.Count = 3 })
+	refund := r.job("refund", func(j *types.Job) { j.Task.Idempotent = false; j.Batch.Count = 3 })
+	r.submitAll([]types.Job{j, refund})
+	r.until(3*time.Minute, "the refund's failure", func() bool { return r.state(refund.ID) == types.JobFailed })
+	r.workers["carthage-w00"].FailEverything(false)
+	r.until(3*time.Minute, "the end of the other job", func() bool {
+		s := r.state(j.ID)
+		return s == types.JobDone || s == types.JobFailed
+	})
+}
--- a/internal/sched/lead/nodes.go
+++ b/internal/sched/lead/nodes.go
@@ -30,6 +30,8 @@
 		queue []call
 		// boot is the worker's boot as it reported last; zero while it is not known.
 		boot uint64
+		// capacity is what the worker reported that it has.
+		capacity types.Resources
 		// fenced tells that the worker has accepted the lead's epoch.
 		fenced bool
 		// stale tells that the worker has not reported since it was silent, or still runs attempts of which
@@ -146,11 +148,24 @@
 	if !ok {
 		return
 	}
+	w.VM.Capacity = atMost(n.vm.Capacity, n.capacity)
 	w.LastSeen = n.lastSeen
 	w.Fenced = n.fenced && !n.stale
 	w.Health = n.health()
 }
 
+// atMost returns the smaller amount of each resource of what the list shows and what the worker reported.
+func atMost(listed, reported types.Resources) types.Resources {
+	if reported.IsZero() {
+		return listed
+	}
+	return types.Resources{
+		Cores:        min(listed.Cores, reported.Cores),
+		Memory:       min(listed.Memory, reported.Memory),
+		Accelerators: min(listed.Accelerators, reported.Accelerators),
+	}
+}
+
 func (n *node) health() table.Health {
 	switch {
 	case !n.silentSince.IsZero():
--- a/internal/sched/lead/random_test.go
+++ b/internal/sched/lead/random_test.go
@@ -48,6 +48,8 @@
 		pending:  make(map[types.JobID]func() (bool, error)),
 		accepted: make(map[types.JobID]bool),
 	}
+	// A quota below what the workers have, so that it binds.
+	c.doc.Teams[0].Quota = types.Resources{Cores: 12 * types.Core, Memory: 12 * types.GiB}
 	c.addLead(testSite, "e0")
 	c.addLead(testSite, "e1")
 	c.addLead(testSite, "e2")
--- a/internal/sched/lead/rig_test.go
+++ b/internal/sched/lead/rig_test.go
@@ -219,17 +219,8 @@
 	return r.clock.Since(start)
 }
 
-func (r *rig) lead() *member {
-	for _, m := range r.leads {
-		if m.dead || m.paused {
-			continue
-		}
-		if m.role == roleLead {
-			return m
-		}
-	}
-	return nil
-}
+// lead returns the lead of the first data centre.
+func (r *rig) lead() *member { return r.leadOf(testSite) }
 
 func (r *rig) hasLead() bool { return r.lead() != nil }
 
--- a/internal/sched/lead/starts.go
+++ b/internal/sched/lead/starts.go
@@ -66,6 +66,7 @@
 		t.LeaseEnd = leaseEnd(o.returned, c.request.Lease)
 		l.started(n, t, o.status)
 	case provablyNotSent(o.err):
+		a.refused = true
 		l.end(t, commit.End{State: l.fate(t, "", true, "").State, Reason: "worker refused the start: " + o.err.Error()}, nil)
 	default:
 		a.sent = true
@@ -124,7 +125,7 @@
 		return
 	}
 	a := l.attempt(t.ID)
-	never := o.status.NeverStarted && !a.seen && o.status.Boot == a.boot
+	never := o.status.NeverStarted && !a.seen && o.status.Boot == a.boot && a.boot != 0
 	l.end(t, l.fate(t, o.status.Phase, never, o.status.Reason), n)
 }
 
--- a/internal/sched/lead/takeover.go
+++ b/internal/sched/lead/takeover.go
@@ -83,7 +83,8 @@
 func (l *Lead) workerFor(id types.VMID, need types.Resources) *table.Worker {
 	if w, ok := l.state.Workers[id]; ok {
 		if w.VM.Address == "" {
-			w.VM.Capacity = w.VM.Capacity.Add(need)
+			l.nodes[id].vm.Capacity = l.nodes[id].vm.Capacity.Add(need)
+			l.refresh(l.nodes[id])
 		}
 		return w
 	}
--- a/internal/sched/lead/tick.go
+++ b/internal/sched/lead/tick.go
@@ -34,9 +34,12 @@
 	}
 }
 
-// planTick has the planner decide, unless nothing can be committed now.
+// planTick has the planner decide, unless nothing can be committed now or the quotas are not known yet.
 func (l *Lead) planTick() {
 	now := l.now()
+	if d, _ := l.cfg.Document(); d == nil {
+		return
+	}
 	if l.journal.Unsettled() || now.Before(l.writer.next) {
 		return
 	}
--- a/internal/sched/lead/view.go
+++ b/internal/sched/lead/view.go
@@ -87,16 +87,35 @@
 		}
 		return out
 	}
-	for _, t := range j.Tasks {
-		tally(&out, t.State, t.Reason)
-	}
-	out.State = endedState(out, !j.Ended.IsZero())
+	out.State = types.JobQueued
 	if j.Offer != nil {
 		out.Reason = "is being handed over to " + string(j.Offer.To)
 	}
+	if !j.Ended.IsZero() {
+		ended(&out, j.Ends)
+	}
 	return out
 }
 
+// ended fills in the status of a job that has ended.
+func ended(s *types.JobStatus, e commit.Ends) {
+	s.Tasks = e.Total()
+	s.Done = e.Done
+	s.Failed = e.Failed
+	s.Unknown = e.Unknown
+	s.Reason = e.Reason
+	switch {
+	case e.Unknown > 0:
+		s.State = types.JobUnknown
+	case e.Done == e.Total():
+		s.State = types.JobDone
+	case s.Cancelled:
+		s.State = types.JobCancelled
+	default:
+		s.State = types.JobFailed
+	}
+}
+
 func tally(s *types.JobStatus, state table.TaskState, reason string) {
 	switch state {
 	case table.TaskRunning, table.TaskStopping:
@@ -114,22 +133,6 @@
 	}
 }
 
-// endedState returns the state of a job that is not in the tables: it has ended or is being handed over.
-func endedState(s types.JobStatus, ended bool) types.JobState {
-	switch {
-	case !ended:
-		return types.JobQueued
-	case s.Unknown > 0:
-		return types.JobUnknown
-	case s.Done == s.Tasks:
-		return types.JobDone
-	case s.Cancelled:
-		return types.JobCancelled
-	default:
-		return types.JobFailed
-	}
-}
-
 // Upstreams returns the running service tasks that take requests.
 func (l *Lead) Upstreams() []runner.Upstream {
 	l.mu.Lock()
