--- a/internal/sched/lead/failure_test.go
+++ b/internal/sched/lead/failure_test.go
@@ -58,7 +58,7 @@
 
 func TestLeadKilledAtEachStep(t *testing.T) {
 	for _, at := range allSteps {
-		for pass := 1; pass <= 4; pass++ {
+		for pass := 1; pass <= 12; pass++ {
 			t.Run(fmt.Sprintf("%s/%d", at, pass), func(t *testing.T) {
 				r := newRig(t, 3)
 				first := r.addLead(testSite, "e1")
@@ -176,6 +176,26 @@
 	}
 }
 
+// TestLeasesAreNotJudgedLapsedTooEarly cuts a worker off for each length around the lease, with a booking
+// that would still run there.
+func TestLeasesAreNotJudgedLapsedTooEarly(t *testing.T) {
+	for down := 2 * time.Second; down <= 50*time.Second; down += 4 * time.Second {
+		t.Run(down.String(), func(t *testing.T) {
+			r := newRig(t, 2)
+			r.addLead(testSite, "e1")
+			r.until(2*time.Second, "a lead", r.hasLead)
+			j := r.job("booking", func(j *types.Job) { j.Task.Booking = true; j.Task.RunTime = 2 * time.Minute })
+			r.accept(j)
+			r.run(down)
+			w := r.workers["carthage-w00"]
+			w.Faults.SetDown(true)
+			r.run(down)
+			w.Faults.SetDown(false)
+			r.until(5*time.Minute, "the end of the booking", r.ended([]types.Job{j}))
+		})
+	}
+}
+
 func TestWorkerRestarts(t *testing.T) {
 	r := newRig(t, 2)
 	r.addLead(testSite, "e1")
