--- a/internal/node/daemon/operators.go
+++ b/internal/node/daemon/operators.go
@@ -22,7 +22,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return report.Explain(answer.Records, subject), nil
+	story := report.Explain(answer.Records, subject)
+	story.Missing = answer.Missing
+	return story, nil
 }
 
 // InForce returns the revision that each known VM has in force.
