Let callers close ids and submit work by name; use the client on the command line

Cause: the command line took an answer that is not Done for a malformed error, and had retries of its own; the HTTP interface lacked the closing of ids that the client uses. Ways weighed: one body for whole jobs and for work by name, or a path for each. The second was taken: each body then is one type that checks itself. Conclusion: the command line and other callers go through the same client.

--- a/client/client.go
+++ b/client/client.go
@@ -82,6 +82,8 @@
 
 	// Request is one call to a service.
 	Request struct {
+		// ID, when set, is that of an earlier call of the same request; else the request gets a new one.
+		ID      RequestID
 		Service ServiceName
 		Team    TeamID
 		Class   Class
@@ -123,8 +125,8 @@
 func (c *Client) Do(ctx context.Context, r Request) (*Answer, error) {
 	ctx, cancel, deadline := c.limit(ctx)
 	defer cancel()
-	s := &send{client: c, waits: newWaits(), request: types.Request{
-		Service: r.Service, Team: r.Team, Class: r.Class, Idempotent: r.Idempotent, Deadline: deadline, Body: r.Body,
+	s := &send{client: c, waits: newWaits(), tried: r.ID != "", request: types.Request{
+		ID: r.ID, Service: r.Service, Team: r.Team, Class: r.Class, Idempotent: r.Idempotent, Deadline: deadline, Body: r.Body,
 	}}
 	for range c.config.Attempts {
 		over, wait := s.attempt(ctx)
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/rest"
@@ -20,14 +21,20 @@
 	pathIDs      = "/v1/ids"
 	pathRequests = "/v1/requests"
 	pathJobs     = "/v1/jobs/"
+	pathWork     = "/v1/work/"
 
 	// answerLimit allows for the encoding of the largest body.
 	answerLimit = 2 * types.MaxAnswerBody
 )
 
+// order is the body of a call that submits work by name.
+type order struct {
+	Payload string `json:"Payload,omitempty"`
+}
+
 // exchange makes one call whose result is an answer. An error means that there was none.
-func (c *Client) exchange(ctx context.Context, method, url string, body []byte) (*Answer, error) {
-	status, text, err := c.call(ctx, method, url, body)
+func (c *Client) exchange(ctx context.Context, method, address string, body []byte) (*Answer, error) {
+	status, text, err := c.call(ctx, method, address, body)
 	if err != nil {
 		return nil, err
 	}
@@ -48,8 +55,8 @@
 
 // call makes one call and reads the whole body. A call that could not be sent is Unavailable; one whose answer did not
 // arrive whole is Lost.
-func (c *Client) call(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+func (c *Client) call(ctx context.Context, method, address string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, errs.New(errs.Invalid, "making call: %v", err)
 	}
@@ -101,8 +108,8 @@
 }
 
 // decoded makes one call whose result is decoded into out.
-func (c *Client) decoded(ctx context.Context, method, url string, body []byte, out any) error {
-	status, text, err := c.call(ctx, method, url, body)
+func (c *Client) decoded(ctx context.Context, method, address string, body []byte, out any) error {
+	status, text, err := c.call(ctx, method, address, body)
 	if err != nil {
 		return err
 	}
@@ -128,6 +135,20 @@
 	return c.job(ctx, http.MethodPut, job.ID, wire.Marshal(job))
 }
 
+// SubmitWork submits work that the environment document names. The payload, when set, replaces that of the document. An
+// empty id gets a new one; submitting again under the same id changes nothing.
+func (c *Client) SubmitWork(ctx context.Context, work string, id JobID, payload string) (*JobStatus, error) {
+	if id == "" {
+		minted, err := c.NewID(ctx)
+		if err != nil {
+			return nil, err
+		}
+		id = JobID(minted)
+	}
+	path := pathWork + url.PathEscape(work) + "/" + string(id)
+	return c.status(ctx, http.MethodPut, path, wire.Marshal(order{Payload: payload}))
+}
+
 // Job returns the status of a job.
 func (c *Client) Job(ctx context.Context, id JobID) (*JobStatus, error) {
 	return c.job(ctx, http.MethodGet, id, nil)
@@ -139,9 +160,13 @@
 }
 
 func (c *Client) job(ctx context.Context, method string, id JobID, body []byte) (*JobStatus, error) {
+	return c.status(ctx, method, pathJobs+string(id), body)
+}
+
+func (c *Client) status(ctx context.Context, method, path string, body []byte) (*JobStatus, error) {
 	var out JobStatus
 	err := c.each(ctx, func(base string) error {
-		return c.decoded(ctx, method, base+pathJobs+string(id), body, &out)
+		return c.decoded(ctx, method, base+path, body, &out)
 	})
 	if err != nil {
 		return nil, err
--- a/internal/app/cmds/work.go
+++ b/internal/app/cmds/work.go
@@ -4,16 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/urfave/cli/v3"
 
+	"github.com/magnoliawalk/magnoliawalk/client"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
-	"github.com/magnoliawalk/magnoliawalk/internal/serve/httpd"
 )
 
 const (
@@ -27,10 +26,6 @@
 	flagPayload    = "payload"
 	flagTimeout    = "timeout"
 
-	pathIDs      = "/v1/ids"
-	pathRequests = "/v1/requests"
-	pathJobs     = "/v1/jobs/"
-
 	pollEvery      = 500 * time.Millisecond
 	requestTimeout = 10 * time.Second
 )
@@ -58,68 +53,64 @@
 }
 
 func submitJob(ctx context.Context, c *cli.Command) error {
-	submission, err := readSubmission(c)
+	callers, err := newClient(c)
 	if err != nil {
 		return err
 	}
-	id, err := idFor(ctx, c)
+	status, err := submitted(ctx, c, callers)
 	if err != nil {
 		return err
 	}
-	var status types.JobStatus
-	if err := call(ctx, c, http.MethodPut, pathJobs+id, submission, &status); err != nil {
-		return errs.New(errs.Of(err).Kind, "%s (submit again with --id %s)", errs.Of(err).Message, id)
-	}
 	if c.Bool(flagWait) {
-		return waitJob(ctx, c, status)
+		return waitJob(ctx, c, callers, *status)
 	}
-	return showJob(c, status)
+	return showJob(c, *status)
 }
 
-func readSubmission(c *cli.Command) (httpd.Submission, error) {
+// submitted submits the job of the file, or else the work that the argument names.
+func submitted(ctx context.Context, c *cli.Command, callers *client.Client) (*types.JobStatus, error) {
+	id := types.JobID(c.String(flagID))
 	if c.String(flagFile) == "" {
 		work, err := argument(c, 0, "WORK")
-		return httpd.Submission{Work: work, Payload: c.String(flagPayload)}, err
+		if err != nil {
+			return nil, err
+		}
+		return callers.SubmitWork(ctx, work, id, c.String(flagPayload))
 	}
 	body, err := os.ReadFile(c.String(flagFile))
 	if err != nil {
-		return httpd.Submission{}, errs.New(errs.Invalid, "reading the job: %v", err)
+		return nil, errs.New(errs.Invalid, "reading the job: %v", err)
 	}
 	var job types.Job
 	if err := json.Unmarshal(body, &job); err != nil {
-		return httpd.Submission{}, errs.New(errs.Invalid, "the job is not valid JSON: %v", err)
+		return nil, errs.New(errs.Invalid, "the job is not valid JSON: %v", err)
 	}
-	return httpd.Submission{Job: &job}, nil
-}
-
-// idFor returns the id that the user gave, or a new one.
-func idFor(ctx context.Context, c *cli.Command) (string, error) {
-	if id := c.String(flagID); id != "" {
-		return id, nil
+	if id != "" {
+		job.ID = id
 	}
-	var minted httpd.Minted
-	err := call(ctx, c, http.MethodPost, pathIDs, nil, &minted)
-	return minted.ID, err
+	return callers.Submit(ctx, &job)
 }
 
 // waitJob prints the job whenever it changes until it has ended.
-func waitJob(ctx context.Context, c *cli.Command, status types.JobStatus) error {
+func waitJob(ctx context.Context, c *cli.Command, callers *client.Client, status types.JobStatus) error {
 	clock := clockwork.NewRealClock()
 	if err := showJob(c, status); err != nil {
 		return err
 	}
-	for last := status; !status.State.Ended(); last = status {
+	for !status.State.Ended() {
 		select {
 		case <-clock.After(pollEvery):
 		case <-ctx.Done():
 			return nil
 		}
-		if err := call(ctx, c, http.MethodGet, pathJobs+string(status.ID), nil, &status); err != nil {
+		latest, err := callers.Job(ctx, status.ID)
+		if err != nil {
 			return err
 		}
-		if status == last {
+		if *latest == status {
 			continue
 		}
+		status = *latest
 		if err := showJob(c, status); err != nil {
 			return err
 		}
@@ -128,14 +119,16 @@
 }
 
 func jobStatus() *cli.Command {
-	return jobQuery("status", "tell how a job stands", http.MethodGet)
+	return jobQuery("status", "tell how a job stands", (*client.Client).Job)
 }
 
 func jobCancel() *cli.Command {
-	return jobQuery("cancel", "cancel a job", http.MethodDelete)
+	return jobQuery("cancel", "cancel a job", (*client.Client).Cancel)
 }
 
-func jobQuery(name, usage, method string) *cli.Command {
+func jobQuery(
+	name, usage string, ask func(*client.Client, context.Context, types.JobID) (*types.JobStatus, error),
+) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage, UsageText: "magnoliawalk job " + name + " ID",
 		Flags: remoteFlags(),
@@ -144,11 +137,15 @@
 			if err != nil {
 				return err
 			}
-			var status types.JobStatus
-			if err := call(ctx, c, method, pathJobs+id, nil, &status); err != nil {
+			callers, err := newClient(c)
+			if err != nil {
+				return err
+			}
+			status, err := ask(callers, ctx, types.JobID(id))
+			if err != nil {
 				return err
 			}
-			return showJob(c, status)
+			return showJob(c, *status)
 		},
 	}
 }
@@ -189,20 +186,21 @@
 }
 
 func sendRequest(ctx context.Context, c *cli.Command) error {
-	id, err := idFor(ctx, c)
+	callers, err := newClient(c)
 	if err != nil {
 		return err
 	}
-	request := types.Request{
-		ID:         types.RequestID(id),
+	limited, cancel := context.WithTimeout(ctx, c.Duration(flagTimeout))
+	defer cancel()
+	answer, err := callers.Do(limited, client.Request{
+		ID:         types.RequestID(c.String(flagID)),
 		Service:    types.ServiceName(c.String(flagService)),
 		Team:       types.TeamID(c.String(flagTeam)),
 		Class:      types.Class(c.String(flagClass)),
 		Idempotent: c.Bool(flagIdempotent),
-		Deadline:   clockwork.NewRealClock().Now().Add(c.Duration(flagTimeout)),
 		Body:       []byte(c.Args().First()),
-	}
-	return showAnswer(ctx, c, http.MethodPost, pathRequests, &request)
+	})
+	return showAnswer(c, answer, err)
 }
 
 func requestAsk() *cli.Command {
@@ -216,18 +214,30 @@
 			if err != nil {
 				return err
 			}
-			return showAnswer(ctx, c, http.MethodGet, pathRequests+"/"+id, nil)
+			callers, err := newClient(c)
+			if err != nil {
+				return err
+			}
+			answer, err := callers.Ask(ctx, types.RequestID(id))
+			return showAnswer(c, answer, err)
 		},
 	}
 }
 
-func showAnswer(ctx context.Context, c *cli.Command, method, path string, in any) error {
-	var a types.Answer
-	if err := call(ctx, c, method, path, in, &a); err != nil {
-		return err
+// showAnswer prints the answer, if there is one, and returns why it is not Done.
+func showAnswer(c *cli.Command, a *types.Answer, failure error) error {
+	if a == nil {
+		return failure
+	}
+	if failure == nil && a.Reason != nil {
+		failure = a.Reason
 	}
-	if err := a.Check(); err != nil {
+	if err := show(c, a, func() string { return fmt.Sprintf("%s %s: %s", a.ID, a.Outcome, a.Body) }); err != nil {
 		return err
 	}
-	return show(c, a, func() string { return fmt.Sprintf("%s %s: %s", a.ID, a.Outcome, a.Body) })
+	return failure
+}
+
+func newClient(c *cli.Command) (*client.Client, error) {
+	return client.New(client.Config{Entries: c.StringSlice(flagEntry), Token: c.String(flagToken)})
 }
--- a/internal/app/local/local_test.go
+++ b/internal/app/local/local_test.go
@@ -109,7 +109,7 @@
 		for _, work := range []string{"contract-bundles", "weekend-rosters"} {
 			id := c.mint(1)
 			var status types.JobStatus
-			c.wantOK(c.call(1, http.MethodPut, "/v1/jobs/"+id, httpd.Submission{Work: work}, &status))
+			c.wantOK(c.call(1, http.MethodPut, "/v1/work/"+work+"/"+id, httpd.WorkOrder{}, &status))
 			done := c.wantJob(2, id, types.JobDone)
 			if done.Done != done.Tasks {
 				t.Fatalf("got %+v", done)
@@ -142,19 +142,20 @@
 	stranger.Team = "nobody"
 	cases := []struct {
 		name string
+		path string
 		in   any
 		want errs.Kind
 	}{
-		{"NeverFits", httpd.Submission{Job: &job}, errs.Impossible},
-		{"TooUrgent", httpd.Submission{Job: &urgent}, errs.Denied},
-		{"UnknownTeam", httpd.Submission{Job: &stranger}, errs.Denied},
-		{"UnknownWork", httpd.Submission{Work: "nope"}, errs.NotFound},
-		{"Neither", httpd.Submission{}, errs.Invalid},
-		{"UnknownField", map[string]int{"Nope": 1}, errs.Invalid},
+		{"NeverFits", "/v1/jobs/", &job, errs.Impossible},
+		{"TooUrgent", "/v1/jobs/", &urgent, errs.Denied},
+		{"UnknownTeam", "/v1/jobs/", &stranger, errs.Denied},
+		{"UnknownWork", "/v1/work/nope/", httpd.WorkOrder{}, errs.NotFound},
+		{"Empty", "/v1/jobs/", map[string]int{}, errs.Invalid},
+		{"UnknownField", "/v1/jobs/", map[string]int{"Nope": 1}, errs.Invalid},
 	}
 	for _, e := range cases {
 		t.Run(e.name, func(t *testing.T) {
-			err := c.call(0, http.MethodPut, "/v1/jobs/"+id, e.in, &types.JobStatus{})
+			err := c.call(0, http.MethodPut, e.path+id, e.in, &types.JobStatus{})
 			if !errs.Is(err, e.want) {
 				t.Fatalf("got %v, want kind %s", err, e.want)
 			}
--- a/internal/serve/httpd/callers.go
+++ b/internal/serve/httpd/callers.go
@@ -1,11 +1,13 @@
 package httpd
 
 import (
+	"context"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/rest"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -14,6 +16,7 @@
 
 const (
 	paramID          = "id"
+	paramWork        = "work"
 	headerRetryAfter = "Retry-After"
 )
 
@@ -23,28 +26,29 @@
 		ID string `json:"ID"`
 	}
 
-	// Submission is the body of PUT /v1/jobs/{id}: the name of work in the document, or a whole job.
-	Submission struct {
-		// Work names an entry of Batch or Gangs in the document in force.
-		Work string `json:"Work,omitempty"`
-		// Payload replaces the payload of the entry.
+	// WorkOrder is the body of PUT /v1/work/{work}/{id}.
+	WorkOrder struct {
+		// Payload, when set, replaces the payload of the document's entry.
 		Payload string `json:"Payload,omitempty"`
-		// Job is a whole job; its id is taken from the path.
-		Job *types.Job `json:"Job,omitempty"`
 	}
-)
 
-// Check returns an error unless exactly one of Work and Job is set.
-func (s *Submission) Check() error {
-	if (s.Work == "") == (s.Job == nil) {
-		return errs.New(errs.Invalid, "exactly one of Work and Job must be set")
+	// submission is a job whose id is taken from the path.
+	submission struct {
+		types.Job
 	}
-	if len(s.Payload) > types.MaxPayload {
+)
+
+// Check returns an error when the payload is too large.
+func (o *WorkOrder) Check() error {
+	if len(o.Payload) > types.MaxPayload {
 		return errs.New(errs.TooLarge, "Payload is over %d bytes", types.MaxPayload)
 	}
 	return nil
 }
 
+// Check accepts every job; it is checked once its id is set.
+func (s *submission) Check() error { return nil }
+
 func (s *Server) mint(w http.ResponseWriter, _ *http.Request) {
 	id, err := s.config.Requests.Mint()
 	if err != nil {
@@ -84,49 +88,65 @@
 }
 
 func (s *Server) ask(w http.ResponseWriter, r *http.Request) {
+	settled(w, r, s.config.Requests.Ask)
+}
+
+func (s *Server) closeID(w http.ResponseWriter, r *http.Request) {
+	settled(w, r, s.config.Requests.Close)
+}
+
+func settled(w http.ResponseWriter, r *http.Request, call func(context.Context, types.RequestID) *types.Answer) {
 	id := r.PathValue(paramID)
 	if _, err := types.ParseID(id); err != nil {
 		writeError(w, err)
 		return
 	}
-	writeAnswer(w, s.config.Requests.Ask(r.Context(), types.RequestID(id)))
+	writeAnswer(w, call(r.Context(), types.RequestID(id)))
 }
 
 func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
-	var in Submission
+	var in submission
 	if err := wire.Decode(r.Body, bodyLimit, &in); err != nil {
 		writeError(w, err)
 		return
 	}
-	job, err := s.job(types.JobID(r.PathValue(paramID)), in)
-	if err != nil {
+	in.ID = types.JobID(r.PathValue(paramID))
+	s.admit(w, r, func(*envdoc.Document) (types.Job, error) { return in.Job, nil })
+}
+
+func (s *Server) submitWork(w http.ResponseWriter, r *http.Request) {
+	var in WorkOrder
+	if err := wire.Decode(r.Body, bodyLimit, &in); err != nil {
 		writeError(w, err)
 		return
 	}
-	status, err := s.config.Jobs.Submit(r.Context(), job)
-	writeStatus(w, status, err)
+	s.admit(w, r, func(doc *envdoc.Document) (types.Job, error) {
+		job, err := doc.Expand(r.PathValue(paramWork), types.JobID(r.PathValue(paramID)), s.config.Now())
+		if in.Payload != "" {
+			job.Task.Payload = in.Payload
+		}
+		return job, err
+	})
 }
 
-func (s *Server) job(id types.JobID, in Submission) (types.Job, error) {
+// admit submits the job that make returns, if the document in force allows it.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, make func(*envdoc.Document) (types.Job, error)) {
 	doc, revision := s.config.Documents()
 	if doc == nil {
-		return types.Job{}, errs.New(errs.Unavailable, "no environment document is in force yet")
+		writeError(w, errs.New(errs.Unavailable, "no environment document is in force yet"))
+		return
 	}
-	if in.Job != nil {
-		job := *in.Job
-		job.ID = id
-		job.Revision = revision
-		return job, doc.Admit(&job)
+	job, err := make(doc)
+	if err == nil {
+		err = doc.Admit(&job)
 	}
-	job, err := doc.Expand(in.Work, id, s.config.Now())
 	if err != nil {
-		return types.Job{}, err
-	}
-	if in.Payload != "" {
-		job.Task.Payload = in.Payload
+		writeError(w, err)
+		return
 	}
 	job.Revision = revision
-	return job, doc.Admit(&job)
+	status, err := s.config.Jobs.Submit(r.Context(), job)
+	writeStatus(w, status, err)
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
@@ -147,9 +167,9 @@
 	rest.Write(w, http.StatusOK, status)
 }
 
-// writeAnswer sends an answer with the status of its reason's kind.
+// writeAnswer sends an answer with the status of its reason's kind, or OK for what was done.
 func writeAnswer(w http.ResponseWriter, a *types.Answer) {
-	if a.Reason == nil {
+	if a.Reason == nil || a.Outcome == types.OutcomeDone {
 		rest.Write(w, http.StatusOK, a)
 		return
 	}
--- a/internal/serve/httpd/httpd.go
+++ b/internal/serve/httpd/httpd.go
@@ -43,6 +43,7 @@
 		Mint() (types.RequestID, error)
 		Do(ctx context.Context, r *types.Request) *types.Answer
 		Ask(ctx context.Context, id types.RequestID) *types.Answer
+		Close(ctx context.Context, id types.RequestID) *types.Answer
 	}
 
 	// Documents gives the document in force.
@@ -115,6 +116,8 @@
 		m.HandleFunc("/v1/ids", s.mint, http.MethodPost)
 		m.HandleFunc("/v1/requests", s.request, http.MethodPost)
 		m.HandleFunc("/v1/requests/:id", s.ask, http.MethodGet)
+		m.HandleFunc("/v1/requests/:id", s.closeID, http.MethodDelete)
+		m.HandleFunc("/v1/work/:work/:id", s.submitWork, http.MethodPut)
 		m.HandleFunc("/v1/jobs/:id", s.submit, http.MethodPut)
 		m.HandleFunc("/v1/jobs/:id", s.status, http.MethodGet)
 		m.HandleFunc("/v1/jobs/:id", s.cancel, http.MethodDelete)
