--- /dev/null
+++ b/internal/app/cmds/bench.go
@@ -0,0 +1,85 @@
+package cmds
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/proof/fitter"
+	requests "github.com/magnoliawalk/magnoliawalk/internal/route/trial"
+	placement "github.com/magnoliawalk/magnoliawalk/internal/sched/trial"
+)
+
+const (
+	flagSeed = "seed"
+	flagPage = "page"
+
+	defaultSeed = 1
+)
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "bench",
+		Usage:    "measure the scheduler against baselines and the target",
+		Commands: []*cli.Command{benchPlacement(), benchRequests(), benchCapacity()},
+	}
+}
+
+func seedFlag() cli.Flag {
+	return &cli.Uint64Flag{Name: flagSeed, Value: defaultSeed, Usage: "seed of the arrivals"}
+}
+
+func benchPlacement() *cli.Command {
+	return &cli.Command{
+		Name:  "placement",
+		Usage: "compare waiting, packing and deadlines with three baselines on the same arrivals",
+		Flags: []cli.Flag{seedFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			for _, load := range placement.All(c.Uint64(flagSeed)) {
+				if ctx.Err() != nil {
+					return nil
+				}
+				results, err := placement.Compare(load)
+				if err != nil {
+					return err
+				}
+				if err := placement.Table(c.Root().Writer, results); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func benchRequests() *cli.Command {
+	return &cli.Command{
+		Name:  "requests",
+		Usage: "compare waiting and goodput with three baselines at 50, 90, 150 and 300% of capacity",
+		Flags: []cli.Flag{seedFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			config := requests.DefaultBench(clockwork.NewRealClock())
+			config.Seed = c.Uint64(flagSeed)
+			return requests.Print(c.Root().Writer, requests.Bench(ctx, config))
+		},
+	}
+}
+
+func benchCapacity() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure slopes at several sizes and work out the cost of each role at the target",
+		Flags: []cli.Flag{&cli.StringFlag{Name: flagPage, Usage: "page whose generated part is replaced, as docs/CAPACITY.md"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			results, err := fitter.Take(fitter.All())
+			if err != nil {
+				return err
+			}
+			if page := c.String(flagPage); page != "" {
+				return fitter.Update(page, results)
+			}
+			return fitter.Write(c.Root().Writer, results)
+		},
+	}
+}
--- a/internal/app/cmds/cmds.go
+++ b/internal/app/cmds/cmds.go
@@ -26,7 +26,7 @@
 		Commands: []*cli.Command{
 			serveCommand(), devCommand(), standinCommand(),
 			envCommand(), jobCommand(), requestCommand(),
-			statusCommand(), explainCommand(), versionCommand(),
+			statusCommand(), explainCommand(), benchCommand(), versionCommand(),
 		},
 	}
 	err := root.Run(ctx, args)
--- a/internal/serve/httpd/callers.go
+++ b/internal/serve/httpd/callers.go
@@ -129,14 +129,14 @@
 	})
 }
 
-// admit submits the job that make returns, if the document in force allows it.
-func (s *Server) admit(w http.ResponseWriter, r *http.Request, make func(*envdoc.Document) (types.Job, error)) {
+// admit submits the job that build returns, if the document in force allows it.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, build func(*envdoc.Document) (types.Job, error)) {
 	doc, revision := s.config.Documents()
 	if doc == nil {
 		writeError(w, errs.New(errs.Unavailable, "no environment document is in force yet"))
 		return
 	}
-	job, err := make(doc)
+	job, err := build(doc)
 	if err == nil {
 		err = doc.Admit(&job)
 	}
