--- /dev/null
+++ b/internal/sched/lead/feasible_test.go
@@ -0,0 +1,34 @@
+package lead
+
+import (
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+func TestAJobThatCanNeverRunIsRefused(t *testing.T) {
+	r := newRig(t, 2)
+	r.addLead(testSite, "e1")
+	r.until(2*time.Second, "a lead", r.hasLead)
+	r.run(time.Second)
+	// Two workers of four cores hold 7.5 cores in sum, but only one task of 2.5 cores each.
+	gang := r.job("gang", func(j *types.Job) {
+		j.Batch, j.Gang = nil, &types.Gang{Count: 3}
+		j.Task.Resources = types.Resources{Cores: 5 * types.Core / 2, Memory: types.GiB}
+	})
+	t.Run("here and elsewhere", func(t *testing.T) {
+		if _, err := r.submit(r.lead(), gang)(); !errs.Is(err, errs.Impossible) {
+			t.Fatalf("got %v", err)
+		}
+	})
+	t.Run("but not when a peer holds it", func(t *testing.T) {
+		l := r.lead()
+		l.state.Peers["ariana"] = table.Peer{DataCentre: "ariana", Rooms: []table.Room{{Free: gang.Task.Resources, Workers: 3}}}
+		if err := l.feasible(&gang, types.Resources{}); err != nil {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
--- a/internal/sched/lead/submit.go
+++ b/internal/sched/lead/submit.go
@@ -7,6 +7,7 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
 	"github.com/magnoliawalk/magnoliawalk/internal/sched/commit"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/plan"
 	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
 )
 
@@ -133,31 +134,24 @@
 	return l.feasible(job, team.Quota)
 }
 
-// feasible refuses a job that no worker of the data centre, or no share of it, can ever hold.
+// feasible refuses a job that can never run: neither here nor, as far as the peers' summaries tell, in
+// another data centre that may take it.
 func (l *Lead) feasible(job *types.Job, quota types.Resources) error {
-	need := job.Task.Resources
-	together := need
-	if job.Gang != nil {
-		together = need.Times(job.Gang.Count)
-	}
-	if !quota.IsZero() && !together.Fits(quota) {
-		return errs.New(errs.Impossible, "needs %s at once; the quota of team %s is %s", together, job.Team, quota)
+	if err := plan.WithinQuota(job, quota); err != nil {
+		return err
 	}
 	if !l.hereAllowed(job) || len(l.state.Workers) == 0 {
 		return nil
 	}
-	total, fits := types.Resources{}, false
-	for _, w := range l.state.Workers {
-		total = total.Add(w.VM.Capacity)
-		fits = fits || need.Fits(w.VM.Capacity)
-	}
-	if !fits {
-		return errs.New(errs.Impossible, "each task needs %s; no worker of %s has that", need, l.site())
+	vms := make([]types.VM, 0, len(l.state.Workers))
+	for _, w := range l.state.Ordered() {
+		vms = append(vms, w.VM)
 	}
-	if !together.Fits(total) {
-		return errs.New(errs.Impossible, "needs %s at once; all workers of %s have %s", together, l.site(), total)
+	err := plan.Feasible(job, vms)
+	if err != nil && plan.AnyPeerHolds(l.state, job) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 func (l *Lead) hereAllowed(job *types.Job) bool {
--- a/internal/sched/plan/admit.go
+++ b/internal/sched/plan/admit.go
@@ -171,7 +171,12 @@
 }
 
 func allowedHere(j *table.Job, site types.DataCentre) bool {
-	sites := j.Spec.Task.DataCentres
+	return allowedIn(&j.Spec, site)
+}
+
+// allowedIn tells whether the job may run in a data centre.
+func allowedIn(j *types.Job, site types.DataCentre) bool {
+	sites := j.Task.DataCentres
 	return len(sites) == 0 || slices.Contains(sites, site)
 }
 
--- a/internal/sched/plan/deadline_test.go
+++ b/internal/sched/plan/deadline_test.go
@@ -50,6 +50,23 @@
 	})
 }
 
+func TestPressingWorkMakesUpForTheHeadroom(t *testing.T) {
+	b := newBed(t, envdoc.PlacementPolicy{UrgentHeadroom: 250})
+	b.workers(2, 4)
+	spec := b.job(types.ClassBatch, 1)
+	spec.Name = "victim"
+	spec.Task.CanCheckpoint = true
+	spec.Task.Resources = unit.Times(4)
+	b.start(b.add(spec).Tasks[0], b.worker(0))
+	for _, k := range b.add(b.job(types.ClassNormal, 2)).Tasks {
+		b.start(k, b.worker(1))
+	}
+	pressing := addPressing(b, 5*time.Minute)
+	assertCount[plan.PreemptAction](t, b.tick(), 1)
+	b.tick()
+	assertRunning(t, pressing, 1)
+}
+
 func TestNormalWorkPreemptsBatchWorkAfterAWait(t *testing.T) {
 	b := withVictim(t, 24*time.Hour)
 	normal := b.add(b.job(types.ClassNormal, 1))
--- a/internal/sched/plan/handover.go
+++ b/internal/sched/plan/handover.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
 )
 
@@ -65,8 +66,7 @@
 	need := e.job.Spec.Task.Resources
 	var fitting []table.Peer
 	for _, p := range t.tables.Peers {
-		isFresh := t.now.Sub(p.At) <= freshSummary
-		if isFresh && allowedHere(e.job, p.DataCentre) && p.Holds(need) >= len(e.job.Tasks) {
+		if t.now.Sub(p.At) <= freshSummary && holdsAll(p, &e.job.Spec) {
 			fitting = append(fitting, p)
 		}
 	}
@@ -81,6 +81,21 @@
 	}), true
 }
 
+// AnyPeerHolds tells whether some data centre that may run the job showed room for all of its tasks in its
+// latest summary.
+func AnyPeerHolds(s *table.State, j *types.Job) bool {
+	for _, p := range s.Peers {
+		if holdsAll(p, j) {
+			return true
+		}
+	}
+	return false
+}
+
+func holdsAll(p table.Peer, j *types.Job) bool {
+	return allowedIn(j, p.DataCentre) && p.Holds(j.Task.Resources) >= j.Workload().Tasks()
+}
+
 // explainWaits tells why jobs wait, where the reason has changed and the former one stood for a while.
 func explainWaits(t *tick) {
 	count := 0
