Keep a job that comes back before its home knows that it left

Cause: random sequences over two data centres lost a job. The home's offer had been taken, the answer was lost, and the other data centre handed the job back; the home took it in under its open offer, then committed the late Moved, and each side pointed to the other.

Keep and Moved now name their hop and count for the latest offer only, and a job that comes back with a higher hop starts anew. A job leaves only while no attempt was ever intended here, since numbers of attempts start anew elsewhere. An offer and a summary go to another entry at each try, so one that does not answer holds nothing up.

--- a/internal/sched/commit/image.go
+++ b/internal/sched/commit/image.go
@@ -98,12 +98,15 @@
 	}
 }
 
+// accept takes a job in. One that comes back from elsewhere, with a higher hop, starts anew, even when the
+// home has not heard yet that its own offer was taken.
 func (i *Image) accept(a *Accept, at time.Time) {
 	j, known := i.Jobs[a.Job.ID]
-	if known && !j.Ended.IsZero() && j.MovedTo == "" {
+	back := known && a.Hop > j.Hop && (j.MovedTo != "" || j.Offer != nil)
+	if known && !back && !j.Ended.IsZero() {
 		return
 	}
-	if !known || (j.MovedTo != "" && a.Hop > j.Hop) {
+	if !known || back {
 		j = &JobImage{Accepted: at, Hop: a.Hop}
 		i.Jobs[a.Job.ID] = j
 	}
@@ -161,7 +164,7 @@
 
 func (i *Image) keep(k *Keep) {
 	j, ok := i.Jobs[k.Job]
-	if !ok || j.Offer == nil {
+	if !ok || j.Offer == nil || j.Offer.Hop != k.Hop {
 		return
 	}
 	j.Hop = j.Offer.Hop
@@ -170,7 +173,7 @@
 
 func (i *Image) moved(m *Moved, at time.Time) {
 	j, ok := i.Jobs[m.Job]
-	if !ok || j.Offer == nil {
+	if !ok || j.Offer == nil || j.Offer.Hop != m.Hop {
 		return
 	}
 	j.MovedTo = m.To
--- a/internal/sched/commit/record.go
+++ b/internal/sched/commit/record.go
@@ -67,12 +67,14 @@
 	// Keep ends an offer that was withdrawn: the job stays here.
 	Keep struct {
 		Job types.JobID `json:"Job"`
+		Hop int         `json:"Hop"`
 	}
 
 	// Moved ends an offer that was taken: the job belongs to the other data centre.
 	Moved struct {
 		Job types.JobID      `json:"Job"`
 		To  types.DataCentre `json:"To"`
+		Hop int              `json:"Hop"`
 	}
 
 	// Part is one piece of a snapshot, which may span several segments.
--- a/internal/sched/lead/handover.go
+++ b/internal/sched/lead/handover.go
@@ -49,6 +49,7 @@
 		busy      bool
 		settling  bool
 		next      time.Time
+		tries     int
 	}
 
 	// verdict is what became of one try at a hand-over.
@@ -75,14 +76,15 @@
 	})
 }
 
-// movable tells whether a job may leave: it is no service and nothing of it runs, may run, or is kept here.
+// movable tells whether a job may leave: it is no service and no attempt of it was ever intended here, so the
+// numbers of attempts start anew elsewhere without meeting these if the job comes back.
 func (l *Lead) movable(j *table.Job) bool {
 	if j.Spec.Service != nil || j.Cancelled {
 		return false
 	}
 	for _, t := range j.Tasks {
 		a, known := l.attempts[t.ID]
-		if t.State != table.TaskWaiting || t.Resume || (known && a.ending) {
+		if t.State != table.TaskWaiting || t.Number > 0 || (known && a.ending) {
 			return false
 		}
 	}
@@ -92,6 +94,7 @@
 func (l *Lead) offered(o *offer, reason string) {
 	o.committed = true
 	id := o.record.Job
+	l.offers[id] = o
 	if image := l.image.Jobs[id]; image.Cancelled {
 		l.keepJob(o)
 		return
@@ -130,9 +133,10 @@
 		return
 	}
 	o.busy = true
+	o.tries++
 	o.next = l.now().Add(offerRetry)
 	transfer := Transfer{Job: image.Spec, From: l.site(), To: o.record.To, Hop: o.record.Hop}
-	target, reachable := l.entryOf(o.record.To)
+	target, reachable := l.entryOf(o.record.To, o.tries)
 	if !reachable {
 		transfer.To = l.site()
 	}
@@ -176,6 +180,9 @@
 
 func (l *Lead) carried(o *offer, v verdict) {
 	o.busy = false
+	if l.offers[o.record.Job] != o {
+		return
+	}
 	if v.err != nil {
 		l.count("HandOversDelayed")
 		if v.owner != "" {
@@ -197,27 +204,36 @@
 	id := o.record.Job
 	o.settling = true
 	l.writer.add(item{
-		record: commit.Record{Keep: &commit.Keep{Job: id}},
+		record: commit.Record{Keep: &commit.Keep{Job: id, Hop: o.record.Hop}},
 		retry:  true,
 		done: func() {
-			delete(l.offers, id)
-			if j := l.image.Jobs[id]; j != nil {
-				l.restore(j)
+			if l.closed(o) {
+				l.restore(l.image.Jobs[id])
 			}
 		},
 	})
 }
 
+// closed forgets an offer that has ended. It tells whether the offer was the job's latest.
+func (l *Lead) closed(o *offer) bool {
+	if l.offers[o.record.Job] != o {
+		return false
+	}
+	delete(l.offers, o.record.Job)
+	return true
+}
+
 // moveJob ends an offer that was taken.
 func (l *Lead) moveJob(o *offer, to types.DataCentre) {
 	id := o.record.Job
 	o.settling = true
 	l.writer.add(item{
-		record: commit.Record{Moved: &commit.Moved{Job: id, To: to}},
+		record: commit.Record{Moved: &commit.Moved{Job: id, To: to, Hop: o.record.Hop}},
 		retry:  true,
 		done: func() {
-			delete(l.offers, id)
-			l.count("HandOvers")
+			if l.closed(o) {
+				l.count("HandOvers")
+			}
 		},
 	})
 }
@@ -259,14 +275,18 @@
 	return w, nil
 }
 
-// entryOf returns a live entry daemon of a data centre.
-func (l *Lead) entryOf(site types.DataCentre) (peer.Target, bool) {
+// entryOf returns a live entry daemon of a data centre, another one at each turn.
+func (l *Lead) entryOf(site types.DataCentre, turn int) (peer.Target, bool) {
+	var live []peer.Target
 	for _, e := range l.cfg.Entries() {
 		if e.Site.DataCentre == site {
-			return e, true
+			live = append(live, e)
 		}
 	}
-	return peer.Target{}, false
+	if len(live) == 0 {
+		return peer.Target{}, false
+	}
+	return live[turn%len(live)], true
 }
 
 func handoverKey(id types.JobID, hop int) store.Key {
--- a/internal/sched/lead/handover_test.go
+++ b/internal/sched/lead/handover_test.go
@@ -174,3 +174,24 @@
 		return err == nil && s.State == types.JobDone
 	})
 }
+
+// TestJobComesBackBeforeTheMoveIsNoted hands a job back while the home has not heard that it was taken.
+func TestJobComesBackBeforeTheMoveIsNoted(t *testing.T) {
+	r := handoverRig(t)
+	home, other := r.leadOf(testSite), r.leadOf(otherSite)
+	other.cfg.Planner = moving{to: testSite}
+	j := handoverJob(r)
+	outcome := r.submit(home, j)
+	r.until(2*time.Second, "acceptance", func() bool { known, _ := outcome(); return known })
+	// The answer that the other data centre took the job is lost, and the job comes back meanwhile.
+	r.net.LoseAnswers(1)
+	r.until(time.Minute, "the job to come back", func() bool {
+		image := home.image.Jobs[j.ID]
+		return image != nil && image.Hop == 2
+	})
+	home.cfg.Planner = plan.FirstFit{}
+	r.until(time.Minute, "the end of the job at home", func() bool {
+		s, err := home.Status(r.ctx, j.ID)
+		return err == nil && s.State == types.JobDone
+	})
+}
--- /dev/null
+++ b/internal/sched/lead/random_pair_test.go
@@ -0,0 +1,205 @@
+package lead
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/plan"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
+)
+
+const pairRuns = 40
+
+type (
+	// bouncing is a planner that hands a part of the jobs over and places the others.
+	bouncing struct {
+		from types.DataCentre
+	}
+
+	// pairChaos is two data centres under a random sequence of events.
+	pairChaos struct {
+		*chaos
+	}
+)
+
+// Plan hands waiting jobs over while the rig's count of ticks says so.
+func (b bouncing) Plan(s *table.State, now time.Time) []plan.Action {
+	to := otherSite
+	if b.from == otherSite {
+		to = testSite
+	}
+	var out []plan.Action
+	moved := make(map[types.JobID]bool)
+	for _, id := range sortedJobs(s.Jobs) {
+		if int(types.DigestOf([]byte(id))+types.Digest(now.Unix()))%3 == 0 {
+			moved[id] = true
+			out = append(out, plan.HandOverAction{Job: id, To: to, Reason: "no room"})
+		}
+	}
+	for _, a := range (plan.FirstFit{}).Plan(s, now) {
+		if start, ok := a.(plan.StartAction); !ok || !moved[start.Task.Job()] {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func newPairChaos(t *testing.T) *pairChaos {
+	c := &pairChaos{chaos: &chaos{
+		rig:      newRig(t, 4),
+		pending:  make(map[types.JobID]func() (bool, error)),
+		accepted: make(map[types.JobID]bool),
+	}}
+	for i := range 4 {
+		c.addWorker(otherSite, i)
+	}
+	for i := range 2 {
+		c.join(testSite, fmt.Sprintf("a%d", i))
+		c.join(otherSite, fmt.Sprintf("b%d", i))
+	}
+	c.next = 2
+	return c
+}
+
+func (c *pairChaos) join(site types.DataCentre, name string) {
+	c.addLead(site, name).cfg.Planner = bouncing{from: site}
+}
+
+func (c *pairChaos) event(n int) {
+	kind, n := n%12, n/12
+	c.log = append(c.log, fmt.Sprintf("%d(%d)", kind, n))
+	switch kind {
+	case 0, 1, 2:
+		c.submitOne(n)
+	case 3:
+		c.cancelOne(n)
+	case 4:
+		c.replace(n)
+	case 5:
+		c.armed(n)
+	case 6:
+		c.leads[n%len(c.leads)].paused = n%2 == 0
+	case 7:
+		c.store.Faults.LoseAnswers(n % 5)
+	case 8:
+		c.net.LoseAnswers(n % 4)
+	case 9:
+		c.net.Cut(testSite, otherSite, n%2 == 0)
+	case 10:
+		c.store.Faults.SetDown(n%3 == 0)
+	default:
+		c.ticks(n % 40)
+	}
+}
+
+// replace kills a daemon and has a new one of its data centre take its place.
+func (c *pairChaos) replace(n int) {
+	m := c.leads[n%len(c.leads)]
+	if m.dead {
+		return
+	}
+	m.dead = true
+	c.join(m.site(), fmt.Sprintf("e%d", c.next))
+	c.next++
+}
+
+// armed has a lead die at a step of its own or of a hand-over.
+func (c *pairChaos) armed(n int) {
+	steps := append([]step{stepOffer, stepTake}, allSteps...)
+	if m := c.leadOf([]types.DataCentre{testSite, otherSite}[n%2]); m != nil {
+		failAt(m, steps[n/2%len(steps)], 1+n%3, func() { panic(killed{}) })
+	}
+}
+
+func (c *pairChaos) heal() {
+	c.store.Faults.SetDown(false)
+	c.store.Faults.LoseAnswers(0)
+	c.net.LoseAnswers(0)
+	c.net.Cut(testSite, otherSite, false)
+	for _, m := range c.leads {
+		m.hook = func(step) {}
+		m.paused = false
+	}
+	c.join(testSite, "lasta")
+	c.join(otherSite, "lastb")
+	for range healLimit / tickPeriod {
+		c.ticks(1)
+		if c.leadOf(testSite) != nil && c.leadOf(otherSite) != nil && c.verdict() == nil {
+			return
+		}
+	}
+}
+
+// verdict returns an error when an accepted job has not ended in one place.
+func (c *pairChaos) verdict() error {
+	ids := make([]string, 0, len(c.accepted))
+	for id := range c.accepted {
+		ids = append(ids, string(id))
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		if err := c.endedOnce(types.JobID(id)); err != nil {
+			return err
+		}
+	}
+	return c.effectsOnce()
+}
+
+func (c *pairChaos) endedOnce(id types.JobID) error {
+	var states []types.JobState
+	for _, site := range []types.DataCentre{testSite, otherSite} {
+		m := c.leadOf(site)
+		if m == nil {
+			return errs.New(errs.Internal, "%s has no lead", site)
+		}
+		s, err := m.Status(c.ctx, id)
+		if err == nil && s.State != types.JobMoved {
+			states = append(states, s.State)
+		}
+	}
+	if len(states) != 1 {
+		return errs.New(errs.Internal, "job %s is in %d data centres: %v", id, len(states), states)
+	}
+	switch states[0] {
+	case types.JobDone, types.JobCancelled:
+		return nil
+	case types.JobUnknown:
+		if !c.jobs[id].Task.Idempotent {
+			return nil
+		}
+	default:
+	}
+	return errs.New(errs.Internal, "job %s ended as %s", id, states[0])
+}
+
+func TestRandomFailuresOfTwoDataCentres(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(setting(envSeed, defaultSeed))
+	parameters.MinSuccessfulTests = int(setting(envRuns, pairRuns))
+	properties := gopter.NewProperties(parameters)
+	properties.Property("a job is in one data centre and takes effect once, whatever fails", prop.ForAllNoShrink(
+		func(events []int) (bool, error) {
+			c := newPairChaos(t)
+			c.ticks(8)
+			for _, n := range events {
+				c.event(n)
+				c.ticks(1)
+			}
+			c.heal()
+			if err := c.verdict(); err != nil {
+				t.Log(c.log)
+				return false, err
+			}
+			return true, nil
+		},
+		gen.SliceOfN(sequenceLength, gen.IntRange(0, 100_000)),
+	))
+	properties.TestingRun(t)
+}
--- a/internal/sched/lead/submit.go
+++ b/internal/sched/lead/submit.go
@@ -76,6 +76,7 @@
 		record: commit.Record{Accept: &a},
 		done: func() {
 			if j, ok := l.image.Jobs[a.Job.ID]; ok && j.MovedTo == "" && j.Offer == nil {
+				delete(l.offers, a.Job.ID)
 				l.accepted(j)
 			}
 			answer <- nil
--- a/internal/sched/lead/summary.go
+++ b/internal/sched/lead/summary.go
@@ -36,6 +36,7 @@
 	summaries struct {
 		busy map[types.DataCentre]bool
 		next time.Time
+		turn int
 	}
 )
 
@@ -61,12 +62,13 @@
 	if l.cfg.Peers == nil || l.now().Before(l.summaries.next) {
 		return
 	}
+	l.summaries.turn++
 	l.summaries.next = l.now().Add(summaryPeriod)
 	if l.summaries.busy == nil {
 		l.summaries.busy = make(map[types.DataCentre]bool)
 	}
 	for _, site := range l.otherSites() {
-		if target, ok := l.entryOf(site); ok && !l.summaries.busy[site] {
+		if target, ok := l.entryOf(site, l.summaries.turn); ok && !l.summaries.busy[site] {
 			l.askSummary(site, target)
 		}
 	}
