--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -82,10 +82,11 @@
 		Status *types.JobStatus
 	}
 
-	// Leaving is a runner that was told to leave.
+	// Leaving is a runner that was told to leave. Until is when it was taken back, if it was.
 	Leaving struct {
 		Runner types.RunnerID
 		At     time.Time
+		Until  time.Time
 	}
 
 	// Shutdown is the graceful shutdown of one entry VM.
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -169,6 +169,9 @@
 	leaving := []Leaving{{Runner: "r", At: at(10)}}
 	runCases(t, []testCase{
 		{name: "within the grace", history: History{Leavings: leaving, Executions: []runner.Execution{execution("x", 13)}}},
+		{name: "after it was taken back", history: History{
+			Leavings: []Leaving{{Runner: "r", At: at(10), Until: at(14)}}, Executions: []runner.Execution{execution("x", 14)},
+		}},
 		{name: "after the grace", broken: NoNewWork, history: History{Leavings: leaving, Executions: []runner.Execution{execution("x", 13.01)}}},
 	})
 }
--- a/internal/sched/lead/lead.go
+++ b/internal/sched/lead/lead.go
@@ -309,7 +309,7 @@
 
 // depose gives up leading. Those who wait for a commit learn what is known of it.
 func (l *Lead) depose(cause string) {
-	l.writer.abandon(l.journal != nil && l.journal.Unsettled())
+	l.writer.abandon()
 	l.become(roleStandby, l.epoch, cause)
 }
 
--- a/internal/sched/lead/submit.go
+++ b/internal/sched/lead/submit.go
@@ -107,7 +107,7 @@
 	if l.role != roleLead {
 		return errs.After(errs.Unavailable, writeRetry, "this daemon does not lead %s; nothing was done", l.site())
 	}
-	if l.journal.Unsettled() || l.now().Before(l.writer.next) {
+	if l.writer.unsettled || l.now().Before(l.writer.next) {
 		return errs.After(errs.Unavailable, writeRetry, "the store does not answer; nothing was done")
 	}
 	return nil
--- a/internal/sched/lead/tick.go
+++ b/internal/sched/lead/tick.go
@@ -40,7 +40,7 @@
 	if d, _ := l.cfg.Document(); d == nil {
 		return
 	}
-	if l.journal.Unsettled() || now.Before(l.writer.next) {
+	if l.writer.unsettled || now.Before(l.writer.next) {
 		return
 	}
 	actions := l.cfg.Planner.Plan(l.state, now)
--- a/internal/sched/lead/writer.go
+++ b/internal/sched/lead/writer.go
@@ -38,6 +38,9 @@
 		at     time.Time
 		busy   bool
 		next   time.Time
+		// unsettled tells that the fate of the latest write is not known. It is kept here because the journal
+		// belongs to the launch while a write is under way.
+		unsettled bool
 	}
 )
 
@@ -59,9 +62,9 @@
 }
 
 // abandon answers all who wait when the lead loses its role.
-func (w *writer) abandon(unsettled bool) {
+func (w *writer) abandon() {
 	inFlight := errs.New(errs.Unavailable, "this daemon no longer leads; nothing was accepted")
-	if unsettled || w.busy {
+	if w.unsettled || w.busy {
 		inFlight = errs.New(errs.Unknown, "this daemon lost its role before the outcome was known")
 	}
 	fail(w.flight, inFlight)
@@ -85,7 +88,7 @@
 		return
 	}
 	switch {
-	case l.journal.Unsettled():
+	case l.writer.unsettled:
 		l.launchWrite(l.journal.Settle)
 	case l.journal.SnapshotDue():
 		l.writeSnapshot(now)
@@ -95,7 +98,8 @@
 		for _, i := range l.writer.flight {
 			records = append(records, i.record)
 		}
-		l.launchWrite(func(ctx context.Context) error { return l.journal.Append(ctx, now, records) })
+		j := l.journal
+		l.launchWrite(func(ctx context.Context) error { return j.Append(ctx, now, records) })
 	}
 }
 
@@ -118,12 +122,13 @@
 
 func (l *Lead) wrote(err error) {
 	l.writer.busy = false
+	l.writer.unsettled = l.journal.Unsettled()
 	switch {
 	case err == nil:
 		l.committed()
 	case errs.Is(err, errs.Fenced):
 		l.depose(err.Error())
-	case l.journal.Unsettled():
+	case l.writer.unsettled:
 		l.count("Unsettled")
 	default:
 		l.count("WritesFailed")
