Write the operators' pages; record why a job waits

Found while checking explain against the lead: the planner tells why a job waits, but the lead kept no record of it, so explain could not answer its first question; the lead now records it (bounded by the planner to a change of reason). Also: the range of TaskLease ends at 2m, as the lead takes no longer one; digests are written as the command line reads them.

--- a/internal/conf/edit/edit.go
+++ b/internal/conf/edit/edit.go
@@ -149,7 +149,7 @@
 	}
 	if source.Digest != expectFrom {
 		return Accepted{}, e.refuse(to, errs.New(errs.Conflict,
-			"%s now has revision %d with digest %016x, put by %s, not the digest %016x that was tried; "+
+			"%s now has revision %d with digest %d, put by %s, not the digest %d that was tried; "+
 				"try that revision, then promote it", from, source.Revision, source.Digest, source.By, expectFrom))
 	}
 	document, err := envdoc.Parse(source.Body)
--- a/internal/conf/edit/replace.go
+++ b/internal/conf/edit/replace.go
@@ -67,7 +67,7 @@
 }
 
 func (e *Editor) accepted(d draft, next Accepted) {
-	inputs := []audit.Input{{Name: "Digest", Value: fmt.Sprintf("%016x", uint64(next.Digest))}}
+	inputs := []audit.Input{{Name: "Digest", Value: fmt.Sprint(uint64(next.Digest))}}
 	cause := "the operator read revision " + fmt.Sprint(d.expect)
 	if d.from != "" {
 		cause = fmt.Sprintf("promoted from %s; %s", d.from, cause)
--- a/internal/conf/envdoc/check.go
+++ b/internal/conf/envdoc/check.go
@@ -13,7 +13,7 @@
 	maxHeadroom       = 500
 	maxQuarantined    = 500
 	minTaskLease      = 5 * time.Second
-	maxTaskLease      = 10 * time.Minute
+	maxTaskLease      = 2 * time.Minute
 	minGangTimeout    = time.Second
 	maxGangTimeout    = time.Hour
 	maxAttempts       = 100
--- a/internal/ops/report/report.go
+++ b/internal/ops/report/report.go
@@ -15,7 +15,7 @@
 const (
 	timeFormat = "2006-01-02 15:04:05"
 	// unknownStory is the summary when no record is found.
-	unknownStory = "nothing is known about it; records are kept for a day, see the reference of the audit"
+	unknownStory = "nothing is recorded about it; records are kept for a day, and an idempotent request that was answered leaves none"
 )
 
 type (
--- a/internal/ops/report/report_test.go
+++ b/internal/ops/report/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -71,7 +72,7 @@
 		{"Environment", "production", []audit.Record{
 			{At: noon, Actor: "amel", Verb: audit.VerbPromote, Subject: "production", Revision: 4, Cause: "promoted from trial"},
 		}, []string{"amel promoted a document to production: promoted from trial (document revision 4)"}},
-		{"Unknown", "nobody", nil, []string{"nothing is known"}},
+		{"Unknown", "nobody", nil, []string{"nothing is recorded"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -138,6 +139,19 @@
 	}
 }
 
+func TestEveryAlarmIsInTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []AlarmName{
+		AlarmNoLead, AlarmLeadUnreached, AlarmVMUnreached, AlarmOldRevision, AlarmUnconfirmed, AlarmNoDocument,
+		AlarmQuarantine, AlarmWorkersMissing, AlarmLongWait,
+	} {
+		assertHas(t, string(page), "`"+string(name)+"`")
+	}
+}
+
 func TestAlarms(t *testing.T) {
 	document := envdoc.Default()
 	cases := []struct {
--- a/internal/sched/lead/tick.go
+++ b/internal/sched/lead/tick.go
@@ -89,6 +89,9 @@
 		l.offerJob(a)
 	case plan.GiveUpAction:
 		l.giveUp(a)
+	case plan.WaitAction:
+		plan.Apply(l.state, a, l.now())
+		l.record(audit.VerbWait, string(a.Job), a.Reason)
 	default:
 		plan.Apply(l.state, a, l.now())
 	}
