--- a/internal/app/cmds/cmds.go
+++ b/internal/app/cmds/cmds.go
@@ -29,6 +29,7 @@
 			statusCommand(), explainCommand(), benchCommand(), versionCommand(),
 		},
 	}
+	setUsageErrors(root)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return 0
@@ -50,3 +51,13 @@
 		},
 	}
 }
+
+// setUsageErrors makes wrong flags of a command and all below it errors of kind Invalid.
+func setUsageErrors(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return errs.New(errs.Invalid, "%v", err)
+	}
+	for _, sub := range c.Commands {
+		setUsageErrors(sub)
+	}
+}
--- a/internal/app/cmds/cmds_test.go
+++ b/internal/app/cmds/cmds_test.go
@@ -60,6 +60,8 @@
 		{"LogLevel", []string{"serve", "--log-level", "loud"}, errs.ExitUsage, "--log-level"},
 		{"MissingFile", []string{"env", "check"}, errs.ExitUsage, "FILE"},
 		{"NoSuchFile", []string{"env", "check", "/nonexistent"}, errs.ExitUsage, "reading the document"},
+		{"FlagWithoutValue", []string{"env", "promote", "--expect-digest"}, errs.ExitUsage, "--expect-digest"},
+		{"UnknownFlag", []string{"status", "--nope"}, errs.ExitUsage, "nope"},
 		{"MissingID", []string{"explain"}, errs.ExitUsage, "ID"},
 		{"NoDaemon", []string{"status", "--entry", "http://127.0.0.1:1"}, errs.ExitRetry, "Unavailable"},
 		{"StandinWorkers", []string{"standin", "--workers", "0"}, errs.ExitUsage, "--workers"},
--- a/internal/app/config/config.go
+++ b/internal/app/config/config.go
@@ -51,7 +51,6 @@
 	minDrain  = time.Second
 	maxDrain  = 10 * time.Minute
 	maxPort   = 65535
-	minSecret = 16
 )
 
 // Settings are the settings of one daemon.
@@ -201,13 +200,14 @@
 	lists := []struct {
 		flag    string
 		secrets []guard.Secret
+		length  int
 	}{
-		{FlagCallerToken, s.CallerTokens},
-		{FlagOperToken, s.OperatorTokens},
-		{FlagPeerKey, s.PeerKeys},
+		{FlagCallerToken, s.CallerTokens, guard.MinTokenBytes},
+		{FlagOperToken, s.OperatorTokens, guard.MinTokenBytes},
+		{FlagPeerKey, s.PeerKeys, guard.MinKeyBytes},
 	}
 	for _, l := range lists {
-		if err := checkList(l.flag, l.secrets); err != nil {
+		if err := checkList(l.flag, l.secrets, l.length); err != nil {
 			return err
 		}
 	}
@@ -217,13 +217,13 @@
 	return nil
 }
 
-func checkList(flag string, secrets []guard.Secret) error {
-	allowed := "one or more of at least " + strconv.Itoa(minSecret) + " characters"
+func checkList(flag string, secrets []guard.Secret, length int) error {
+	allowed := "one or more of at least " + strconv.Itoa(length) + " bytes"
 	if len(secrets) == 0 {
 		return wrong(flag, "", allowed)
 	}
 	for _, secret := range secrets {
-		if len(secret.Reveal()) < minSecret {
+		if len(secret.Reveal()) < length {
 			return wrong(flag, secret.String(), allowed)
 		}
 	}
--- a/internal/app/config/config_test.go
+++ b/internal/app/config/config_test.go
@@ -17,7 +17,7 @@
 		StoreRegion: "tunis-north", VMListURL: "http://127.0.0.1:2", DrainTimeout: time.Second,
 		CallerTokens:   guard.ParseSecrets("caller-caller-caller"),
 		OperatorTokens: guard.ParseSecrets("operator-operator-operator"),
-		PeerKeys:       guard.ParseSecrets("peer-peer-peer-peer-peer"),
+		PeerKeys:       guard.ParseSecrets("peer-peer-peer-peer-peer-peer-peer-peer"),
 	}
 }
 
@@ -44,7 +44,7 @@
 		FlagNotice:      func(s *Settings) { s.DrainNotice = time.Hour },
 		FlagCallerToken: func(s *Settings) { s.CallerTokens = nil },
 		FlagOperToken:   func(s *Settings) { s.OperatorTokens = guard.ParseSecrets("short") },
-		FlagPeerKey:     func(s *Settings) { s.PeerKeys = guard.ParseSecrets("short") },
+		FlagPeerKey:     func(s *Settings) { s.PeerKeys = guard.ParseSecrets("peer-key-of-under-32-bytes") },
 		FlagCert:        func(s *Settings) { s.CertFile = "cert.pem" },
 	}
 	for flag, spoil := range cases {
--- a/internal/core/guard/guard.go
+++ b/internal/core/guard/guard.go
@@ -19,10 +19,12 @@
 	RoleOperator Role = "Operator"
 )
 
+// MinTokenBytes is the shortest token that is taken, in bytes.
+const MinTokenBytes = 16
+
 const (
-	headerToken   = "Authorization"
-	tokenPrefix   = "Bearer "
-	minTokenBytes = 16
+	headerToken = "Authorization"
+	tokenPrefix = "Bearer "
 )
 
 type (
@@ -109,8 +111,8 @@
 
 func (g *Guard) add(role Role, secrets []Secret) error {
 	for _, s := range secrets {
-		if len(s.Reveal()) < minTokenBytes {
-			return errs.New(errs.Invalid, "a token of role %s has under %d bytes", role, minTokenBytes)
+		if len(s.Reveal()) < MinTokenBytes {
+			return errs.New(errs.Invalid, "a token of role %s has under %d bytes", role, MinTokenBytes)
 		}
 		digest := sha256.Sum256([]byte(s.Reveal()))
 		if known := g.lookup(digest); known != "" && known != role {
--- a/internal/core/guard/tls.go
+++ b/internal/core/guard/tls.go
@@ -15,9 +15,11 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 )
 
+// MinKeyBytes is the shortest key of peer connections that is taken, in bytes.
+const MinKeyBytes = 32
+
 const (
-	minKeyBytes = 32
-	keyPurpose  = "magnoliawalk peer connection"
+	keyPurpose = "magnoliawalk peer connection"
 )
 
 // PeerTLS authenticates and encrypts connections between daemons. Both ends prove by TLS 1.3 that they hold a
@@ -88,8 +90,8 @@
 }
 
 func derive(key Secret) (ed25519.PrivateKey, error) {
-	if len(key.Reveal()) < minKeyBytes {
-		return nil, errs.New(errs.Invalid, "a key of peer connections has under %d bytes", minKeyBytes)
+	if len(key.Reveal()) < MinKeyBytes {
+		return nil, errs.New(errs.Invalid, "a key of peer connections has under %d bytes", MinKeyBytes)
 	}
 	seed, err := hkdf.Key(sha256.New, []byte(key.Reveal()), nil, keyPurpose, ed25519.SeedSize)
 	if err != nil {
