--- /dev/null
+++ b/internal/route/lend/bench_test.go
@@ -0,0 +1,30 @@
+package lend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+// BenchmarkChoose measures the choice of a runner and the return of its slot with 50 runners.
+func BenchmarkChoose(b *testing.B) {
+	w := newWorld()
+	o := w.holders[0]
+	now := w.clock.Now()
+	for _, up := range testUpstreams() {
+		for i := range 17 {
+			up := up
+			up.ID += types.RunnerID(rune('a' + i))
+			o.add(testDC, Grant{Upstream: up, Slots: testSlots, Connections: 64}, now)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s, ok := o.Acquire(testService, Far, "")
+		if !ok {
+			b.Fatal("no slot")
+		}
+		o.Release(s, Answered, time.Time{})
+	}
+}
--- a/internal/route/lend/lend.go
+++ b/internal/route/lend/lend.go
@@ -172,8 +172,8 @@
 		return errs.New(errs.TooLarge, "more than %d shares or %d wants", maxShares, maxWants)
 	}
 	for _, w := range a.Wants {
-		if w.Slots < 0 {
-			return errs.New(errs.Invalid, "Wants of %s must not be negative", w.Service)
+		if w.Slots < 0 || w.Slots > maxShares {
+			return errs.New(errs.Invalid, "Wants of %s must be within 0 and %d", w.Service, maxShares)
 		}
 	}
 	return checkShares(a.Shares)
@@ -189,8 +189,8 @@
 
 func checkShares(shares []Share) error {
 	for _, s := range shares {
-		if s.Runner == "" || s.Slots < 0 || s.Connections < 0 {
-			return errs.New(errs.Invalid, "share of runner %q must not be negative", s.Runner)
+		if s.Runner == "" || s.Slots < 0 || s.Connections < 0 || s.Slots > maxShares || s.Connections > maxShares {
+			return errs.New(errs.Invalid, "share of runner %q must be within 0 and %d", s.Runner, maxShares)
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/route/once/fuzz_test.go
@@ -0,0 +1,93 @@
+package once
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+)
+
+func newLead(tb testing.TB) *Table {
+	tb.Helper()
+	t := NewTable(TableConfig{
+		Self:  peer.Target{VM: "vm-1", Site: types.Site{Region: "tunis-north", DataCentre: "carthage"}},
+		Clock: clockwork.NewFakeClock(), Audit: audit.Discard{}, Log: zerolog.Nop(),
+		Copies: func() []peer.Target { return nil },
+		Policy: func() envdoc.RequestPolicy { return envdoc.Default().Requests },
+	})
+	t.Begin(context.Background(), 3)
+	return t
+}
+
+func FuzzMarkOf(f *testing.F) {
+	f.Add("carthage.3.0-abc-def")
+	f.Add("carthage.18446744073709551615.zzzzzzzzzzzzzzzzzzzz-a-b")
+	f.Add("a.0.---")
+	f.Fuzz(func(t *testing.T, text string) {
+		minted, err := types.ParseID(text)
+		if err != nil {
+			return
+		}
+		lead := newLead(t)
+		if _, open := lead.open(markOf(minted)); open {
+			t.Errorf("%q is open at a table that did not mint it", text)
+		}
+	})
+}
+
+func FuzzRegister(f *testing.F) {
+	f.Add([]byte(`{"ID":"carthage.3.0-abc-def","Content":1,"Token":[1,2,3]}`))
+	f.Add([]byte(`{"ID":"carthage.2.0-abc-def","Close":{"Kind":"Draining","Message":"x"}}`))
+	f.Add([]byte(`{"ID":"sousse.9.x","Wait":-1}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var args RegisterArgs
+		if json.Unmarshal(text, &args) != nil {
+			return
+		}
+		args.Wait = 0
+		reply, err := newLead(t).register(&args)
+		if err == nil && reply.Verdict == VerdictGo {
+			t.Errorf("%s was given out by a table that did not mint it", args.ID)
+		}
+	})
+}
+
+func FuzzSettle(f *testing.F) {
+	f.Add([]byte(`{"ID":"carthage.3.0-abc-def","Answer":{"ID":"carthage.3.0-abc-def","Outcome":"NotRun","Digest":17241709254077376921}}`))
+	f.Add([]byte(`{"ID":"carthage.1.x","Answer":{"ID":"carthage.1.x","Outcome":"Done","Length":5,"Digest":1,"Reason":{"Kind":"TooLarge"}}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var args SettleArgs
+		if json.Unmarshal(text, &args) != nil {
+			return
+		}
+		lead := newLead(t)
+		if lead.settle(&args) == nil && lead.count > 0 {
+			t.Errorf("%s got a record at a table that did not mint it", args.ID)
+		}
+	})
+}
+
+// BenchmarkRegister measures one id from its registration to its final answer at the home.
+func BenchmarkRegister(b *testing.B) {
+	lead := newLead(b)
+	lead.config.MaxIDs = 1 << 30
+	mark := lead.mark()
+	b.ReportAllocs()
+	for b.Loop() {
+		id := Mint("carthage", mark)
+		token := NewToken()
+		if _, err := lead.register(&RegisterArgs{ID: id, Content: 1, Token: token}); err != nil {
+			b.Fatal(err)
+		}
+		if err := lead.settle(&SettleArgs{ID: id, Content: 1, Token: token, Answer: *types.Whole(id, nil)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/route/trial/bench_test.go
+++ b/internal/route/trial/bench_test.go
@@ -58,3 +58,26 @@
 		t.Errorf("urgent p99 is %s at 150%% and %s at 50%%", high, low)
 	}
 }
+
+// BenchmarkRequest measures the whole path of an idempotent request on an entry, with a runner that answers at once.
+func BenchmarkRequest(b *testing.B) {
+	c := New(Config{Clock: clockwork.NewRealClock(), Entries: 3, Runners: 50, Slots: 8, Connections: 64})
+	c.Start(context.Background())
+	defer c.Stop()
+	time.Sleep(time.Second)
+	d := c.Daemons[0]
+	id, err := d.Entry.Mint()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		a := d.Entry.Do(context.Background(), &types.Request{
+			ID: id, Service: Service, Team: team(0), Class: types.ClassNormal, Idempotent: true,
+			Deadline: time.Now().Add(time.Second),
+		})
+		if a.Outcome != types.OutcomeDone {
+			b.Fatal(a.Reason)
+		}
+	}
+}
