Judge a VM gone only by readings of the list; split the membership package

Cause: a VM counted as off the list for as long as the list could not be read, so that in an outage of the platform a silent entry became gone for good after 30 s, and its slots were lent again while it may still have used them. Ways weighed: a longer limit, or counting only successful readings. The second was taken; the first only moves the moment. Conclusion: what can't be read judges nobody.

--- /dev/null
+++ b/internal/node/member/beat.go
@@ -0,0 +1,144 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+)
+
+// near returns the entries of the own data centre, and the seeds while no other entry is known.
+func (m *Member) near() []peer.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []peer.Target
+	for _, e := range m.entries {
+		same := e.Target.Site.DataCentre == m.config.Self.Site.DataCentre
+		if same && e.Target.VM != m.config.Self.VM && e.State != Gone {
+			out = append(out, e.Target)
+		}
+	}
+	if len(m.entries) == 1 {
+		for _, address := range m.config.Seeds {
+			out = append(out, peer.Target{Address: address, Site: m.config.Self.Site})
+		}
+	}
+	return out
+}
+
+// far returns one entry of each other data centre: its lead when that is live, else any that is not gone.
+func (m *Member) far() []peer.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	candidates := make(map[types.DataCentre][]peer.Target)
+	for _, e := range m.entries {
+		site := e.Target.Site.DataCentre
+		if site != m.config.Self.Site.DataCentre && e.State != Gone {
+			candidates[site] = append(candidates[site], e.Target)
+		}
+	}
+	var out []peer.Target
+	for site, targets := range candidates {
+		l, known := m.leads[site]
+		e, listed := m.entries[l.Target.VM]
+		if known && listed && e.State == Live {
+			out = append(out, l.Target)
+			continue
+		}
+		out = append(out, targets[rand.IntN(len(targets))])
+	}
+	return out
+}
+
+func (m *Member) beatAll(ctx context.Context, wg *sync.WaitGroup, targets []peer.Target) {
+	for _, to := range targets {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			m.beat(ctx, to)
+		}()
+	}
+}
+
+func (m *Member) beat(ctx context.Context, to peer.Target) {
+	limited, cancel := clockwork.WithTimeout(ctx, m.config.Clock, m.config.BeatEvery)
+	defer cancel()
+	args, reply := m.message(to.VM), Beat{}
+	if err := m.config.Peers.Call(limited, to, methodBeat, &args, &reply); err != nil {
+		m.count("BeatFailures")
+		return
+	}
+	m.receive(reply)
+}
+
+// message returns the heartbeat for an entry; it names the leads only to those who know others.
+func (m *Member) message(to types.VMID) Beat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := Beat{From: m.config.Self, Draining: m.draining, Known: digestOf(m.leads)}
+	if e, ok := m.entries[to]; ok && e.known == out.Known {
+		return out
+	}
+	for site, l := range m.leads {
+		out.Leads = append(out.Leads, LeadOf{DataCentre: site, Lead: l})
+	}
+	return out
+}
+
+func (m *Member) receive(b Beat) {
+	if b.Check() != nil || b.From.VM == m.config.Self.VM {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.entry(b.From)
+	e.Heard = m.config.Clock.Now()
+	e.known = b.Known
+	switch {
+	case b.Draining:
+		m.change(e, Draining, "it says that it is leaving")
+	case e.State != Live:
+		m.change(e, Live, "it sent a heartbeat")
+	}
+	leads := make(map[types.DataCentre]Lead, len(b.Leads))
+	for _, l := range b.Leads {
+		leads[l.DataCentre] = l.Lead
+	}
+	m.merge(leads)
+}
+
+// digestOf adds up a hash of each lead, so that the order does not matter.
+func digestOf(leads map[types.DataCentre]Lead) Digest {
+	var sum Digest
+	for site, l := range leads {
+		sum += Digest(xxhash.Sum64String(fmt.Sprintf("%s/%s/%d", site, l.Target.VM, l.Epoch)))
+	}
+	return sum
+}
+
+func (m *Member) merge(leads map[types.DataCentre]Lead) {
+	for site, l := range leads {
+		known := m.leads[site]
+		if l.Epoch <= known.Epoch {
+			continue
+		}
+		m.leads[site] = l
+		m.config.Log.Info().Str("DataCentre", string(site)).Str("VM", string(l.Target.VM)).
+			Uint64("Epoch", uint64(l.Epoch)).Msg("lead changed")
+	}
+}
+
+// Check returns an error when a field of the heartbeat is missing.
+func (b *Beat) Check() error {
+	if b.From.VM == "" || b.From.Address == "" || b.From.Site.DataCentre == "" {
+		return errs.New(errs.Invalid, "heartbeat must name its sender's VM, address and data centre")
+	}
+	return nil
+}
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -7,18 +7,13 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
-	"sort"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
-	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/vmlist"
@@ -101,9 +96,11 @@
 		entries  map[types.VMID]*Entry
 		leads    map[types.DataCentre]Lead
 		draining bool
-		lastBeat time.Time
-		lastFar  time.Time
-		lastList time.Time
+		// listedUntil is when the platform's list was last read.
+		listedUntil time.Time
+		lastBeat    time.Time
+		lastFar     time.Time
+		lastList    time.Time
 	}
 )
 
@@ -167,84 +164,6 @@
 	m.judge()
 }
 
-// Entries returns the live entries of all data centres, this one included, in order of id.
-func (m *Member) Entries() []peer.Target {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []peer.Target
-	for _, e := range m.entries {
-		if e.State == Live {
-			out = append(out, e.Target)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
-	return out
-}
-
-// Known returns every entry that is not gone for good, live or not, in order of id.
-func (m *Member) Known() []peer.Target {
-	var out []peer.Target
-	for _, e := range m.All() {
-		if e.State != Gone {
-			out = append(out, e.Target)
-		}
-	}
-	return out
-}
-
-// Site returns the live entries of the own data centre but this one.
-func (m *Member) Site() []peer.Target {
-	var out []peer.Target
-	for _, target := range m.Entries() {
-		if target.Site.DataCentre == m.config.Self.Site.DataCentre && target.VM != m.config.Self.VM {
-			out = append(out, target)
-		}
-	}
-	return out
-}
-
-// All returns every known entry in order of id.
-func (m *Member) All() []Entry {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make([]Entry, 0, len(m.entries))
-	for _, e := range m.entries {
-		out = append(out, *e)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Target.VM < out[j].Target.VM })
-	return out
-}
-
-// GoneForGood tells whether a VM was silent and off the platform's list for so long that it holds nothing.
-func (m *Member) GoneForGood(vm types.VMID) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	e, ok := m.entries[vm]
-	if ok {
-		return e.State == Gone
-	}
-	return m.config.Clock.Since(m.started) > m.config.GoneAfter
-}
-
-// Leader returns the lead of a data centre with the highest epoch heard of.
-func (m *Member) Leader(site types.DataCentre) (peer.Target, types.Epoch, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	l, ok := m.leads[site]
-	return l.Target, l.Epoch, ok
-}
-
-// Leaders returns the lead of each data centre.
-func (m *Member) Leaders() map[types.DataCentre]Lead {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make(map[types.DataCentre]Lead, len(m.leads))
-	for site, l := range m.leads {
-		out[site] = l
-	}
-	return out
-}
-
 // SetLeading records that this VM leads its data centre under the epoch.
 func (m *Member) SetLeading(epoch types.Epoch) {
 	m.mu.Lock()
@@ -284,6 +203,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.config.Clock.Now()
+	m.listedUntil = now
 	for _, vm := range snapshot.VMs {
 		if vm.Role != types.RoleEntry || vm.ID == m.config.Self.VM {
 			continue
@@ -296,157 +216,6 @@
 	}
 }
 
-// near returns the entries of the own data centre, and the seeds while no other entry is known.
-func (m *Member) near() []peer.Target {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []peer.Target
-	for _, e := range m.entries {
-		same := e.Target.Site.DataCentre == m.config.Self.Site.DataCentre
-		if same && e.Target.VM != m.config.Self.VM && e.State != Gone {
-			out = append(out, e.Target)
-		}
-	}
-	if len(m.entries) == 1 {
-		for _, address := range m.config.Seeds {
-			out = append(out, peer.Target{Address: address, Site: m.config.Self.Site})
-		}
-	}
-	return out
-}
-
-// far returns one entry of each other data centre: its lead when that is live, else any that is not gone.
-func (m *Member) far() []peer.Target {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	candidates := make(map[types.DataCentre][]peer.Target)
-	for _, e := range m.entries {
-		site := e.Target.Site.DataCentre
-		if site != m.config.Self.Site.DataCentre && e.State != Gone {
-			candidates[site] = append(candidates[site], e.Target)
-		}
-	}
-	var out []peer.Target
-	for site, targets := range candidates {
-		l, known := m.leads[site]
-		e, listed := m.entries[l.Target.VM]
-		if known && listed && e.State == Live {
-			out = append(out, l.Target)
-			continue
-		}
-		out = append(out, targets[rand.IntN(len(targets))])
-	}
-	return out
-}
-
-func (m *Member) beatAll(ctx context.Context, wg *sync.WaitGroup, targets []peer.Target) {
-	for _, to := range targets {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			m.beat(ctx, to)
-		}()
-	}
-}
-
-func (m *Member) beat(ctx context.Context, to peer.Target) {
-	limited, cancel := clockwork.WithTimeout(ctx, m.config.Clock, m.config.BeatEvery)
-	defer cancel()
-	args, reply := m.message(to.VM), Beat{}
-	if err := m.config.Peers.Call(limited, to, methodBeat, &args, &reply); err != nil {
-		m.count("BeatFailures")
-		return
-	}
-	m.receive(reply)
-}
-
-// message returns the heartbeat for an entry; it names the leads only to those who know others.
-func (m *Member) message(to types.VMID) Beat {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := Beat{From: m.config.Self, Draining: m.draining, Known: digestOf(m.leads)}
-	if e, ok := m.entries[to]; ok && e.known == out.Known {
-		return out
-	}
-	for site, l := range m.leads {
-		out.Leads = append(out.Leads, LeadOf{DataCentre: site, Lead: l})
-	}
-	return out
-}
-
-func (m *Member) receive(b Beat) {
-	if b.Check() != nil || b.From.VM == m.config.Self.VM {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	e := m.entry(b.From)
-	e.Heard = m.config.Clock.Now()
-	e.known = b.Known
-	switch {
-	case b.Draining:
-		m.change(e, Draining, "it says that it is leaving")
-	case e.State != Live:
-		m.change(e, Live, "it sent a heartbeat")
-	}
-	leads := make(map[types.DataCentre]Lead, len(b.Leads))
-	for _, l := range b.Leads {
-		leads[l.DataCentre] = l.Lead
-	}
-	m.merge(leads)
-}
-
-// digestOf adds up a hash of each lead, so that the order does not matter.
-func digestOf(leads map[types.DataCentre]Lead) Digest {
-	var sum Digest
-	for site, l := range leads {
-		sum += Digest(xxhash.Sum64String(fmt.Sprintf("%s/%s/%d", site, l.Target.VM, l.Epoch)))
-	}
-	return sum
-}
-
-func (m *Member) merge(leads map[types.DataCentre]Lead) {
-	for site, l := range leads {
-		known := m.leads[site]
-		if l.Epoch <= known.Epoch {
-			continue
-		}
-		m.leads[site] = l
-		m.config.Log.Info().Str("DataCentre", string(site)).Str("VM", string(l.Target.VM)).
-			Uint64("Epoch", uint64(l.Epoch)).Msg("lead changed")
-	}
-}
-
-// judge moves silent entries to Suspect and, once they are off the list too, to Gone.
-func (m *Member) judge() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.config.Clock.Now()
-	for _, e := range m.entries {
-		if e.Target.VM == m.config.Self.VM {
-			continue
-		}
-		silent := now.Sub(e.Heard)
-		unlisted := now.Sub(e.Listed)
-		limit := m.config.SuspectAfter
-		if e.Target.Site.DataCentre != m.config.Self.Site.DataCentre {
-			limit = m.farLimit()
-		}
-		if e.State != Gone && silent > m.config.GoneAfter && unlisted > m.config.GoneAfter {
-			m.change(e, Gone, "silent and off the platform's list")
-			continue
-		}
-		if e.State == Live && silent > limit {
-			m.change(e, Suspect, "no heartbeat")
-		}
-	}
-}
-
-// farLimit allows for entries of other data centres that are not greeted in each round.
-func (m *Member) farLimit() time.Duration {
-	return m.config.GoneAfter
-}
-
 func (m *Member) entry(target peer.Target) *Entry {
 	e, ok := m.entries[target.VM]
 	if !ok {
@@ -471,11 +240,3 @@
 func (m *Member) count(name string) {
 	metrics.GetOrRegisterCounter(serviceName+"."+name, m.config.Metrics).Inc(1)
 }
-
-// Check returns an error when a field of the heartbeat is missing.
-func (b *Beat) Check() error {
-	if b.From.VM == "" || b.From.Address == "" || b.From.Site.DataCentre == "" {
-		return errs.New(errs.Invalid, "heartbeat must name its sender's VM, address and data centre")
-	}
-	return nil
-}
--- a/internal/node/member/member_test.go
+++ b/internal/node/member/member_test.go
@@ -167,3 +167,15 @@
 	f.run(2 * time.Second)
 	f.wantLead("a2", "a", "a1", 4)
 }
+
+func TestNobodyIsGoneWhileTheListCannotBeRead(t *testing.T) {
+	f := newFixture(t, three())
+	f.run(3 * time.Second)
+	f.list.Faults.SetDown(true)
+	f.network.SetDown("a2", true)
+	f.run(5*time.Minute, "a2")
+	f.wantState("a1", "a2", Suspect)
+	if f.members["a1"].GoneForGood("a2") || f.members["a1"].GoneForGood("never-heard-of") {
+		t.Fatal("a VM was judged gone although the list could not be read")
+	}
+}
