--- a/internal/node/daemon/build.go
+++ b/internal/node/daemon/build.go
@@ -85,8 +85,9 @@
 	var err error
 	d.lead, err = lead.New(lead.Config{
 		Self: d.self, Clock: d.config.Clock, Store: d.platform.store, Workers: d.platform.workers,
-		VMs: d.platform.vms, Planner: plan.New(plan.Config{}), Audit: d.audit, Peers: d.remote,
-		Log: d.log, Metrics: d.metrics, Document: d.spread.Current, Entries: d.members.Entries,
+		VMs: d.platform.vms, Audit: d.audit, Peers: d.remote,
+		Planner: plan.New(plan.Config{Document: d.spread.Current, KeepServices: true}),
+		Log:     d.log, Metrics: d.metrics, Document: d.spread.Current, Entries: d.members.Entries,
 	})
 	if err != nil {
 		return err
--- a/internal/sched/lead/tick.go
+++ b/internal/sched/lead/tick.go
@@ -90,13 +90,22 @@
 	case plan.GiveUpAction:
 		l.giveUp(a)
 	case plan.WaitAction:
-		plan.Apply(l.state, a, l.now())
-		l.record(audit.VerbWait, string(a.Job), a.Reason)
+		l.note(a, a.Job, a.Reason)
+	case plan.ReserveAction:
+		l.note(a, a.Job, a.Reason)
+	case plan.UnreserveAction:
+		l.note(a, a.Job, a.Reason)
 	default:
 		plan.Apply(l.state, a, l.now())
 	}
 }
 
+// note applies an action that concerns the tables alone, and records why its job waits.
+func (l *Lead) note(a plan.Action, job types.JobID, reason string) {
+	plan.Apply(l.state, a, l.now())
+	l.record(audit.VerbWait, string(job), reason)
+}
+
 // allowed checks a start against the tables once more, whatever the planner says.
 func (l *Lead) allowed(s plan.StartAction) bool {
 	t, ok := l.state.Tasks[s.Task]
@@ -113,12 +122,17 @@
 	return t.State == table.TaskWaiting && !t.Job.Cancelled && !blocked && l.offers[t.Job.Spec.ID] == nil
 }
 
-// preempt stops a task to make room, unless stopping it would lose work that must not run again.
+// preempt stops a task to make room, unless stopping it would lose work that must not run again. A
+// service's runner drains first.
 func (l *Lead) preempt(a plan.PreemptAction) {
 	t, ok := l.state.Tasks[a.Task]
 	if !ok || t.State != table.TaskRunning {
 		return
 	}
+	if t.Job.Spec.Service != nil {
+		l.leave(t)
+		return
+	}
 	spec := &t.Job.Spec.Task
 	checkpoint := a.Checkpoint && spec.CanCheckpoint
 	if !checkpoint && !spec.Idempotent {
--- a/internal/sched/plan/health.go
+++ b/internal/sched/plan/health.go
@@ -38,7 +38,10 @@
 			t.treat(w)
 		}
 	}
-	limit := max(1, len(t.rooms.list)*t.policy.MaxQuarantined/perMille)
+	limit := 0
+	if t.policy.MaxQuarantined > 0 {
+		limit = max(1, len(t.rooms.list)*t.policy.MaxQuarantined/perMille)
+	}
 	var fleet map[table.Kind]tally
 	for _, w := range t.tables.Ordered() {
 		if out >= limit || w.Health != table.WorkerLive || !t.isSuspect(w) {
--- a/internal/sched/plan/roll.go
+++ b/internal/sched/plan/roll.go
@@ -16,6 +16,9 @@
 // rollOut stops tasks of replaced revisions. A service never has fewer running tasks than its floor; as
 // long as there is room for the new tasks beside the old ones, it keeps its full count.
 func rollOut(t *tick) {
+	if t.keepServices {
+		return
+	}
 	for _, newer := range sortedRolls(t.tables) {
 		older, ok := t.tables.Jobs[newer.Supersedes]
 		if !ok || older.Counts.Waiting+older.Counts.Occupying() == 0 || newer.Cancelled || newer.Spec.Service == nil {
@@ -117,6 +120,9 @@
 	c := k.Job.Counts
 	switch w := k.Job.Spec.Workload().(type) {
 	case types.Service:
+		if t.keepServices {
+			return false
+		}
 		isFirst := t.firstRunning(k.Job, table.WorkerLeaving) == k
 		return isFirst && c.Stopping+c.Waiting+c.Intended == 0 && c.Running > w.Floor
 	case types.Batch:
--- a/internal/sched/plan/roll_test.go
+++ b/internal/sched/plan/roll_test.go
@@ -149,3 +149,22 @@
 	assertCount[plan.PreemptAction](t, b.tick(), 0)
 	assertRunning(t, service, 3)
 }
+
+func TestServicesAreLeftToTheCaller(t *testing.T) {
+	b := newBed(t, noHeadroom)
+	b.workers(4, 8)
+	b.planner = plan.New(plan.Config{Policy: noHeadroom, KeepServices: true})
+	older := b.add(b.service(4, 1))
+	b.tick()
+	spec := b.service(4, 1)
+	spec.Revision = 2
+	newer := b.add(spec)
+	b.tables.Supersede(older, newer)
+	b.worker(0).Health = table.WorkerLeaving
+	for range 30 {
+		assertCount[plan.PreemptAction](t, b.tick(), 0)
+		b.pass(time.Second)
+	}
+	assertRunning(t, older, 4)
+	assertRunning(t, newer, 4)
+}
--- a/internal/sched/plan/systems.go
+++ b/internal/sched/plan/systems.go
@@ -12,14 +12,19 @@
 type (
 	// Config holds what a planner is made of.
 	Config struct {
-		// Policy is the placement policy in force; zero fields take their defaults.
+		// Policy is the placement policy; the zero value stands for the defaults.
 		Policy envdoc.PlacementPolicy
+		// Document, when set, returns the document in force, whose policy is taken in each tick. It may be nil.
+		Document func() (*envdoc.Document, types.Revision)
+		// KeepServices leaves roll-outs and the draining of services to the caller, which knows the runners
+		// that still serve requests.
+		KeepServices bool
 	}
 
 	// Systems is the planner of the lead. Each tick it runs its systems in a fixed order over the
 	// tables; it keeps nothing between ticks but the counter of its work.
 	Systems struct {
-		policy   envdoc.PlacementPolicy
+		config   Config
 		examined uint64
 		scratch  scratch
 	}
@@ -37,26 +42,34 @@
 
 // New returns the planner of the lead.
 func New(c Config) *Systems {
+	return &Systems{config: c}
+}
+
+// policy returns the policy in force with its gaps filled.
+func (p *Systems) policy() envdoc.PlacementPolicy {
 	d := envdoc.Default().Placement
-	p := c.Policy
-	if p.GangTimeout <= 0 {
-		p.GangTimeout = d.GangTimeout
+	policy := p.config.Policy
+	if p.config.Document != nil {
+		if document, _ := p.config.Document(); document != nil {
+			policy = document.Placement
+		}
 	}
-	if p.MaxAttempts <= 0 {
-		p.MaxAttempts = d.MaxAttempts
+	if policy == (envdoc.PlacementPolicy{}) {
+		return d
 	}
-	if p.MaxQuarantined <= 0 {
-		p.MaxQuarantined = d.MaxQuarantined
+	if policy.GangTimeout <= 0 {
+		policy.GangTimeout = d.GangTimeout
 	}
-	if p.UrgentHeadroom <= 0 {
-		p.UrgentHeadroom = d.UrgentHeadroom
+	if policy.MaxAttempts <= 0 {
+		policy.MaxAttempts = d.MaxAttempts
 	}
-	return &Systems{policy: p}
+	return policy
 }
 
 // Plan runs the systems once.
 func (p *Systems) Plan(s *table.State, now time.Time) []Action {
-	t := newTick(p.policy, s, now, &p.scratch)
+	t := newTick(p.policy(), s, now, &p.scratch)
+	t.keepServices = p.config.KeepServices
 	for _, run := range p.order() {
 		run(t)
 	}
@@ -120,8 +133,10 @@
 	// stopping is what stops under way and planned ones give back to work that is not urgent.
 	stopping types.Resources
 	searches int
-	wishes   []*entry
-	out      []Action
+	// keepServices tells that services are stopped by the caller alone.
+	keepServices bool
+	wishes       []*entry
+	out          []Action
 }
 
 func newTick(policy envdoc.PlacementPolicy, s *table.State, now time.Time, m *scratch) *tick {
