Tell the story of a whole job shortly and truly

Cause: explain, tried against the dev cell, said of a job that was done that it waits for its start, and printed four lines for each task. The summary now goes by the job's own last record, changes of state included; records of a task's state that only repeat its start or end are left out, and like records of several tasks in a row are folded into one line that lists them as JSON.

--- a/internal/conf/edit/replace.go
+++ b/internal/conf/edit/replace.go
@@ -120,7 +120,7 @@
 	}
 	return errs.New(errs.Conflict, "%s is at revision %d, put by %s at %s, not at the expected %d. "+
 		"Your document was not taken and is unchanged on your side. The other change:\n%s"+
-		"Get revision %d, make your change there, and put it with that revision",
+		"Get revision %d with env show, make your change there, and put it with that revision",
 		d.env, now.Revision, now.By, now.At.Format("15:04:05"), d.expect, e.difference(ctx, d, now), now.Revision)
 }
 
--- a/internal/ops/report/report.go
+++ b/internal/ops/report/report.go
@@ -4,12 +4,14 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+	"github.com/magnoliawalk/magnoliawalk/internal/sched/table"
 )
 
 const (
@@ -29,12 +31,14 @@
 		Missing []string `json:"Missing,omitempty"`
 	}
 
-	// Event is one record in plain words. Count is above 1 when the same thing was recorded several times in a row.
+	// Event is one record in plain words, or several alike in a row.
 	Event struct {
 		At    time.Time `json:"At"`
+		Until time.Time `json:"Until"`
 		Text  string    `json:"Text"`
 		Count int       `json:"Count"`
-		Until time.Time `json:"Until"`
+		// Subjects lists what the records are about, each once.
+		Subjects []string `json:"Subjects"`
 		// Record is the first of the records.
 		Record audit.Record `json:"Record"`
 	}
@@ -43,24 +47,68 @@
 // Explain tells the story of a subject from its records, which are in order of time.
 func Explain(records []audit.Record, subject string) Story {
 	story := Story{Subject: subject, Summary: unknownStory}
+	var shown types.Revision
 	for _, r := range records {
-		story.add(r)
+		if repeats(r) {
+			continue
+		}
+		story.add(r, shown)
+		shown = r.Revision
 	}
-	if last := len(story.Events) - 1; last >= 0 {
+	if len(records) > 0 {
 		story.Summary = summary(records, subject)
 	}
 	return story
 }
 
-// add appends a record, or counts it with the event before when that says the same.
-func (s *Story) add(r audit.Record) {
-	text := sentence(r)
-	if last := len(s.Events) - 1; last >= 0 && s.Events[last].Text == text && s.Events[last].Record.VM == r.VM {
-		s.Events[last].Count++
-		s.Events[last].Until = r.At
+// repeats tells whether a change of a task's state only repeats the record of its start or end.
+func repeats(r audit.Record) bool {
+	if r.Verb != audit.VerbTransition || !strings.Contains(r.Subject, "/") {
+		return false
+	}
+	switch table.TaskState(input(r, "To")) {
+	case table.TaskIntended, table.TaskRunning, table.TaskDone:
+		return true
+	default:
+		return false
+	}
+}
+
+// add appends a record, or counts it with the event before when that is alike.
+func (s *Story) add(r audit.Record, shown types.Revision) {
+	if last := len(s.Events) - 1; last >= 0 && s.alike(s.Events[last].Record, r) {
+		s.Events[last].fold(r)
 		return
 	}
-	s.Events = append(s.Events, Event{At: r.At, Until: r.At, Text: text, Count: 1, Record: r})
+	text := sentence(r, s.Subject)
+	if r.Revision > 0 && r.Revision != shown {
+		text += fmt.Sprintf(" (document revision %d)", r.Revision)
+	}
+	s.Events = append(s.Events, Event{
+		At: r.At, Until: r.At, Text: text, Count: 1, Subjects: []string{r.Subject}, Record: r,
+	})
+}
+
+// alike tells whether two records say the same of one subject, or of two parts of the story's subject.
+func (s *Story) alike(a, b audit.Record) bool {
+	if a.Verb != b.Verb || a.VM != b.VM {
+		return false
+	}
+	if a.Subject == b.Subject {
+		return a.Cause == b.Cause && a.Revision == b.Revision
+	}
+	first, _, _ := strings.Cut(a.Cause, ":")
+	second, _, _ := strings.Cut(b.Cause, ":")
+	part := strings.HasPrefix(a.Subject, s.Subject) && strings.HasPrefix(b.Subject, s.Subject)
+	return part && a.Subject != s.Subject && b.Subject != s.Subject && (first == second || a.Verb == audit.VerbStart)
+}
+
+func (e *Event) fold(r audit.Record) {
+	e.Count++
+	e.Until = r.At
+	if !slices.Contains(e.Subjects, r.Subject) {
+		e.Subjects = append(e.Subjects, r.Subject)
+	}
 }
 
 // WriteText writes the story for a terminal.
@@ -70,7 +118,7 @@
 	for _, e := range s.Events {
 		fmt.Fprintf(&b, "  %s  %s", e.At.Format(timeFormat), e.Text)
 		if e.Count > 1 {
-			fmt.Fprintf(&b, " (%d times until %s)", e.Count, e.Until.Format(timeFormat))
+			fmt.Fprintf(&b, " (%s until %s)", e.repeated(), e.Until.Format(timeFormat))
 		}
 		fmt.Fprintf(&b, "  [%s, %s]\n", e.Record.VM, e.Record.Site)
 	}
@@ -83,159 +131,25 @@
 	return nil
 }
 
-// summary tells how the subject stands after its records. Records of the subject itself and its parts count
-// before those that only mention it.
-func summary(records []audit.Record, subject string) string {
-	for i := len(records) - 1; i >= 0; i-- {
-		if records[i].Subject == subject && decisive(records[i].Verb) {
-			return standing(records[i])
-		}
-	}
-	for i := len(records) - 1; i >= 0; i-- {
-		if decisive(records[i].Verb) {
-			return standing(records[i])
-		}
+// repeated tells how often the event was recorded, or of how many subjects.
+func (e *Event) repeated() string {
+	if len(e.Subjects) > 1 {
+		return fmt.Sprintf("and %d more like it", e.Count-1)
 	}
-	return "last: " + sentence(records[len(records)-1])
+	return fmt.Sprintf("%d times", e.Count)
 }
 
-// decisive tells whether a record alone tells how its subject stands.
-func decisive(v audit.Verb) bool {
-	return v != audit.VerbTransition && v != audit.VerbThrottle
-}
-
-// standing tells how a subject stands after its last record.
-func standing(r audit.Record) string {
-	because := reason(r)
-	switch r.Verb {
-	case audit.VerbWait:
-		return "it waits" + because
-	case audit.VerbRefuse:
-		return "it was refused" + because
-	case audit.VerbAccept:
-		return "it was accepted and waits for its start" + because
-	case audit.VerbIntend:
-		return "its start is committed and not yet confirmed" + because
-	case audit.VerbStart:
-		return "it runs" + at(r) + because
-	case audit.VerbEnd:
-		return "it has ended" + because
-	case audit.VerbStop:
-		return "it was stopped" + because
-	case audit.VerbPreempt:
-		return "it was stopped to make room and will run again" + because
-	case audit.VerbCancel:
-		return "it was cancelled" + because
-	case audit.VerbHandOver:
-		return "it was moved to another data centre" + because
-	case audit.VerbQuarantine:
-		return "it is in quarantine and gets no tasks" + because
-	case audit.VerbRelease:
-		return "it gets tasks again" + because
-	case audit.VerbDispatch:
-		return "it was sent to a runner and no answer is recorded yet" + because
-	case audit.VerbAnswer:
-		return "it was answered" + because
-	default:
-		return "last: " + sentence(r)
-	}
-}
-
-// sentence tells one record in plain words.
-func sentence(r audit.Record) string {
-	text := phrase(r.Verb) + " " + r.Subject
-	if r.Verb == audit.VerbPut || r.Verb == audit.VerbPromote {
-		text = r.Actor + " " + text
-	}
-	text += at(r) + reason(r)
-	if r.Revision > 0 {
-		text += fmt.Sprintf(" (document revision %d)", r.Revision)
-	}
-	if facts := inputs(r); facts != "" {
-		text += " [" + facts + "]"
-	}
-	return text
-}
-
-func phrase(v audit.Verb) string {
-	switch v {
-	case audit.VerbAccept:
-		return "accepted"
-	case audit.VerbRefuse:
-		return "refused"
-	case audit.VerbIntend:
-		return "committed the start of"
-	case audit.VerbStart:
-		return "started"
-	case audit.VerbEnd:
-		return "ended"
-	case audit.VerbStop:
-		return "stopped"
-	case audit.VerbPreempt:
-		return "stopped, to make room,"
-	case audit.VerbThrottle:
-		return "throttled"
-	case audit.VerbWait:
-		return "could not yet start"
-	case audit.VerbCancel:
-		return "cancelled"
-	case audit.VerbHandOver:
-		return "moved to another data centre"
-	case audit.VerbQuarantine:
-		return "put into quarantine"
-	case audit.VerbRelease:
-		return "released from quarantine"
-	case audit.VerbClaim:
-		return "took the lead of"
-	case audit.VerbStepDown:
-		return "gave up the lead of"
-	case audit.VerbPut:
-		return "put a new document into"
-	case audit.VerbPromote:
-		return "promoted a document to"
-	case audit.VerbInForce:
-		return "put in force the document of"
-	case audit.VerbDispatch:
-		return "sent to a runner"
-	case audit.VerbAnswer:
-		return "answered"
-	default:
-		return strings.ToLower(string(v))
-	}
-}
-
-func reason(r audit.Record) string {
-	if r.Cause == "" {
-		return ""
-	}
-	return ": " + r.Cause
-}
-
-// at names the worker or runner of a record, when it has one.
-func at(r audit.Record) string {
-	for _, input := range r.Inputs {
-		if input.Name == "Worker" || input.Name == "Runner" {
-			return " on " + input.Value
-		}
-	}
-	return ""
-}
-
-func inputs(r audit.Record) string {
-	parts := make([]string, 0, len(r.Inputs))
-	for _, input := range r.Inputs {
-		if input.Name != "Worker" && input.Name != "Runner" {
-			parts = append(parts, input.Name+" "+input.Value)
+// summary tells how the subject stands after its records. Records of the subject itself count before those of
+// its parts and those that only mention it.
+func summary(records []audit.Record, subject string) string {
+	edited := slices.ContainsFunc(records, func(r audit.Record) bool {
+		return r.Subject == subject && r.Verb == audit.VerbInForce
+	})
+	for _, r := range slices.Backward(records) {
+		refusedEdit := edited && r.Verb == audit.VerbRefuse
+		if r.Subject == subject && r.Verb != audit.VerbThrottle && !refusedEdit {
+			return standing(r)
 		}
 	}
-	return strings.Join(parts, ", ")
-}
-
-// Classes lists waiting work by class, the most urgent first.
-func Classes(waiting map[types.Class]int) string {
-	parts := make([]string, 0, len(waiting))
-	for _, class := range types.Classes() {
-		parts = append(parts, fmt.Sprintf("%s %d", class, waiting[class]))
-	}
-	return strings.Join(parts, ", ")
+	return "last: " + sentence(records[len(records)-1], subject)
 }
--- /dev/null
+++ b/internal/ops/report/words.go
@@ -0,0 +1,184 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+)
+
+// standing tells how a subject stands after its last record.
+func standing(r audit.Record) string {
+	because := reason(r)
+	switch r.Verb {
+	case audit.VerbWait:
+		return "it waits" + because
+	case audit.VerbRefuse:
+		return "it was refused" + because
+	case audit.VerbAccept:
+		return "it was accepted and waits for its start" + because
+	case audit.VerbIntend:
+		return "its start is committed and not yet confirmed" + because
+	case audit.VerbStart:
+		return "it runs" + at(r) + because
+	case audit.VerbEnd:
+		return "it has ended" + because
+	case audit.VerbStop:
+		return "it was stopped" + because
+	case audit.VerbPreempt:
+		return "it was stopped to make room and will run again" + because
+	case audit.VerbCancel:
+		return "it was cancelled" + because
+	case audit.VerbHandOver:
+		return "it was moved to another data centre" + because
+	case audit.VerbQuarantine:
+		return "it is in quarantine and gets no tasks" + because
+	case audit.VerbRelease:
+		return "it gets tasks again" + because
+	case audit.VerbDispatch:
+		return "it was sent to a runner and no answer is recorded yet" + because
+	case audit.VerbAnswer:
+		return "it was answered" + because
+	case audit.VerbTransition:
+		return "it is " + input(r, "To") + because
+	case audit.VerbInForce:
+		return fmt.Sprintf("revision %d is in force", r.Revision)
+	case audit.VerbPut, audit.VerbPromote:
+		return fmt.Sprintf("revision %d is accepted", r.Revision)
+	case audit.VerbClaim:
+		return "its lead is " + string(r.VM) + because
+	default:
+		return "last: " + sentence(r, r.Subject)
+	}
+}
+
+// sentence tells one record in plain words within the story of a subject.
+func sentence(r audit.Record, subject string) string {
+	if r.Verb == audit.VerbTransition {
+		return fmt.Sprintf("%s went from %s to %s%s", named(r.Subject, subject), input(r, "From"), input(r, "To"), reason(r))
+	}
+	text := phrase(r.Verb) + " " + named(r.Subject, subject)
+	if r.Verb == audit.VerbPut || r.Verb == audit.VerbPromote {
+		text = r.Actor + " " + text
+	}
+	text += at(r) + reason(r)
+	if facts := inputs(r); facts != "" {
+		text += " [" + facts + "]"
+	}
+	return text
+}
+
+// named shortens the id of a part of the story's subject.
+func named(id, subject string) string {
+	tail, part := strings.CutPrefix(id, subject)
+	if !part || tail == "" {
+		return id
+	}
+	task, attempt, _ := strings.Cut(strings.TrimPrefix(tail, "/"), "#")
+	switch {
+	case tail[0] == '/' && attempt == "":
+		return "task " + task
+	case tail[0] == '/':
+		return "task " + task + ", attempt " + attempt
+	case tail[0] == '#':
+		return "attempt " + attempt
+	default:
+		return id
+	}
+}
+
+func phrase(v audit.Verb) string {
+	switch v {
+	case audit.VerbAccept:
+		return "accepted"
+	case audit.VerbRefuse:
+		return "refused"
+	case audit.VerbIntend:
+		return "committed the start of"
+	case audit.VerbStart:
+		return "started"
+	case audit.VerbEnd:
+		return "ended"
+	case audit.VerbStop:
+		return "stopped"
+	case audit.VerbPreempt:
+		return "stopped, to make room,"
+	case audit.VerbThrottle:
+		return "throttled"
+	case audit.VerbWait:
+		return "could not yet start"
+	case audit.VerbCancel:
+		return "cancelled"
+	case audit.VerbHandOver:
+		return "moved to another data centre"
+	case audit.VerbQuarantine:
+		return "put into quarantine"
+	case audit.VerbRelease:
+		return "released from quarantine"
+	case audit.VerbClaim:
+		return "took the lead of"
+	case audit.VerbStepDown:
+		return "gave up the lead of"
+	case audit.VerbPut:
+		return "put a new document into"
+	case audit.VerbPromote:
+		return "promoted a document to"
+	case audit.VerbInForce:
+		return "put in force the document of"
+	case audit.VerbDispatch:
+		return "sent to a runner"
+	case audit.VerbAnswer:
+		return "answered"
+	default:
+		return strings.ToLower(string(v))
+	}
+}
+
+func reason(r audit.Record) string {
+	cause := strings.TrimRight(r.Cause, ": ")
+	if cause == "" {
+		return ""
+	}
+	return ": " + cause
+}
+
+// input returns the value of an input of the record, or nothing.
+func input(r audit.Record, name string) string {
+	for _, i := range r.Inputs {
+		if i.Name == name {
+			return i.Value
+		}
+	}
+	return ""
+}
+
+// at names the worker or runner of a record, when it has one.
+func at(r audit.Record) string {
+	if worker := input(r, "Worker"); worker != "" {
+		return " on " + worker
+	}
+	if runner := input(r, "Runner"); runner != "" {
+		return " on " + runner
+	}
+	return ""
+}
+
+func inputs(r audit.Record) string {
+	parts := make([]string, 0, len(r.Inputs))
+	for _, i := range r.Inputs {
+		if i.Name != "Worker" && i.Name != "Runner" {
+			parts = append(parts, i.Name+" "+i.Value)
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Classes lists waiting work by class, the most urgent first.
+func Classes(waiting map[types.Class]int) string {
+	parts := make([]string, 0, len(waiting))
+	for _, class := range types.Classes() {
+		parts = append(parts, fmt.Sprintf("%s %d", class, waiting[class]))
+	}
+	return strings.Join(parts, ", ")
+}
