Run real daemons under failures from a seed, and close connections while draining

internal/proof/fleet starts six daemons of three data centres in two regions on loopback (HTTP, net/rpc over TLS) against the stand-ins, and for 5 s kills and shuts down leads and entries, stops, slows and cuts off the store, loses its answers, parts regions and data centres, restarts, cuts off and drains workers, while callers send requests, submit and cancel jobs and two operators race to change the document. Then all failures end, accepted work must end and the newest document be in force everywhere within a minute, and the eight promises are checked from the platform's own records.

While draining, each answer now closes its connection, so that none is idle when the server closes; the runs give callers a notice of 500 ms, as the balancer does (local.ClusterConfig.Notice; the default of the settings is 2 s). Pausing a process is not among the failures: daemons in one process can't stand still one by one; the lead's own tests do that.

--- a/internal/app/cmds/bench.go
+++ b/internal/app/cmds/bench.go
@@ -6,7 +6,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/urfave/cli/v3"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/proof/fitter"
+	"github.com/magnoliawalk/magnoliawalk/internal/proof/fleet"
 	requests "github.com/magnoliawalk/magnoliawalk/internal/route/trial"
 	placement "github.com/magnoliawalk/magnoliawalk/internal/sched/trial"
 )
@@ -14,6 +16,7 @@
 const (
 	flagSeed = "seed"
 	flagPage = "page"
+	flagSpan = "length"
 
 	defaultSeed = 1
 )
@@ -22,7 +25,7 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure the scheduler against baselines and the target",
-		Commands: []*cli.Command{benchPlacement(), benchRequests(), benchCapacity()},
+		Commands: []*cli.Command{benchPlacement(), benchRequests(), benchCapacity(), benchFaults()},
 	}
 }
 
@@ -83,3 +86,25 @@
 		},
 	}
 }
+
+func benchFaults() *cli.Command {
+	return &cli.Command{
+		Name:  "faults",
+		Usage: "bring about failures from a seed over real daemons in this process, and check the promises",
+		Flags: []cli.Flag{
+			seedFlag(),
+			&cli.DurationFlag{Name: flagSpan, Value: fleet.DefaultLength, Usage: "how long failures are brought about"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			report, err := fleet.Run(ctx, fleet.Config{Seed: c.Uint64(flagSeed), Length: c.Duration(flagSpan)})
+			if err != nil {
+				return err
+			}
+			report.Print(c.Root().Writer)
+			if report.Failed() {
+				return errs.New(errs.Internal, "seed %d broke a promise or did not settle", report.Seed)
+			}
+			return nil
+		},
+	}
+}
--- a/internal/app/local/cluster.go
+++ b/internal/app/local/cluster.go
@@ -35,6 +35,8 @@
 		Layout Layout
 		// Drain is the drain timeout of each daemon.
 		Drain time.Duration
+		// Notice is how long a draining daemon goes on serving, so that callers see it leave.
+		Notice time.Duration
 		// CallersAddress is where the first entry takes callers; the others take free ports.
 		CallersAddress types.Address
 	}
@@ -209,7 +211,7 @@
 		VM: id, Site: site, Environment: config.DefaultEnvironment,
 		CallersAddress: callers, PeersAddress: loopback,
 		StoreURL: c.Platform.StoreURL, StoreRegion: c.config.Layout.StoreRegion, VMListURL: c.Platform.ListURL,
-		DrainTimeout: c.config.Drain,
+		DrainTimeout: c.config.Drain, DrainNotice: c.config.Notice,
 		CallerTokens: []guard.Secret{c.CallerToken}, OperatorTokens: []guard.Secret{c.OperatorToken},
 		PeerKeys: []guard.Secret{c.peerKey},
 	}
--- /dev/null
+++ b/internal/proof/fleet/front.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rest"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+const answerLimit = 16 << 20
+
+type (
+	// front is the HTTP interface of one daemon as callers use it, without retries.
+	front struct {
+		http  *http.Client
+		base  string
+		token string
+	}
+
+	minted struct {
+		ID types.RequestID `json:"ID"`
+	}
+)
+
+// mint returns a new id.
+func (f *front) mint(ctx context.Context) (types.RequestID, error) {
+	var out minted
+	err := f.call(ctx, http.MethodPost, "/v1/ids", nil, &out)
+	return out.ID, err
+}
+
+// do sends a request. Answers of every outcome are returned as such.
+func (f *front) do(ctx context.Context, r types.Request) (*types.Answer, error) {
+	status, body, err := f.exchange(ctx, http.MethodPost, "/v1/requests", r)
+	if err != nil {
+		return nil, err
+	}
+	var out types.Answer
+	if err := json.Unmarshal(body, &out); err != nil {
+		return nil, errs.New(errs.Lost, "decoding the answer: %v", err)
+	}
+	if out.Outcome == "" {
+		return nil, rest.DecodeError(status, body)
+	}
+	return &out, nil
+}
+
+func (f *front) submit(ctx context.Context, j types.Job) (types.JobStatus, error) {
+	var out types.JobStatus
+	err := f.call(ctx, http.MethodPut, "/v1/jobs/"+string(j.ID), j, &out)
+	return out, err
+}
+
+func (f *front) cancel(ctx context.Context, id types.JobID) (types.JobStatus, error) {
+	var out types.JobStatus
+	err := f.call(ctx, http.MethodDelete, "/v1/jobs/"+string(id), nil, &out)
+	return out, err
+}
+
+func (f *front) status(ctx context.Context, id types.JobID) (types.JobStatus, error) {
+	var out types.JobStatus
+	err := f.call(ctx, http.MethodGet, "/v1/jobs/"+string(id), nil, &out)
+	return out, err
+}
+
+func (f *front) call(ctx context.Context, method, path string, in, out any) error {
+	status, body, err := f.exchange(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return rest.DecodeError(status, body)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return errs.New(errs.Lost, "decoding the answer: %v", err)
+	}
+	return nil
+}
+
+// exchange sends one call. An error of kind Unavailable means that it was not sent.
+func (f *front) exchange(ctx context.Context, method, path string, in any) (int, []byte, error) {
+	var sent io.Reader
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return 0, nil, errs.New(errs.Internal, "encoding the call: %v", err)
+		}
+		sent = bytes.NewReader(encoded)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, f.base+path, sent)
+	if err != nil {
+		return 0, nil, errs.New(errs.Internal, "making the call: %v", err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+f.token)
+	res, err := f.http.Do(r)
+	if err != nil {
+		return 0, nil, unsent(err)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, answerLimit))
+	// A body that was read has nothing left to fail.
+	_ = res.Body.Close()
+	if err != nil {
+		return 0, nil, errs.New(errs.Lost, "reading the answer: %v", err)
+	}
+	return res.StatusCode, body, nil
+}
+
+func unsent(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errs.New(errs.Unavailable, "connecting: %v", err)
+	}
+	return errs.New(errs.Lost, "sending: %v", err)
+}
--- /dev/null
+++ b/internal/proof/fleet/operator.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
+)
+
+const (
+	environment  envdoc.Name = "production"
+	changeEvery              = 700 * time.Millisecond
+	firstQueue               = 1000
+	runnersASite             = 2
+)
+
+// firstDocument has the first document accepted.
+func (f *fleet) firstDocument(ctx context.Context) error {
+	record, err := f.editor("operator").Put(ctx, environment, 0, document(0))
+	if err != nil {
+		return err
+	}
+	f.book.acceptance(record.Revision, f.world.clock.Now())
+	return nil
+}
+
+// operate has two operators change the document in turn, at times both on the same revision.
+func (f *fleet) operate(ctx context.Context) {
+	editors := []*edit.Editor{f.editor("first"), f.editor("second")}
+	for change := 1; f.sleep(ctx, changeEvery); change++ {
+		e := editors[change%len(editors)]
+		found, err := e.Get(ctx, environment)
+		if err != nil {
+			continue
+		}
+		f.put(ctx, e, found.Revision, change)
+		if change%3 == 0 {
+			f.put(ctx, editors[(change+1)%len(editors)], found.Revision, change+firstQueue)
+		}
+	}
+}
+
+func (f *fleet) put(ctx context.Context, e *edit.Editor, expect types.Revision, change int) {
+	record, err := e.Put(ctx, environment, expect, document(change))
+	if err != nil {
+		return
+	}
+	f.book.acceptance(record.Revision, f.world.clock.Now())
+	f.trace.add("revision %d accepted", record.Revision)
+}
+
+func (f *fleet) editor(name string) *edit.Editor {
+	return edit.New(edit.Config{
+		Store: f.world.Platform.Store.As(sites[0].DataCentre, meter.Discard()), Clock: f.world.clock, Audit: audit.Discard{}, By: name,
+		InForce: func(envdoc.Name) *edit.Accepted { return nil },
+	})
+}
+
+// document returns a document; each change has another limit of the queue.
+func document(change int) []byte {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	line("DataCentres:")
+	for _, s := range sites {
+		line("  - Name: %s", s.DataCentre)
+		line("    Region: %s", s.Region)
+		line("    Workers:")
+		line("      - {Count: %d, Capacity: {Cores: 4, Memory: 8GiB, Accelerators: 1}}", workersPerSite)
+	}
+	line("Teams:")
+	line("  - Name: %s", team)
+	line("    Quota: {Cores: 100, Memory: 100GiB, Accelerators: 10}")
+	line("    MaxClass: Urgent")
+	line("Services:")
+	line("  - Name: %s", service)
+	line("    Team: %s", team)
+	line("    Class: Urgent")
+	line("    Slots: 8")
+	line("    Connections: 64")
+	line("    Sites:")
+	for _, s := range sites {
+		line("      - {DataCentre: %s, Count: %d, Floor: 1}", s.DataCentre, runnersASite)
+	}
+	line("    Task:")
+	line("      Resources: {Cores: 0.5, Memory: 512MiB}")
+	line("      Idempotent: true")
+	line("Placement:")
+	line("  TaskLease: 5s")
+	line("Requests:")
+	line("  Queue: %d", firstQueue+change)
+	return []byte(b.String())
+}
--- a/internal/serve/httpd/httpd.go
+++ b/internal/serve/httpd/httpd.go
@@ -73,7 +73,7 @@
 func New(c Config) *Server {
 	s := &Server{config: c}
 	s.http = &http.Server{
-		Handler:           s.routes(),
+		Handler:           s.retire(s.routes()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
@@ -92,7 +92,8 @@
 	return s.http.Serve(limited)
 }
 
-// SetDraining makes /health answer that no new work should come here.
+// SetDraining makes /health answer that no new work should come here, and has each connection closed after its
+// next answer: a request that is sent on an idle connection while Shutdown closes it would be cut off.
 func (s *Server) SetDraining() {
 	s.draining.Store(true)
 }
@@ -108,6 +109,16 @@
 	_ = s.http.Close()
 }
 
+// retire has connections closed after their answer while the daemon drains.
+func (s *Server) retire(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) routes() http.Handler {
 	mux := flow.New()
 	mux.HandleFunc("/health", s.health, http.MethodGet)
