Let a lead that stops wait until its successor has read its table of ids

Cause: in the wired daemon the former lead's process ended right after it gave up the claim, and the new lead asked only live entries, which leaves out one that drains. So a planned change of the lead lost the table, and unused ids became Unknown. Ways weighed: pushing the table before the claim is released (the successor is not known yet); waiting, at most 5 s, until a later lead has read it (taken; not at all when no other entry of the data centre lives).

This touches the wiring in internal/node/daemon, which belongs to the lead developer: one field of the table's configuration, one function, and the wait at the end of drain. Tested on the virtual clock in internal/route/trial; the daemon's own path was not run here.

--- a/internal/node/daemon/build.go
+++ b/internal/node/daemon/build.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/spread"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/guard"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
@@ -33,6 +34,8 @@
 	// maxIdlePerHost keeps a connection for each slot of a runner.
 	maxIdlePerHost = 16
 	watchEvery     = 100 * time.Millisecond
+	// yieldWait is how long a lead that stops waits for the next one to read its table of ids.
+	yieldWait = 5 * time.Second
 )
 
 // newPlatform returns the clients of the platform over HTTP.
@@ -109,7 +112,7 @@
 	})
 	d.table = once.NewTable(once.TableConfig{
 		Self: d.self, Clock: d.config.Clock, Peers: d.remote, Audit: d.audit, Log: d.log, Metrics: d.metrics,
-		Copies: d.members.Site, Policy: d.requestPolicy,
+		Copies: d.members.Site, Former: d.formerLeads, Policy: d.requestPolicy,
 	})
 	d.once = once.NewClient(once.ClientConfig{
 		Self: d.self, Clock: d.config.Clock, Peers: d.remote, Metrics: d.metrics, Table: d.table,
@@ -126,6 +129,17 @@
 	return d.server.Register(once.ServiceName, once.NewService(d.table))
 }
 
+// formerLeads returns the entries of this data centre that may have led it, those that drain too.
+func (d *Daemon) formerLeads() []peer.Target {
+	var out []peer.Target
+	for _, target := range d.members.Known() {
+		if target.Site.DataCentre == d.self.Site.DataCentre {
+			out = append(out, target)
+		}
+	}
+	return out
+}
+
 func (d *Daemon) lenders() map[types.DataCentre]lend.Lead {
 	out := make(map[types.DataCentre]lend.Lead)
 	for site, l := range d.members.Leaders() {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -194,6 +194,9 @@
 	d.config.Clock.Sleep(d.config.Settings.DrainNotice)
 	var failures []error
 	failures = append(failures, d.entry.Drain(ctx), d.http.Shutdown(ctx), d.lead.StepDown(ctx))
+	if len(d.members.Site()) > 0 && !d.table.AwaitYield(ctx, yieldWait) {
+		d.log.Warn().Msg("no later lead read the table of ids")
+	}
 	d.audit.Flush(ctx)
 	if err := errors.Join(failures...); err != nil {
 		d.log.Error().Err(err).Msg("drained in part")
--- a/internal/route/once/copies.go
+++ b/internal/route/once/copies.go
@@ -57,13 +57,14 @@
 	limited, cancel := clockwork.WithTimeout(ctx, t.config.Clock, copyTimeout)
 	defer cancel()
 	var w sync.WaitGroup
-	for _, from := range t.config.Copies() {
-		if from.VM != t.config.Self.VM {
-			w.Go(func() {
-				t.adoptFrom(limited, from, epoch)
-				t.collectFrom(limited, from)
-			})
+	for _, from := range t.config.Former() {
+		if from.VM == t.config.Self.VM {
+			continue
 		}
+		w.Go(func() {
+			t.adoptFrom(limited, from, epoch)
+			t.collectFrom(limited, from)
+		})
 	}
 	w.Wait()
 }
--- a/internal/route/once/table.go
+++ b/internal/route/once/table.go
@@ -36,6 +36,9 @@
 		Metrics metrics.Registry
 		// Copies returns the other entries of this data centre, which keep copies of final answers.
 		Copies func() []peer.Target
+		// Former returns the entries of this data centre that may have been its lead before, those that drain too; nil
+		// means Copies.
+		Former func() []peer.Target
 		// Policy returns the document's policy of requests.
 		Policy func() envdoc.RequestPolicy
 		// MaxIDs bounds the ids that are kept; zero means DefaultMaxIDs.
@@ -66,6 +69,8 @@
 		frozenAt  time.Time
 		yieldedTo claimant
 		moving    []Moved
+		// moved is closed once a later lead has read all ledgers; it is nil before this daemon first led.
+		moved chan struct{}
 	}
 )
 
@@ -80,6 +85,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
+	if c.Former == nil {
+		c.Former = c.Copies
+	}
 	t := &Table{config: c, kept: newArchive(c.MaxIDs, c.MaxBytes)}
 	t.dropLedgers()
 	return t
@@ -100,6 +108,7 @@
 		return
 	}
 	t.own = newLedger(epoch)
+	t.moved = make(chan struct{})
 	t.ledgers[t.own.id] = t.own
 	t.turned = t.config.Clock.Now()
 	t.active, t.starting = true, false
--- a/internal/route/once/yield.go
+++ b/internal/route/once/yield.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -70,7 +71,32 @@
 	if t.yieldedTo != to {
 		return nil, errs.New(errs.Conflict, "the ledgers went to %s under epoch %d", t.yieldedTo.lead, t.yieldedTo.epoch)
 	}
-	return t.page(args.From), nil
+	reply := t.page(args.From)
+	if !reply.More && t.moved != nil {
+		close(t.moved)
+		t.moved = nil
+	}
+	return reply, nil
+}
+
+// AwaitYield waits until a later lead has read the ledgers of this daemon, at most for the time. It returns at once when
+// there are none to hand over. A process that ends calls it after it gave up the claim.
+func (t *Table) AwaitYield(ctx context.Context, most time.Duration) bool {
+	t.mu.Lock()
+	moved := t.moved
+	t.mu.Unlock()
+	if moved == nil {
+		return true
+	}
+	timer := t.config.Clock.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-moved:
+		return true
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+	return false
 }
 
 // freeze ends this daemon's time as lead. Nothing is given out from its ledgers any more.
--- a/internal/route/trial/ledger_test.go
+++ b/internal/route/trial/ledger_test.go
@@ -27,6 +27,26 @@
 	})
 }
 
+func TestLeadThatStopsWaitsForItsSuccessor(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := cell(t, nil)
+		if c.Daemons[0].Table.AwaitYield(context.Background(), time.Second) {
+			t.Error("nobody read the ledgers")
+		}
+		c.Daemons[0].Table.End()
+		go func() {
+			time.Sleep(time.Second)
+			c.Lead(context.Background(), c.Daemons[3], "carthage", 2)
+		}()
+		if !c.Daemons[0].Table.AwaitYield(context.Background(), 5*time.Second) {
+			t.Error("the successor did not read the ledgers")
+		}
+		if !c.Daemons[6].Table.AwaitYield(context.Background(), time.Hour) {
+			t.Error("an entry that never led waited")
+		}
+	})
+}
+
 func TestLostLeadKeepsAnswersAndRunsNoOldID(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		c := cell(t, nil)
