Replace runners that leave while they drain; rank each daemon among its peers

Cause: a service on a leaving worker lost those runners for the length of the drain, and only then were others started. Runners that leave no longer count towards the service's tasks, so replacements start at once; what left ends for good when its count is full.

A daemon that the list of live entries does not name yet took itself for the first in rank, as every such daemon did; it now takes its own place among those named.

--- a/internal/sched/lead/async_test.go
+++ b/internal/sched/lead/async_test.go
@@ -127,3 +127,21 @@
 		t.Fatal(err)
 	}
 }
+
+func TestSubmissionsAreTakenWhileAWriteIsUnderWay(t *testing.T) {
+	r := newRig(t, 1)
+	m := r.addLead(testSite, "e1")
+	async(m)
+	r.pace("a lead", m.leads)
+	r.store.Faults.SetDelay(time.Second)
+	r.submit(m, r.job("first", nil))
+	r.step(m)
+	second := r.submit(m, r.job("second", nil))
+	r.pace("the second acceptance", func() bool {
+		known, err := second()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return known
+	})
+}
--- a/internal/sched/lead/services.go
+++ b/internal/sched/lead/services.go
@@ -102,7 +102,7 @@
 		l.addService(v, commit.Accept{Job: serviceJob(types.JobID(id.String()), w)})
 		return
 	}
-	live := alive(j)
+	live := l.alive(j)
 	if missing := w.site.Count - len(live); missing > 0 {
 		l.addService(v, commit.Accept{Job: serviceJob(j.Spec.ID, w), Tasks: len(j.Tasks) + missing})
 		return
@@ -137,7 +137,7 @@
 		}
 		old := l.state.Jobs[id]
 		fresh, w, replaced := l.successor(v, current)
-		for _, t := range alive(old) {
+		for _, t := range l.alive(old) {
 			if !replaced || t.State == table.TaskWaiting {
 				l.retire(t)
 			}
@@ -187,7 +187,7 @@
 func (l *Lead) serving(j *table.Job) []*table.Task {
 	var out []*table.Task
 	for _, t := range j.Tasks {
-		if t.State == table.TaskRunning && l.attempt(t.ID).leaving.IsZero() {
+		if t.State == table.TaskRunning && !l.isLeaving(t) {
 			out = append(out, t)
 		}
 	}
@@ -205,13 +205,20 @@
 	}
 }
 
+// isLeaving tells whether the task's runner takes no new requests.
+func (l *Lead) isLeaving(t *table.Task) bool {
+	a, ok := l.attempts[t.ID]
+	return ok && !a.leaving.IsZero()
+}
+
 func (l *Lead) leave(t *table.Task) {
 	if a := l.attempt(t.ID); a.leaving.IsZero() {
 		a.leaving = l.now()
 	}
 }
 
-// evacuate has services and work that can be continued elsewhere leave the workers that are leaving.
+// evacuate has runners, which are replaced while they drain, and work that can be continued elsewhere leave the
+// workers that are leaving.
 func (l *Lead) evacuate() {
 	for _, n := range l.sorted() {
 		if n.vm.State != types.VMLeaving {
@@ -254,14 +261,15 @@
 		return false
 	}
 	w, listed := l.services.wanted[v]
-	return !listed || len(alive(t.Job)) > w.site.Count
+	spare := len(l.alive(t.Job)) - w.site.Count
+	return !listed || spare > 0 || (spare == 0 && l.isLeaving(t))
 }
 
-// alive returns the tasks of a job that have not ended, in order.
-func alive(j *table.Job) []*table.Task {
+// alive returns the tasks of a job that have not ended and are not leaving, in order.
+func (l *Lead) alive(j *table.Job) []*table.Task {
 	var out []*table.Task
 	for _, t := range j.Tasks {
-		if !t.State.Ended() {
+		if !t.State.Ended() && !l.isLeaving(t) {
 			out = append(out, t)
 		}
 	}
--- a/internal/sched/lead/services_test.go
+++ b/internal/sched/lead/services_test.go
@@ -150,3 +150,25 @@
 	r.until(10*time.Second, "an interim lead", func() bool { return len(r.inRole(roleInterim)) == 1 })
 	r.until(2*time.Second, "its upstreams", func() bool { return len(r.inRole(roleInterim)[0].Upstreams()) == 4 })
 }
+
+// TestReplacementsRunWhileTheOldDrain has a worker leave and wants the count back before its runners end.
+func TestReplacementsRunWhileTheOldDrain(t *testing.T) {
+	r := serviceRig(t, 3)
+	r.desk(4, 2, "v1")
+	r.wantOpen(4)
+	leaving := r.lead().Upstreams()[0].VM
+	vm := r.vms[leaving]
+	vm.State = types.VMLeaving
+	r.list.Set(vm)
+	before := len(r.workers[leaving].Record())
+	r.until(5*time.Second, "the worker's runners to be marked", func() bool { return r.open() < 4 })
+	r.until(5*time.Second, "replacements", func() bool { return r.open() == 4 })
+	for _, run := range r.workers[leaving].Record()[:before] {
+		if !run.End.IsZero() {
+			t.Fatalf("%s ended before its replacement ran", run.Attempt)
+		}
+	}
+	r.until(time.Minute, "the worker to be empty", func() bool { return len(r.lead().state.Workers[leaving].Attempts) == 0 })
+	r.run(5 * time.Second)
+	r.wantOpen(4)
+}
--- a/internal/sched/lead/standby.go
+++ b/internal/sched/lead/standby.go
@@ -124,11 +124,11 @@
 	return 0
 }
 
-// peers returns the live entry daemons of this data centre in order of rank.
+// peers returns the live entry daemons of this data centre, this one included, in order of rank.
 func (l *Lead) peers() []types.VMID {
-	var out []types.VMID
+	out := []types.VMID{l.cfg.Self.VM}
 	for _, e := range l.cfg.Entries() {
-		if e.Site.DataCentre == l.site() && e.VM != l.silent() {
+		if e.Site.DataCentre == l.site() && e.VM != l.silent() && e.VM != l.cfg.Self.VM {
 			out = append(out, e.VM)
 		}
 	}
