--- a/internal/conf/spread/spread_test.go
+++ b/internal/conf/spread/spread_test.go
@@ -78,6 +78,10 @@
 		if perSecond := float64(calls) / hours / 3600; perSecond > 20 {
 			t.Errorf("%.1f store calls a second is over 1%% of the store's reads", perSecond)
 		}
+		const budget = 14 << 10
+		if perDaemon := float64(bytes) / hours / 3600 / 24; perDaemon > budget {
+			t.Errorf("%.0f bytes a second are over the control budget of a daemon", perDaemon)
+		}
 	})
 }
 
--- a/internal/ops/report/words.go
+++ b/internal/ops/report/words.go
@@ -8,6 +8,30 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
 )
 
+// phrases tell what was done; the subject follows.
+var phrases = map[audit.Verb]string{
+	audit.VerbAccept:     "accepted",
+	audit.VerbRefuse:     "refused",
+	audit.VerbIntend:     "committed the start of",
+	audit.VerbStart:      "started",
+	audit.VerbEnd:        "ended",
+	audit.VerbStop:       "stopped",
+	audit.VerbPreempt:    "stopped, to make room,",
+	audit.VerbThrottle:   "throttled",
+	audit.VerbWait:       "could not yet start",
+	audit.VerbCancel:     "cancelled",
+	audit.VerbHandOver:   "moved to another data centre",
+	audit.VerbQuarantine: "put into quarantine",
+	audit.VerbRelease:    "released from quarantine",
+	audit.VerbClaim:      "took the lead of",
+	audit.VerbStepDown:   "gave up the lead of",
+	audit.VerbPut:        "put a new document into",
+	audit.VerbPromote:    "promoted a document to",
+	audit.VerbInForce:    "put in force the document of",
+	audit.VerbDispatch:   "sent to a runner",
+	audit.VerbAnswer:     "answered",
+}
+
 // standing tells how a subject stands after its last record.
 func standing(r audit.Record) string {
 	because := reason(r)
@@ -89,50 +113,10 @@
 }
 
 func phrase(v audit.Verb) string {
-	switch v {
-	case audit.VerbAccept:
-		return "accepted"
-	case audit.VerbRefuse:
-		return "refused"
-	case audit.VerbIntend:
-		return "committed the start of"
-	case audit.VerbStart:
-		return "started"
-	case audit.VerbEnd:
-		return "ended"
-	case audit.VerbStop:
-		return "stopped"
-	case audit.VerbPreempt:
-		return "stopped, to make room,"
-	case audit.VerbThrottle:
-		return "throttled"
-	case audit.VerbWait:
-		return "could not yet start"
-	case audit.VerbCancel:
-		return "cancelled"
-	case audit.VerbHandOver:
-		return "moved to another data centre"
-	case audit.VerbQuarantine:
-		return "put into quarantine"
-	case audit.VerbRelease:
-		return "released from quarantine"
-	case audit.VerbClaim:
-		return "took the lead of"
-	case audit.VerbStepDown:
-		return "gave up the lead of"
-	case audit.VerbPut:
-		return "put a new document into"
-	case audit.VerbPromote:
-		return "promoted a document to"
-	case audit.VerbInForce:
-		return "put in force the document of"
-	case audit.VerbDispatch:
-		return "sent to a runner"
-	case audit.VerbAnswer:
-		return "answered"
-	default:
-		return strings.ToLower(string(v))
+	if text, known := phrases[v]; known {
+		return text
 	}
+	return strings.ToLower(string(v))
 }
 
 func reason(r audit.Record) string {
