Run the long comparisons of placement without the race detector

Ways weighed: shorter arrivals, or no race detector for this package. The second was taken; the bounds need the target's arrivals, and the planner's own package stays under the detector.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 LINT := $(BIN)/golangci-lint
 PACKAGES := ./...
 
-.PHONY: all build dev check fmt format lint vet test fuzz bounds bench clean
+# Comparisons over long arrivals on one goroutine; the race detector has nothing to find there.
+BOUNDS := ./internal/sched/trial
+
+.PHONY: all build dev check fmt format lint vet test bounds clean
 
 all: build
 
@@ -30,9 +33,12 @@
 	go vet $(PACKAGES)
 
 test:
-	go test -race -count=1 -timeout 8m $(PACKAGES)
+	go test -race -count=1 -timeout 9m $$(go list $(PACKAGES) | grep -v internal/sched/trial)
+
+bounds:
+	go test -count=1 -timeout 5m $(BOUNDS)
 
-check: fmt vet lint build test
+check: fmt vet lint build bounds test
 
 clean:
 	rm -rf $(BIN)
