--- a/internal/proof/fitter/page.go
+++ b/internal/proof/fitter/page.go
@@ -92,7 +92,7 @@
 	}
 	lines = append(lines, "", totalHead, totalRule)
 	for _, t := range Totals(results) {
-		lines = append(lines, fmt.Sprintf("| %s | %s | "+significant+" | "+significant+" | %s |", t.Of, t.Budget, t.Sum, t.Limit, yesNo(t.Fits())))
+		lines = append(lines, totalRow(t))
 	}
 	lines = append(lines, "", "What does not fit yet, and what would bring it within the limit:", "")
 	lines = append(lines, missing(results)...)
@@ -138,6 +138,14 @@
 	return out
 }
 
+// totalRow does not call a sum of nothing one that fits.
+func totalRow(t Total) string {
+	if t.Sum == 0 {
+		return fmt.Sprintf("| %s | %s | not measured | "+significant+" | |", t.Of, t.Budget, t.Limit)
+	}
+	return fmt.Sprintf("| %s | %s | "+significant+" | "+significant+" | %s |", t.Of, t.Budget, t.Sum, t.Limit, yesNo(t.Fits()))
+}
+
 func row(r *Result) string {
 	sizes := make([]string, 0, len(r.Points))
 	for _, p := range r.Points {
