--- a/internal/node/daemon/build.go
+++ b/internal/node/daemon/build.go
@@ -164,7 +164,7 @@
 	}
 	d.http = httpd.New(httpd.Config{
 		Jobs: d.jobs, Requests: d.entry, Documents: d.spread.Current, Guard: access,
-		Operators: &operators{daemon: d}, Editors: d.editor, Metrics: d.metrics, Now: d.config.Clock.Now,
+		Operators: &operators{daemon: d}, Editors: d.editor, Offer: d.spread.Offer, Metrics: d.metrics, Now: d.config.Clock.Now,
 	})
 	return nil
 }
--- a/internal/route/entry/do.go
+++ b/internal/route/entry/do.go
@@ -63,19 +63,20 @@
 		return nil, errs.New(errs.NotFound, "service %s is not in the document", req.Service)
 	}
 	now := e.config.Clock.Now()
+	policy := doc.Policy(capped(req.Class, team.MaxClass))
 	t := &task{
-		id: req.ID, service: req.Service, team: req.Team, class: capped(req.Class, team.MaxClass), body: req.Body,
-		arrived: now, deadline: deadlineOf(req, doc, now), idempotent: req.Idempotent,
+		id: req.ID, service: req.Service, team: req.Team, class: policy.Class, body: req.Body,
+		arrived: now, deadline: deadlineOf(req, policy, now), idempotent: req.Idempotent,
 	}
 	if !t.deadline.After(now) {
 		return nil, errs.New(errs.Deadline, "the deadline passed %s before the request arrived", now.Sub(t.deadline))
 	}
-	return t, e.room(t, doc.Requests.Queue)
+	return t, e.room(t, policy.Queue)
 }
 
-func deadlineOf(req *types.Request, doc *envdoc.Document, now time.Time) time.Time {
+func deadlineOf(req *types.Request, policy envdoc.ClassPolicy, now time.Time) time.Time {
 	if req.Deadline.IsZero() {
-		return now.Add(doc.Requests.DefaultDeadline)
+		return now.Add(policy.Deadline)
 	}
 	latest := now.Add(types.MaxDeadline)
 	if req.Deadline.After(latest) {
--- a/internal/route/entry/wait.go
+++ b/internal/route/entry/wait.go
@@ -109,7 +109,7 @@
 // victim removes the request that makes way for another one when the class is full.
 func (e *Entry) victim(s *service, t *task) *waiter {
 	doc, _ := e.config.Document()
-	if doc == nil || e.waiting[t.class.Rank()] < doc.Requests.Queue {
+	if doc == nil || e.waiting[t.class.Rank()] < doc.Policy(t.class).Queue {
 		return nil
 	}
 	x := s.queue.Victim(t.class, t.team)
--- a/internal/serve/httpd/callers.go
+++ b/internal/serve/httpd/callers.go
@@ -64,24 +64,16 @@
 		writeError(w, err)
 		return
 	}
-	if err := s.setDeadline(&in); err != nil {
+	if err := s.checkDeadline(&in); err != nil {
 		writeError(w, err)
 		return
 	}
 	writeAnswer(w, s.config.Requests.Do(r.Context(), &in))
 }
 
-// setDeadline gives a request without a deadline the default one, and refuses one that is too far off.
-func (s *Server) setDeadline(r *types.Request) error {
-	now := s.config.Now()
-	if r.Deadline.IsZero() {
-		wait := 10 * time.Second
-		if doc, _ := s.config.Documents(); doc != nil {
-			wait = doc.Requests.DefaultDeadline
-		}
-		r.Deadline = now.Add(wait)
-	}
-	if r.Deadline.After(now.Add(types.MaxDeadline)) {
+// checkDeadline refuses a deadline that is too far off. A request without one gets that of its class later.
+func (s *Server) checkDeadline(r *types.Request) error {
+	if r.Deadline.After(s.config.Now().Add(types.MaxDeadline)) {
 		return errs.New(errs.Invalid, "Deadline is more than %s away", types.MaxDeadline)
 	}
 	return nil
--- a/internal/serve/httpd/httpd.go
+++ b/internal/serve/httpd/httpd.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/guard"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -56,9 +57,11 @@
 		Documents Documents
 		Operators Operators
 		Editors   Editors
-		Guard     *guard.Guard
-		Metrics   metrics.Registry
-		Now       func() time.Time
+		// Offer takes a document that an operator's call had accepted.
+		Offer   func(edit.Accepted)
+		Guard   *guard.Guard
+		Metrics metrics.Registry
+		Now     func() time.Time
 	}
 
 	// Server serves callers and operators.
--- a/internal/serve/httpd/operators.go
+++ b/internal/serve/httpd/operators.go
@@ -151,11 +151,19 @@
 }
 
 func (s *Server) envPut(ctx context.Context, p *EnvPut) (edit.Accepted, error) {
-	return s.config.Editors(p.By).Put(ctx, p.Environment, p.Expect, p.Body)
+	return s.offer(s.config.Editors(p.By).Put(ctx, p.Environment, p.Expect, p.Body))
 }
 
 func (s *Server) envPromote(ctx context.Context, p *EnvPromote) (edit.Accepted, error) {
-	return s.config.Editors(p.By).Promote(ctx, p.From, p.To, p.ExpectDigest, p.Expect)
+	return s.offer(s.config.Editors(p.By).Promote(ctx, p.From, p.To, p.ExpectDigest, p.Expect))
+}
+
+// offer brings a document that was accepted here in force without waiting for the watch.
+func (s *Server) offer(accepted edit.Accepted, err error) (edit.Accepted, error) {
+	if err == nil {
+		s.config.Offer(accepted)
+	}
+	return accepted, err
 }
 
 func (s *Server) envHistory(ctx context.Context, q *EnvQuery) ([]edit.Accepted, error) {
