Catch the mutations that no check caught

Cause: of nine mutations tried, two passed all tests of their packages: a drain that does not wait for requests in flight, and a slot freed on a leaving runner that is used again. Ways weighed: longer failure runs, or a test of each mechanism. The second was taken; it fails at once and says what broke.

--- /dev/null
+++ b/internal/route/entry/drain_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+)
+
+// patience is how long a test waits, on the machine's clock, for what must happen or must not.
+const patience = 50 * time.Millisecond
+
+func TestDrainWaitsForWhatIsInFlight(t *testing.T) {
+	e := newEntry(classDocument())
+	if !e.enter() {
+		t.Fatal("the entry takes no request")
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- e.Drain(context.Background()) }()
+	select {
+	case err := <-drained:
+		t.Fatalf("drained with a request in flight: %v", err)
+	case <-time.After(patience):
+	}
+	if e.enter() {
+		t.Fatal("a draining entry takes a request")
+	}
+	e.leave()
+	if err := <-drained; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestDrainEndsWithItsContext(t *testing.T) {
+	e := newEntry(classDocument())
+	e.enter()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := e.Drain(ctx); !errs.Is(err, errs.Deadline) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/internal/route/entry/policy_test.go
+++ b/internal/route/entry/policy_test.go
@@ -5,22 +5,31 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/route/lend"
+	"github.com/magnoliawalk/magnoliawalk/internal/route/once"
 )
 
 func newEntry(doc *envdoc.Document) *Entry {
 	clock := clockwork.NewFakeClock()
 	return New(Config{
 		Clock:    clock,
-		Holder:   lend.NewHolder(lend.HolderConfig{Clock: clock}),
+		Holder:   lend.NewHolder(lend.HolderConfig{Clock: clock, Leads: noLenders}),
+		Once:     once.NewClient(once.ClientConfig{Clock: clock, Leads: noLeads}),
+		Log:      zerolog.Nop(),
 		Document: func() (*envdoc.Document, types.Revision) { return doc, 1 },
 	})
 }
 
+func noLenders() map[types.DataCentre]lend.Lead { return nil }
+
+func noLeads(types.DataCentre) (peer.Target, types.Epoch, bool) { return peer.Target{}, 0, false }
+
 func classDocument() *envdoc.Document {
 	doc := envdoc.Default()
 	doc.Requests.Queue = 100
--- a/internal/route/lend/holder_test.go
+++ b/internal/route/lend/holder_test.go
@@ -22,6 +22,7 @@
 	clock  *clockwork.FakeClock
 	lender *Lender
 	holder *Holder
+	up     runner.Upstream
 }
 
 func newPair(t *testing.T) *pair {
@@ -31,11 +32,11 @@
 	self := peer.Target{VM: "e", Site: site, Address: "e"}
 	node := peer.NewNetwork().Join(self, meter.Discard())
 	up := runner.Upstream{ID: "u", Service: "desk", VM: "w", Site: site, Endpoint: "u", Slots: 8, Connections: 64}
-	p := &pair{t: t, clock: clock}
+	p := &pair{t: t, clock: clock, up: up}
 	p.lender = NewLender(LenderConfig{
 		Self: self, Clock: clock, Peers: node, Audit: audit.Discard{}, Log: zerolog.Nop(),
 		Metrics:   metrics.NewRegistry(),
-		Upstreams: func() []runner.Upstream { return []runner.Upstream{up} },
+		Upstreams: func() []runner.Upstream { return []runner.Upstream{p.up} },
 		Entries:   func() []peer.Target { return []peer.Target{self} },
 	})
 	p.holder = NewHolder(HolderConfig{
@@ -108,3 +109,20 @@
 		t.Fatalf("%d slots are free after the call has ended, want 1", len(got))
 	}
 }
+
+// TestSlotFreedOnALeavingRunnerIsNotUsedAgain has a runner leave while all of its slots are busy.
+func TestSlotFreedOnALeavingRunnerIsNotUsedAgain(t *testing.T) {
+	p := newPair(t)
+	p.holder.Expect("desk")
+	p.trade(3)
+	slots := p.acquire()
+	if len(slots) == 0 {
+		t.Fatal("no slot was lent")
+	}
+	p.up.Leaving = true
+	p.trade(2)
+	p.holder.Release(slots[0], Answered, time.Time{})
+	if got := p.acquire(); len(got) != 0 {
+		t.Fatal("a new call may start on a runner that leaves")
+	}
+}
