Write the loops and the exchange over HTTP once

Cause: three packages had the same loop over a ticker, and the client repeated how a call is sent and which failures mean that it was not; the newcomer reads the same lines twice. Ways weighed: leave them, or one small package for loops and one method for the exchange. The second was taken; loops that also wait for other signals stay as they are, as a general form would hide them. Conclusion: which failure means "not sent" stands in one place.

--- a/client/exchange.go
+++ b/client/exchange.go
@@ -1,12 +1,8 @@
 package client
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 
@@ -53,41 +49,10 @@
 	return &a, nil
 }
 
-// call makes one call and reads the whole body. A call that could not be sent is Unavailable; one whose answer did not
-// arrive whole is Lost.
+// call makes one call and reads the whole body.
 func (c *Client) call(ctx context.Context, method, address string, body []byte) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, errs.New(errs.Invalid, "making call: %v", err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	if c.config.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.config.Token)
-	}
-	res, err := c.config.HTTP.Do(req)
-	if err != nil {
-		return 0, nil, unsent(err)
-	}
-	defer func() {
-		// A body that was read has nothing left to fail.
-		_ = res.Body.Close()
-	}()
-	text, err := io.ReadAll(io.LimitReader(res.Body, answerLimit+1))
-	if err != nil {
-		return 0, nil, errs.New(errs.Lost, "reading answer: %v", err)
-	}
-	if len(text) > answerLimit {
-		return 0, nil, errs.New(errs.Lost, "answer is over %d bytes", answerLimit)
-	}
-	return res.StatusCode, text, nil
-}
-
-func unsent(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errs.New(errs.Unavailable, "connecting: %v", err)
-	}
-	return errs.New(errs.Lost, "sending: %v", err)
+	remote := rest.Client{HTTP: c.config.HTTP, Limit: answerLimit, Token: c.config.Token}
+	return remote.Exchange(ctx, method, address, body)
 }
 
 // fetchID asks an entry for one id.
--- a/internal/core/rest/rest.go
+++ b/internal/core/rest/rest.go
@@ -51,29 +51,38 @@
 	if err != nil {
 		return Traffic{}, err
 	}
+	status, answer, err := c.Exchange(ctx, method, path, body)
+	traffic := Traffic{Sent: len(body), Read: len(answer)}
+	if err != nil {
+		return traffic, err
+	}
+	return traffic, decode(status, answer, out)
+}
+
+// Exchange sends a body and returns the status and the whole answer, whatever they are. A call that could not be
+// sent is Unavailable; one whose answer did not arrive whole is Lost.
+func (c *Client) Exchange(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
 	if err != nil {
-		return Traffic{}, errs.New(errs.Invalid, "making call: %v", err)
+		return 0, nil, errs.New(errs.Invalid, "making call: %v", err)
 	}
 	req.Header.Set(headerType, contentType)
 	if c.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.Token)
 	}
-	traffic := Traffic{Sent: len(body)}
 	res, err := c.HTTP.Do(req)
 	if err != nil {
-		return traffic, unsent(err)
+		return 0, nil, unsent(err)
 	}
 	defer closeBody(res.Body)
 	answer, err := io.ReadAll(io.LimitReader(res.Body, c.Limit+1))
-	traffic.Read = len(answer)
 	if err != nil {
-		return traffic, errs.New(errs.Lost, "reading answer: %v", err)
+		return 0, answer, errs.New(errs.Lost, "reading answer: %v", err)
 	}
 	if int64(len(answer)) > c.Limit {
-		return traffic, errs.New(errs.Lost, "answer is over %d bytes", c.Limit)
+		return 0, answer, errs.New(errs.Lost, "answer is over %d bytes", c.Limit)
 	}
-	return traffic, decode(res.StatusCode, answer, out)
+	return res.StatusCode, answer, nil
 }
 
 func encode(in any) ([]byte, error) {
--- a/internal/node/daemon/build.go
+++ b/internal/node/daemon/build.go
@@ -10,6 +10,7 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/spread"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/guard"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
@@ -178,26 +179,33 @@
 // watch starts and ends the lead's duties towards requests whenever the lead changes its role, and has slots
 // asked for whenever a document comes into force.
 func (d *Daemon) watch(ctx context.Context) error {
-	ticker := d.config.Clock.NewTicker(watchEvery)
-	defer ticker.Stop()
-	var current types.Epoch
-	var seen types.Revision
-	for {
-		epoch, leading := d.lead.Leading()
-		if !leading {
-			epoch = 0
-		}
-		if epoch != current {
-			d.changeRole(ctx, current, epoch)
-			current = epoch
-		}
-		seen = d.expectServices(seen)
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return nil
-		}
+	return every.Run(ctx, d.config.Clock, watchEvery, func(ctx context.Context) {
+		d.watchRole(ctx)
+		d.watchDocument()
+	})
+}
+
+func (d *Daemon) watchRole(ctx context.Context) {
+	epoch, leading := d.lead.Leading()
+	if !leading {
+		epoch = 0
+	}
+	if epoch != d.seen.epoch {
+		d.changeRole(ctx, d.seen.epoch, epoch)
+		d.seen.epoch = epoch
+	}
+}
+
+// watchDocument tells the holder of a new document's services.
+func (d *Daemon) watchDocument() {
+	doc, revision := d.spread.Current()
+	if doc == nil || revision == d.seen.revision {
+		return
+	}
+	for _, s := range doc.Services {
+		d.holder.Expect(s.Name)
 	}
+	d.seen.revision = revision
 }
 
 func (d *Daemon) changeRole(ctx context.Context, from, to types.Epoch) {
@@ -212,15 +220,3 @@
 	d.lender.Begin(ctx, to)
 	d.table.Begin(ctx, to)
 }
-
-// expectServices tells the holder of a new document's services and returns the document's revision.
-func (d *Daemon) expectServices(seen types.Revision) types.Revision {
-	doc, revision := d.spread.Current()
-	if doc == nil || revision == seen {
-		return seen
-	}
-	for _, s := range doc.Services {
-		d.holder.Expect(s.Name)
-	}
-	return revision
-}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -69,9 +69,17 @@
 		entry    *entry.Entry
 		http     *httpd.Server
 
+		// seen belongs to the loop that watches the role and the document.
+		seen  seen
 		loops sync.WaitGroup
 	}
 
+	// seen is the role and the document that the daemon's parts were last told of.
+	seen struct {
+		epoch    types.Epoch
+		revision types.Revision
+	}
+
 	// platform is the daemon's clients of the platform.
 	platform struct {
 		store   store.Store
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/vmlist"
@@ -134,18 +135,10 @@
 	}
 }
 
-// Run ticks until ctx ends.
+// Run ticks until ctx ends, the first time at once.
 func (m *Member) Run(ctx context.Context) error {
-	ticker := m.config.Clock.NewTicker(m.config.BeatEvery / 2)
-	defer ticker.Stop()
-	for {
-		m.Tick(ctx)
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	m.Tick(ctx)
+	return every.Run(ctx, m.config.Clock, m.config.BeatEvery/2, m.Tick)
 }
 
 // Tick reads the list and sends heartbeats where they are due.
--- a/internal/route/once/table.go
+++ b/internal/route/once/table.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
@@ -124,16 +125,7 @@
 
 // Run turns generations and hands out copies until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
-	ticker := t.config.Clock.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			t.Tick(ctx)
-		}
-	}
+	return every.Run(ctx, t.config.Clock, tickEvery, t.Tick)
 }
 
 // Tick starts a new generation when it is time and sends final answers to the peers that keep copies.
