Tick slowly while no request waits

Ways weighed: a slower tick always (requests that wait are then looked at late), or a tick that is fast only while a request waits. The second was taken. Resetting the ticker at each request was ruled out: under load it would never fire. The new test fails without the wake-up. Conclusion: an idle entry costs less; the other loops are next.

--- a/internal/node/daemon/build.go
+++ b/internal/node/daemon/build.go
@@ -34,7 +34,7 @@
 	idleConnTimeout = time.Minute
 	// maxIdlePerHost keeps a connection for each slot of a runner.
 	maxIdlePerHost = 16
-	watchEvery     = 100 * time.Millisecond
+	watchEvery     = 250 * time.Millisecond
 	// yieldWait is how long a lead that stops waits for the next one to read its table of ids.
 	yieldWait = 5 * time.Second
 )
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -25,6 +25,8 @@
 const (
 	// TickEvery is how often waiting requests are looked at.
 	TickEvery = 25 * time.Millisecond
+	// IdleTickEvery is how often an entry looks around while no request waits.
+	IdleTickEvery = 250 * time.Millisecond
 	// FarAfter is how long a request waits for a slot of its own region before it may use the paid link.
 	FarAfter = 100 * time.Millisecond
 	// NoRunnerAfter is how long a request waits when no slot of its service is held at all.
@@ -72,6 +74,14 @@
 		idle     chan struct{}
 		// late is kept between ticks to save allocations.
 		late []*queue.Item
+		// wake tells Run that a request began to wait.
+		wake chan struct{}
+	}
+
+	// pace is a ticker whose period changes. Setting the period that it has does not start it again.
+	pace struct {
+		ticker clockwork.Ticker
+		period time.Duration
 	}
 
 	// service is the waiting requests of one service and how fast they are served.
@@ -100,6 +110,7 @@
 		budget:   newBudget(),
 		link:     rate.NewLimiter(0, 0),
 		services: make(map[types.ServiceName]*service),
+		wake:     make(chan struct{}, 1),
 	}
 	c.Holder.Notify(e.pump)
 	return e
@@ -113,24 +124,58 @@
 	}
 }
 
-// Run looks after waiting requests until ctx ends.
+// Run looks after waiting requests until ctx ends. It ticks slowly while none waits, so that an idle entry costs
+// little processor time.
 func (e *Entry) Run(ctx context.Context) error {
-	ticker := e.config.Clock.NewTicker(TickEvery)
+	ticker := e.config.Clock.NewTicker(IdleTickEvery)
 	defer ticker.Stop()
+	pace := pace{ticker: ticker, period: IdleTickEvery}
 	slow := e.config.Clock.NewTicker(lend.TickEvery)
 	defer slow.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-e.wake:
+			pace.set(TickEvery)
 		case <-ticker.Chan():
 			e.Tick()
+			if !e.waits() {
+				pace.set(IdleTickEvery)
+			}
 		case <-slow.Chan():
 			go e.config.Once.Tick(ctx)
 		}
 	}
 }
 
+func (p *pace) set(period time.Duration) {
+	if p.period != period {
+		p.period = period
+		p.ticker.Reset(period)
+	}
+}
+
+// waits tells whether any request waits for a slot.
+func (e *Entry) waits() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, n := range e.waiting {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// hurry makes Run tick fast, because a request began to wait.
+func (e *Entry) hurry() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Tick ends requests that waited too long and gives out slots.
 func (e *Entry) Tick() {
 	now := e.config.Clock.Now()
--- /dev/null
+++ b/internal/route/entry/pace_test.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+func TestSettingTheSamePeriodDoesNotPutTheTickOff(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	ticker := clock.NewTicker(TickEvery)
+	defer ticker.Stop()
+	p := pace{ticker: ticker, period: TickEvery}
+	for range 5 {
+		clock.Advance(TickEvery / 5)
+		p.set(TickEvery)
+	}
+	select {
+	case <-ticker.Chan():
+	default:
+		t.Fatal("the tick was put off")
+	}
+}
+
+// TestIdleEntryLooksAfterARequestThatBeginsToWait has a request wait, between two slow ticks, on an entry that
+// holds no slot at all.
+func TestIdleEntryLooksAfterARequestThatBeginsToWait(t *testing.T) {
+	e := newEntry(classDocument())
+	clock := e.config.Clock.(*clockwork.FakeClock)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = e.Run(ctx) }()
+	// Run holds two tickers.
+	if err := clock.BlockUntilContext(ctx, 2); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(IdleTickEvery / 2)
+	answers := make(chan *types.Answer, 1)
+	go func() {
+		r := request(types.ClassNormal)
+		r.Idempotent = true
+		answers <- e.Do(ctx, r)
+	}()
+	for !e.waits() {
+		time.Sleep(time.Millisecond)
+	}
+	started := clock.Now()
+	for clock.Since(started) < NoRunnerAfter+3*TickEvery {
+		clock.Advance(TickEvery)
+		time.Sleep(2 * time.Millisecond)
+		select {
+		case a := <-answers:
+			if a.Outcome != types.OutcomeNotRun || a.Reason.Kind != errs.Unavailable {
+				t.Fatalf("got %+v", a)
+			}
+			return
+		default:
+		}
+	}
+	t.Fatalf("no answer %s after the request", clock.Since(started))
+}
--- a/internal/route/entry/policy_test.go
+++ b/internal/route/entry/policy_test.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
 	"github.com/magnoliawalk/magnoliawalk/internal/route/lend"
 	"github.com/magnoliawalk/magnoliawalk/internal/route/once"
 )
@@ -22,6 +23,7 @@
 		Holder:   lend.NewHolder(lend.HolderConfig{Clock: clock, Leads: noLenders}),
 		Once:     once.NewClient(once.ClientConfig{Clock: clock, Leads: noLeads}),
 		Log:      zerolog.Nop(),
+		Audit:    audit.Discard{},
 		Document: func() (*envdoc.Document, types.Revision) { return doc, 1 },
 	})
 }
--- a/internal/route/entry/wait.go
+++ b/internal/route/entry/wait.go
@@ -101,6 +101,7 @@
 	}
 	s.queue.Push(item)
 	e.waiting[t.class.Rank()]++
+	e.hurry()
 	e.give(t.service, s)
 	e.mu.Unlock()
 	return item
