--- a/client/exchange.go
+++ b/client/exchange.go
@@ -14,10 +14,10 @@
 
 // Paths of the interface.
 const (
-	pathIDs      = "/v1/ids"
-	pathRequests = "/v1/requests"
-	pathJobs     = "/v1/jobs/"
-	pathWork     = "/v1/work/"
+	pathIDs       = "/v1/ids"
+	pathRequests  = "/v1/requests"
+	pathJobs      = "/v1/jobs/"
+	pathTemplates = "/v1/templates/"
 
 	// answerLimit allows for the encoding of the largest body.
 	answerLimit = 2 * types.MaxAnswerBody
@@ -110,7 +110,7 @@
 		}
 		id = JobID(minted)
 	}
-	path := pathWork + url.PathEscape(work) + "/" + string(id)
+	path := pathTemplates + url.PathEscape(work) + "/" + string(id)
 	return c.status(ctx, http.MethodPut, path, wire.Marshal(order{Payload: payload}))
 }
 
--- a/internal/app/local/local_test.go
+++ b/internal/app/local/local_test.go
@@ -109,7 +109,7 @@
 		for _, work := range []string{"contract-bundles", "weekend-rosters"} {
 			id := c.mint(1)
 			var status types.JobStatus
-			c.wantOK(c.call(1, http.MethodPut, "/v1/work/"+work+"/"+id, httpd.WorkOrder{}, &status))
+			c.wantOK(c.call(1, http.MethodPut, "/v1/templates/"+work+"/"+id, httpd.WorkOrder{}, &status))
 			done := c.wantJob(2, id, types.JobDone)
 			if done.Done != done.Tasks {
 				t.Fatalf("got %+v", done)
@@ -149,7 +149,7 @@
 		{"NeverFits", "/v1/jobs/", &job, errs.Impossible},
 		{"TooUrgent", "/v1/jobs/", &urgent, errs.Denied},
 		{"UnknownTeam", "/v1/jobs/", &stranger, errs.Denied},
-		{"UnknownWork", "/v1/work/nope/", httpd.WorkOrder{}, errs.NotFound},
+		{"UnknownWork", "/v1/templates/nope/", httpd.WorkOrder{}, errs.NotFound},
 		{"Empty", "/v1/jobs/", map[string]int{}, errs.Invalid},
 		{"UnknownField", "/v1/jobs/", map[string]int{"Nope": 1}, errs.Invalid},
 	}
--- a/internal/serve/httpd/callers.go
+++ b/internal/serve/httpd/callers.go
@@ -26,7 +26,7 @@
 		ID string `json:"ID"`
 	}
 
-	// WorkOrder is the body of PUT /v1/work/{work}/{id}.
+	// WorkOrder is the body of PUT /v1/templates/{name}/{id}.
 	WorkOrder struct {
 		// Payload, when set, replaces the payload of the document's entry.
 		Payload string `json:"Payload,omitempty"`
--- a/internal/serve/httpd/httpd.go
+++ b/internal/serve/httpd/httpd.go
@@ -131,7 +131,7 @@
 		m.HandleFunc("/v1/requests", s.request, http.MethodPost)
 		m.HandleFunc("/v1/requests/:id", s.ask, http.MethodGet)
 		m.HandleFunc("/v1/requests/:id", s.closeID, http.MethodDelete)
-		m.HandleFunc("/v1/work/:work/:id", s.submitWork, http.MethodPut)
+		m.HandleFunc("/v1/templates/:work/:id", s.submitWork, http.MethodPut)
 		m.HandleFunc("/v1/jobs/:id", s.submit, http.MethodPut)
 		m.HandleFunc("/v1/jobs/:id", s.status, http.MethodGet)
 		m.HandleFunc("/v1/jobs/:id", s.cancel, http.MethodDelete)
--- a/internal/serve/httpd/httpd_test.go
+++ b/internal/serve/httpd/httpd_test.go
@@ -126,8 +126,8 @@
 		{"JobOfNegativeSize", http.MethodPut, "/v1/jobs/" + goodID, strings.Replace(goodJob, "1024", "-1", 1), errs.Invalid},
 		{"JobIDWithoutHome", http.MethodPut, "/v1/jobs/x", goodJob, errs.Invalid},
 		{"JobOfUnknownTeam", http.MethodPut, "/v1/jobs/" + goodID, strings.Replace(goodJob, "bookings", "x", 1), errs.Denied},
-		{"UnknownWork", http.MethodPut, "/v1/work/x/" + goodID, `{}`, errs.NotFound},
-		{"LargePayload", http.MethodPut, "/v1/work/nightly/" + goodID, `{"Payload":"` + strings.Repeat("A", types.MaxPayload+1) + `"}`, errs.TooLarge},
+		{"UnknownWork", http.MethodPut, "/v1/templates/x/" + goodID, `{}`, errs.NotFound},
+		{"LargePayload", http.MethodPut, "/v1/templates/nightly/" + goodID, `{"Payload":"` + strings.Repeat("A", types.MaxPayload+1) + `"}`, errs.TooLarge},
 		{"AskWithWrongID", http.MethodGet, "/v1/requests/x", "", errs.Invalid},
 	}
 	for _, c := range cases {
@@ -143,7 +143,7 @@
 
 func TestWorkByNameBecomesAJobOfTheRevisionInForce(t *testing.T) {
 	s, r := newServer(t, testDocument())
-	w := send(s, callerToken, http.MethodPut, "/v1/work/nightly/"+goodID, `{"Payload":"p"}`)
+	w := send(s, callerToken, http.MethodPut, "/v1/templates/nightly/"+goodID, `{"Payload":"p"}`)
 	if w.Code != http.StatusOK || r.job.ID != goodID || r.job.Revision != 7 || r.job.Task.Payload != "p" {
 		t.Fatalf("status %d, job %+v", w.Code, r.job)
 	}
@@ -203,7 +203,7 @@
 	paths := []struct{ method, path string }{
 		{http.MethodPost, "/v1/requests"},
 		{http.MethodPut, "/v1/jobs/" + goodID},
-		{http.MethodPut, "/v1/work/nightly/" + goodID},
+		{http.MethodPut, "/v1/templates/nightly/" + goodID},
 	}
 	for i, seed := range []string{goodRequest, goodJob, `{"Payload":"p"}`, `{"Expect":-1}`, `null`, `[]`, `{"Body":null}`} {
 		f.Add(i%len(paths), []byte(seed))
