--- a/internal/app/cmds/serve.go
+++ b/internal/app/cmds/serve.go
@@ -60,7 +60,7 @@
 		Usage: "run three daemons and stand-ins of the platform in one process",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagAddress, Value: config.DefaultCallers, Usage: "address of the first daemon for callers"},
-			&cli.StringFlag{Name: flagLevel, Value: zerolog.LevelWarnValue, Usage: "debug, info, warn or error"},
+			&cli.StringFlag{Name: flagLevel, Value: zerolog.LevelErrorValue, Usage: "debug, info, warn or error"},
 		},
 		Action: runDev,
 	}
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	if err := printLine(c, devText(dev)); err != nil {
+	if err := printLine(c, devText(dev, os.Args[0])); err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -85,7 +85,8 @@
 	return dev.Cluster.Close()
 }
 
-func devText(dev *local.Dev) string {
+// devText tells how to reach the cell with the program that runs it.
+func devText(dev *local.Dev, program string) string {
 	caller, operator := dev.Cluster.CallerToken.Reveal(), dev.Cluster.OperatorToken.Reveal()
 	lines := []string{
 		"The cell is ready: " + strings.Join(dev.URLs, " "),
@@ -93,9 +94,9 @@
 		"In another shell:",
 		"  export MAGNOLIAWALK_ENTRIES=" + strings.Join(dev.URLs, ","),
 		"  export MAGNOLIAWALK_TOKEN=" + operator,
-		"  magnoliawalk request send --service booking-desk --team bookings hello",
-		"  magnoliawalk job submit --wait contract-bundles",
-		"  magnoliawalk status",
+		"  " + program + " request send --service booking-desk --team bookings hello",
+		"  " + program + " job submit --wait contract-bundles",
+		"  " + program + " status",
 		"",
 		"Callers use the token " + caller,
 		"Ctrl-C drains and ends.",
