Write the random failure check of the lead once

Cause: two tests of internal/sched/lead held the same 22 lines, from parameters to verdict. Ways weighed: leave them, or one check that takes the start of a run. The second was taken; seeds, the number of runs, the length of a sequence and the verdicts are as they were. Conclusion: what a run of random events is stands in one place.

--- a/internal/sched/lead/random_pair_test.go
+++ b/internal/sched/lead/random_pair_test.go
@@ -6,10 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/gen"
-	"github.com/leanovate/gopter/prop"
-
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/sched/plan"
@@ -181,25 +177,6 @@
 }
 
 func TestRandomFailuresOfTwoDataCentres(t *testing.T) {
-	parameters := gopter.DefaultTestParametersWithSeed(setting(envSeed, defaultSeed))
-	parameters.MinSuccessfulTests = int(setting(envRuns, pairRuns))
-	properties := gopter.NewProperties(parameters)
-	properties.Property("a job is in one data centre and takes effect once, whatever fails", prop.ForAllNoShrink(
-		func(events []int) (bool, error) {
-			c := newPairChaos(t)
-			c.ticks(8)
-			for _, n := range events {
-				c.event(n)
-				c.ticks(1)
-			}
-			c.heal()
-			if err := c.verdict(); err != nil {
-				t.Log(c.log)
-				return false, err
-			}
-			return true, nil
-		},
-		gen.SliceOfN(sequenceLength, gen.IntRange(0, 100_000)),
-	))
-	properties.TestingRun(t)
+	checkRandomly(t, "a job is in one data centre and takes effect once, whatever fails", pairRuns,
+		func() randomRun { return newPairChaos(t) })
 }
--- a/internal/sched/lead/random_test.go
+++ b/internal/sched/lead/random_test.go
@@ -245,12 +245,27 @@
 }
 
 func TestRandomFailures(t *testing.T) {
+	checkRandomly(t, "what was accepted takes effect once, whatever fails", defaultRuns, func() randomRun { return newChaos(t) })
+}
+
+// randomRun is one run of random events and what it comes to.
+type randomRun interface {
+	ticks(n int)
+	event(n int)
+	heal()
+	verdict() error
+	history() []string
+}
+
+// checkRandomly runs random sequences of events from a fixed seed and asks for the verdict after each.
+func checkRandomly(t *testing.T, name string, runs int64, start func() randomRun) {
+	t.Helper()
 	parameters := gopter.DefaultTestParametersWithSeed(setting(envSeed, defaultSeed))
-	parameters.MinSuccessfulTests = int(setting(envRuns, defaultRuns))
+	parameters.MinSuccessfulTests = int(setting(envRuns, runs))
 	properties := gopter.NewProperties(parameters)
-	properties.Property("what was accepted takes effect once, whatever fails", prop.ForAllNoShrink(
+	properties.Property(name, prop.ForAllNoShrink(
 		func(events []int) (bool, error) {
-			c := newChaos(t)
+			c := start()
 			c.ticks(8)
 			for _, n := range events {
 				c.event(n)
@@ -258,7 +273,7 @@
 			}
 			c.heal()
 			if err := c.verdict(); err != nil {
-				t.Log(c.log)
+				t.Log(c.history())
 				return false, err
 			}
 			return true, nil
@@ -267,3 +282,5 @@
 	))
 	properties.TestingRun(t)
 }
+
+func (c *chaos) history() []string { return c.log }
