Plan only over the runners that a step may use

Cause of the grown sites' low worth: the lead's processor time. Each plan looked at all 350 runners for each step that waits, with a lookup of what the advice service said of each; and a step whose runners were full asked about ever more runners, though none had room.

Now a step that needs advice is planned over the runners that it is allowed, and asks about more only where there is room for it; what was never allowed anything still asks at once.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -17,27 +17,53 @@
 	spareTickets = 2
 )
 
-// advised returns the runners that the advice service has allowed, and those that it has not judged. A step of
-// which nothing is known yet is asked about.
-func (p *pass) advised(s *tasks.Step, rooms []*room) (good, unknown []*room) {
-	for _, r := range rooms {
-		judged, known := s.Advice.Judged[r.runner.Life()]
-		switch {
-		case !known:
-			unknown = append(unknown, r)
-		case judged.Good:
-			good = append(good, r)
-		}
+// serveAdvised starts what fits of a step on the runners that the advice service allows it, and asks for the advice
+// that it lacks.
+func (p *pass) serveAdvised(s *tasks.Step) {
+	rooms := p.allowed(s)
+	switch {
+	case len(rooms) == 0:
+		p.inquire(s, unjudged)
+	case !p.place(s, rooms):
+		p.inquire(s, unjudgedWithRoom)
 	}
-	if len(unknown) == len(rooms) {
-		p.inquire(s, unknown)
+}
+
+// allowed returns the runners that the advice service allows the step.
+func (p *pass) allowed(s *tasks.Step) []*room {
+	var out []*room
+	for _, l := range s.Advice.Allowed {
+		r := p.lives[l]
+		if r != nil && s.Advice.Judged[l].Good && suits(s, r) {
+			out = append(out, r)
+		}
 	}
-	return good, unknown
+	return out
+}
+
+// unjudged tells whether the advice service was never asked whether the runner may run the step.
+func unjudged(s *tasks.Step, r *room) bool {
+	_, known := s.Advice.Judged[r.runner.Life()]
+	return !known
 }
 
-// inquire asks about runners that were not judged: as many of those with the most room as should hold the step,
+// unjudgedWithRoom tells the same, of a runner that has room for a task now.
+func unjudgedWithRoom(s *tasks.Step, r *room) bool {
+	return need(s).Fits(r.free) && unjudged(s, r)
+}
+
+// inquire asks about those runners that are wanted: as many of the ones with the most room as should hold the step,
 // given the share that its queue is usually allowed.
-func (p *pass) inquire(s *tasks.Step, unknown []*room) {
+func (p *pass) inquire(s *tasks.Step, wants func(*tasks.Step, *room) bool) {
+	if !p.mayAsk(s) {
+		return
+	}
+	var unknown []*room
+	for _, r := range p.rooms[s.Job.Spec.Queue.Service] {
+		if wants(s, r) && suits(s, r) {
+			unknown = append(unknown, r)
+		}
+	}
 	sorted := mostFree(unknown, len(unknown))
 	share := p.table.Shares.Of(s.Job.Spec.Queue.Name)
 	wanted := float64(s.Idle) * namedFactor
@@ -60,6 +86,11 @@
 	return sorted[:most]
 }
 
+// mayAsk tells whether a call on the step may be made now.
+func (p *pass) mayAsk(s *tasks.Step) bool {
+	return s.Advice.Pending == 0 && p.limits.Advice.Open(s.Job.Spec.Queue.Advice.Work(1))
+}
+
 func (p *pass) ask(s *tasks.Step, rooms []*room) {
 	if s.Advice.Pending > 0 || len(rooms) == 0 {
 		return
--- /dev/null
+++ b/internal/flow/order/bench_test.go
@@ -0,0 +1,59 @@
+package order
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
+)
+
+// BenchmarkMake plans the burst of the larger deployment: 350 runners, and many small jobs that need advice.
+func BenchmarkMake(b *testing.B) {
+	for _, jobs := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("Jobs%d", jobs), func(b *testing.B) {
+			t := crowd(jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				Make(t, start, Limits{Advice: specs.AdviceRoom{Short: time.Second, Long: time.Second}})
+			}
+		})
+	}
+}
+
+// crowd returns a table whose runners are nearly full, with jobs that wait for room on those that they may use.
+func crowd(jobs int) *tasks.Table {
+	const runners, advised = 350, 24
+	t := tasks.New()
+	var lives []tasks.Life
+	for i := range runners {
+		r := tasks.NewRunner(agent.Runner{
+			ID: specs.RunnerID(fmt.Sprintf("w%03d", i)), Service: "svc", Boot: 1,
+			Capacity: types.Resources{Cores: 32 * types.Core, Memory: 128 * types.GiB},
+		}, 1)
+		r.Held = true
+		r.Used.Cores = 28 * types.Core
+		t.Runners[r.Info.ID] = r
+		lives = append(lives, r.Life())
+	}
+	q := specs.Queue{
+		Name: "check", Service: "svc", MaxAttempts: 3, Stretch: 1.5, Latency: 400 * time.Millisecond,
+		Advice: &specs.AdvicePolicy{Decision: 7 * time.Millisecond, PerRunner: 100 * time.Microsecond, Validity: time.Second},
+	}
+	for n := range jobs {
+		s := specs.Step{Count: 3, Estimate: time.Second, Resources: types.Resources{Cores: 5 * types.Core, Memory: types.GiB}}
+		j := t.Add(&specs.Job{ID: specs.JobID(fmt.Sprintf("j%04d", n)), Queue: q, Steps: []specs.Step{s}, Accepted: start})
+		asked := make([]tasks.Life, 0, advised)
+		var permits []agent.Permit
+		for i := range advised {
+			l := lives[(n*advised+i)%runners]
+			asked = append(asked, l)
+			permits = append(permits, agent.Permit{Runner: l.Runner, Ticket: "t"})
+		}
+		j.Occurrences[0].Steps[0].Advice.Judge(asked, permits, start.Add(time.Second))
+	}
+	return t
+}
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -81,6 +81,7 @@
 		limits   Limits
 		now      time.Time
 		rooms    map[types.ServiceName][]*room
+		lives    map[tasks.Life]*room
 		reserved map[types.ServiceName]types.MilliCores
 		// cores is what the runners of each service have in all.
 		cores map[types.ServiceName]types.MilliCores
@@ -116,6 +117,7 @@
 		limits:   limits,
 		now:      now,
 		rooms:    make(map[types.ServiceName][]*room),
+		lives:    make(map[tasks.Life]*room, len(t.Runners)),
 		reserved: make(map[types.ServiceName]types.MilliCores),
 		cores:    make(map[types.ServiceName]types.MilliCores),
 	}
@@ -194,7 +196,9 @@
 	for _, r := range p.table.Runners {
 		if r.Usable(p.now) {
 			name := r.Info.Service
-			p.rooms[name] = append(p.rooms[name], &room{runner: r, free: r.Free()})
+			free := &room{runner: r, free: r.Free()}
+			p.rooms[name] = append(p.rooms[name], free)
+			p.lives[r.Life()] = free
 			p.cores[name] += r.Info.Capacity.Cores
 		}
 	}
@@ -203,21 +207,14 @@
 	}
 }
 
-// serve starts what fits of one step, and asks for the advice that it lacks.
+// serve starts what fits of one step.
 func (p *pass) serve(s *tasks.Step) {
-	rooms := p.eligible(s)
-	if len(rooms) == 0 {
-		return
-	}
-	eligible := len(rooms)
-	var unknown []*room
 	if s.Job.Spec.Queue.Advice != nil {
-		rooms, unknown = p.advised(s, rooms)
+		p.serveAdvised(s)
+		return
 	}
-	placed := p.place(s, rooms)
-	// Where nothing is judged yet, the first call was made already.
-	if !placed && len(unknown) > 0 && len(unknown) < eligible {
-		p.inquire(s, unknown)
+	if rooms := p.eligible(s); len(rooms) > 0 {
+		p.place(s, rooms)
 	}
 }
 
@@ -233,16 +230,21 @@
 func (p *pass) eligible(s *tasks.Step) []*room {
 	var out []*room
 	for _, r := range p.rooms[s.Job.Spec.Queue.Service] {
-		if s.Spec.Label != "" && !r.runner.Has(s.Spec.Label) {
-			continue
-		}
-		if need(s).Fits(r.runner.Info.Capacity) {
+		if suits(s, r) {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
+// suits tells whether the runner could run a task of the step when it is empty.
+func suits(s *tasks.Step, r *room) bool {
+	if s.Spec.Label != "" && !r.runner.Has(s.Spec.Label) {
+		return false
+	}
+	return need(s).Fits(r.runner.Info.Capacity)
+}
+
 // need returns what a task of the step takes of a runner's capacity.
 func need(s *tasks.Step) types.Resources {
 	n := s.Spec.Resources
--- a/internal/flow/order/order_test.go
+++ b/internal/flow/order/order_test.go
@@ -254,6 +254,17 @@
 			t.Errorf("%d calls for advice, want one", len(p.Asks))
 		}
 	})
+	t.Run("AsksNothingWhenNoRunnerHasRoom", func(t *testing.T) {
+		b, s := advised(t, 30)
+		b.judge(s, "w1", start.Add(time.Second))
+		for _, r := range b.table.Runners {
+			r.Used = r.Info.Capacity
+		}
+		b.runner("full", "r1").Used = types.Resources{Cores: 4 * types.Core}
+		if p := b.plan(start); len(p.Asks) != 0 {
+			t.Errorf("%d calls for advice, want none", len(p.Asks))
+		}
+	})
 	t.Run("AsksAboutMoreWhenNoneIsAllowed", func(t *testing.T) {
 		b, s := advised(t, 30)
 		s.Advice.Judge([]tasks.Life{b.table.Runners["w1"].Life()}, nil, start.Add(time.Second))
--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -188,17 +188,25 @@
 
 // Take takes the work of a call from the room; false means that there is none.
 func (r *AdviceRoom) Take(work time.Duration) bool {
-	side := &r.Short
-	if IsLong(work) {
-		side = &r.Long
-	}
-	if *side <= 0 {
+	if !r.Open(work) {
 		return false
 	}
-	*side -= work
+	*r.side(work) -= work
 	return true
 }
 
+// Open tells whether work may be given out.
+func (r *AdviceRoom) Open(work time.Duration) bool {
+	return *r.side(work) > 0
+}
+
+func (r *AdviceRoom) side(work time.Duration) *time.Duration {
+	if IsLong(work) {
+		return &r.Long
+	}
+	return &r.Short
+}
+
 // Occurrences returns how often the job's steps run.
 func (j *Job) Occurrences() int {
 	if j.Schedule == nil {
--- a/internal/flow/tasks/advice.go
+++ b/internal/flow/tasks/advice.go
@@ -1,6 +1,7 @@
 package tasks
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -16,6 +17,8 @@
 		Named []Life
 		// Judged holds, for each runner that was named, whether it may run the step.
 		Judged map[Life]Judgement
+		// Allowed lists the runners that were ever allowed, in the order of the answers.
+		Allowed []Life
 	}
 
 	// Shares learns which part of the runners the steps of a queue are usually allowed.
@@ -83,6 +86,9 @@
 	}
 	for _, l := range asked {
 		ticket, good := tickets[l.Runner]
+		if good && !slices.Contains(a.Allowed, l) {
+			a.Allowed = append(a.Allowed, l)
+		}
 		a.Judged[l] = Judgement{Good: good, Ticket: ticket, Until: until}
 	}
 }
