Add a fault soak that runs real daemons against the stand-in of the platform

What callers were told and what runners were ordered is checked, never the daemons' logs.

The stand-in's runners now know gangs (all begin, end and break together), refuse starts whose lease has ended, and judge a second start of a finished task by whether its end was acknowledged, as the platform's rule says: a done task on a runner that crashed before anyone was told may run again.

Found on the way: a lead sent stops to runners that left before its term, whose address it does not know; it sends none now.

--- a/internal/app/cmds/bench.go
+++ b/internal/app/cmds/bench.go
@@ -25,7 +25,7 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure the scheduler against baselines and the target",
-		Commands: []*cli.Command{benchPlacement(), benchRequests(), benchCapacity(), benchFaults()},
+		Commands: []*cli.Command{benchPlacement(), benchRequests(), benchCapacity(), benchFaults(), benchSoak()},
 	}
 }
 
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -209,9 +209,13 @@
 		return
 	}
 	run.Dropped = true
+	r := run.Runner
+	if r.Info.Address == "" {
+		// A runner that left before this term was never listed to it; what ran there ends with its leases.
+		return
+	}
 	run.Stopping, run.StopSent = true, now
 	o.counters.stops.Inc(1)
-	r := run.Runner
 	info, request := r.Info, agent.StopRequest{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Fence: r.Fence}
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, orderLimit)
--- a/internal/plat/agent/memory.go
+++ b/internal/plat/agent/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -21,16 +22,29 @@
 		clock clockwork.Clock
 		world World
 
-		mu       sync.Mutex
-		runners  map[specs.RunnerID]*stand
-		changes  []Change
-		changed  chan struct{}
-		done     map[specs.Ref]bool
+		mu      sync.Mutex
+		runners map[specs.RunnerID]*stand
+		changes []Change
+		changed chan struct{}
+		// done holds when tasks were done, noted those whose end a lead has acknowledged in time, and latest when an
+		// attempt of a task last began.
+		done     map[specs.Ref]time.Time
+		noted    map[specs.Ref]bool
+		latest   map[specs.Ref]time.Time
 		broken   []string
-		starts   int
+		begun    []Begun
 		loseNext int
 		lateBy   time.Duration
 		cut      map[specs.RunnerID]bool
+		gangs    map[gangKey]*gang
+	}
+
+	// Begun is an attempt that a runner began.
+	Begun struct {
+		Ref     specs.Ref
+		Attempt specs.Attempt
+		Runner  specs.RunnerID
+		At      time.Time
 	}
 
 	// World says how tasks behave.
@@ -41,6 +55,10 @@
 		Fails func(runner specs.RunnerID, ref specs.Ref, attempt specs.Attempt) bool
 		// Takes returns what a task occupies, for the check of capacities; nil means nothing.
 		Takes func(ref specs.Ref) types.Resources
+		// Gang returns how many tasks a step has that only work together, or 0; nil means that there are none.
+		Gang func(step specs.StepRef) int
+		// GangWait is how long a member of a gang waits for the others.
+		GangWait time.Duration
 		// MaxLease is the longest lease.
 		MaxLease time.Duration
 		// StopTime is how long a stop takes.
@@ -49,11 +67,13 @@
 
 	// stand is one runner.
 	stand struct {
-		info    Runner
-		born    time.Time
-		fence   Fence
-		lease   Clock
-		last    EndNumber
+		info  Runner
+		born  time.Time
+		fence Fence
+		lease Clock
+		last  EndNumber
+		// void is the last end that was listed before the lease lapsed; nobody need know of it any more.
+		void    EndNumber
 		runs    map[specs.Ref]*standRun
 		highest map[specs.Ref]specs.Attempt
 		ends    []End
@@ -65,6 +85,7 @@
 		until   time.Time
 		fails   bool
 		stopped bool
+		gang    *gang
 	}
 )
 
@@ -72,7 +93,8 @@
 func NewFleet(clock clockwork.Clock, w World) *Fleet {
 	return &Fleet{
 		clock: clock, world: w, runners: make(map[specs.RunnerID]*stand), changed: make(chan struct{}),
-		done: make(map[specs.Ref]bool), cut: make(map[specs.RunnerID]bool),
+		done: make(map[specs.Ref]time.Time), noted: make(map[specs.Ref]bool), latest: make(map[specs.Ref]time.Time),
+		cut: make(map[specs.RunnerID]bool), gangs: make(map[gangKey]*gang),
 	}
 }
 
@@ -91,20 +113,31 @@
 	f.announce(Change{Runner: info})
 }
 
-// Drain lists a runner as draining.
-func (f *Fleet) Drain(id specs.RunnerID) {
+// Drain lists a runner as draining; false means that there is none of that id.
+func (f *Fleet) Drain(id specs.RunnerID) (Runner, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.runners[id]
+	if s == nil {
+		return Runner{}, false
+	}
 	s.info.Draining = true
 	f.announce(Change{Runner: s.info})
+	return s.info, true
 }
 
 // Crash ends a runner and all that runs on it, and takes it from the list.
 func (f *Fleet) Crash(id specs.RunnerID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.runners, id)
+	if s := f.runners[id]; s != nil {
+		delete(f.runners, id)
+		for ref, run := range s.runs {
+			if run.gang != nil {
+				f.breakGang(run.gang, ref)
+			}
+		}
+	}
 	f.announce(Change{Runner: Runner{ID: id}, Gone: true})
 }
 
@@ -133,7 +166,30 @@
 func (f *Fleet) Starts() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.starts
+	return len(f.begun)
+}
+
+// Begun returns the attempts that the runners began, in order.
+func (f *Fleet) Begun() []Begun {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.begun)
+}
+
+// Done returns how many tasks of a job were done.
+func (f *Fleet) Done(job specs.JobID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.runners {
+		f.turn(s)
+	}
+	n := 0
+	for ref := range f.done {
+		if ref.Job == job {
+			n++
+		}
+	}
+	return n
 }
 
 func (f *Fleet) announce(c Change) {
@@ -203,7 +259,7 @@
 			return Report{}, err
 		}
 		f.extend(s, r.Deadline)
-		s.ends = slices.DeleteFunc(s.ends, func(e End) bool { return e.Number <= r.Seen })
+		f.acknowledge(s, r.Seen)
 		next, ended := f.nextTurn(s, until), s.ended
 		if len(s.ends) > 0 || !f.clock.Now().Before(until) {
 			report := s.report(f.clock.Now())
@@ -220,6 +276,21 @@
 	}
 }
 
+// acknowledge forgets the ends up to a number. A task whose end as done is acknowledged must not begin again, nor
+// have begun since. The caller holds the lock.
+func (f *Fleet) acknowledge(s *stand, seen EndNumber) {
+	for _, e := range s.ends {
+		if e.Number > seen || e.Number <= s.void || e.How != Done {
+			continue
+		}
+		f.noted[e.Ref] = true
+		if f.latest[e.Ref].After(f.done[e.Ref]) {
+			f.broken = append(f.broken, fmt.Sprintf("%s began again before its end was acknowledged", e.Ref))
+		}
+	}
+	s.ends = slices.DeleteFunc(s.ends, func(e End) bool { return e.Number <= seen })
+}
+
 func (f *Fleet) extend(s *stand, deadline Clock) {
 	now := Clock(f.clock.Since(s.born))
 	s.lease = max(s.lease, min(deadline, now+Clock(f.world.MaxLease)))
@@ -247,8 +318,13 @@
 func (f *Fleet) turn(s *stand) {
 	now := f.clock.Now()
 	lapsed := Clock(now.Sub(s.born)) > s.lease
-	for ref, run := range s.runs {
+	if lapsed {
+		s.void = s.last
+	}
+	for ref, run := range maps.Clone(s.runs) {
 		switch {
+		case s.runs[ref] != run:
+			// It ended with another member of its gang.
 		case lapsed:
 			f.end(s, ref, Lapsed)
 		case now.Before(run.until):
@@ -256,19 +332,21 @@
 			f.end(s, ref, Stopped)
 		case run.fails:
 			f.end(s, ref, Failed)
+		case run.gang != nil:
+			f.turnGang(s, ref, run)
 		default:
-			f.done[ref] = true
+			f.done[ref] = run.until
 			f.end(s, ref, Done)
 		}
 	}
 }
 
 func (f *Fleet) end(s *stand, ref specs.Ref, how How) {
-	s.last++
-	s.ends = append(s.ends, End{Number: s.last, Ref: ref, Attempt: s.runs[ref].attempt, How: how})
-	delete(s.runs, ref)
-	close(s.ended)
-	s.ended = make(chan struct{})
+	run := s.runs[ref]
+	s.list(ref, how)
+	if run.gang != nil {
+		f.breakGang(run.gang, ref)
+	}
 }
 
 // Start starts an attempt.
@@ -297,26 +375,32 @@
 	if run := s.runs[r.Ref]; run != nil && run.attempt == r.Attempt {
 		return nil
 	}
+	if now := Clock(f.clock.Since(s.born)); r.Deadline <= now {
+		return errs.New(errs.Deadline, "the start of %s is late: its lease ended at %d, it is %d", r.Ref, r.Deadline, now)
+	}
 	f.extend(s, r.Deadline)
 	if r.Attempt <= s.highest[r.Ref] {
 		return errs.New(errs.Conflict, "attempt %d of %s is old", r.Attempt, r.Ref)
 	}
 	s.highest[r.Ref] = r.Attempt
 	f.check(s, r)
-	f.starts++
+	f.begun = append(f.begun, Begun{Ref: r.Ref, Attempt: r.Attempt, Runner: s.info.ID, At: f.clock.Now()})
 	run := &standRun{attempt: r.Attempt, until: f.clock.Now().Add(f.world.RunTime(r.Ref))}
 	run.fails = f.world.Fails != nil && f.world.Fails(s.info.ID, r.Ref, r.Attempt)
 	s.runs[r.Ref] = run
-	close(s.ended)
-	s.ended = make(chan struct{})
+	if f.world.Gang != nil && f.world.Gang(r.Ref.StepRef) > 0 {
+		f.join(s, r.Ref, run, f.world.Gang(r.Ref.StepRef))
+	}
+	s.wake()
 	return nil
 }
 
 // check notes a start that breaks a promise.
 func (f *Fleet) check(s *stand, r StartRequest) {
-	if f.done[r.Ref] {
+	if f.noted[r.Ref] {
 		f.broken = append(f.broken, fmt.Sprintf("%s starts after it was done", r.Ref))
 	}
+	f.latest[r.Ref] = f.clock.Now()
 	for _, other := range f.runners {
 		f.turn(other)
 		if other.runs[r.Ref] != nil {
