Count a job as waiting until a runner has begun it

Now it counts as begun when a runner has confirmed a run of it or one has ended, done or failed; callers are still told that it runs once a start was decided.

TestJobWaitsUntilARunnerBeginsIt failed before.

Mutations of the platform's mechanisms, played by the tests and the soak, found three that nothing caught; each has a test now: an end that is acknowledged before it is durable, leases of a runner that a new lead never reached taken as ended, an older catalog taken.

--- a/internal/flow/front/front_test.go
+++ b/internal/flow/front/front_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -108,3 +110,13 @@
 		t.Errorf("remembers %d of the oldest and the newest, want the newest", len(got))
 	}
 }
+
+func TestOlderCatalogIsNotTaken(t *testing.T) {
+	f := &Front{config: Config{Log: zerolog.Nop()}}
+	for _, version := range []specs.CatalogVersion{3, 5, 4} {
+		f.SetCatalog(&specs.Catalog{Version: version})
+	}
+	if got := f.Catalog().Version; got != 5 {
+		t.Errorf("catalog %d is in force, want 5", got)
+	}
+}
--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -152,7 +152,7 @@
 	}
 	n := 0
 	for _, j := range o.table.Jobs {
-		if j.Spec.Queue.Name == queue && !j.Begun {
+		if j.Spec.Queue.Name == queue && !j.Ran {
 			n++
 		}
 	}
--- a/internal/flow/owner/looker.go
+++ b/internal/flow/owner/looker.go
@@ -166,7 +166,7 @@
 		run = o.stray(r, key)
 	}
 	if !run.Confirmed {
-		run.Confirmed, run.Since, run.Moved = true, now, now
+		run.Confirm(now)
 	}
 	if run.FirstAt.IsZero() {
 		run.First, run.FirstAt = running.Percent, now
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
@@ -196,6 +197,65 @@
 	}
 }
 
+// A runner forgets an end that is acknowledged, so the lead must not do so before it can't forget it itself.
+func TestEndIsAcknowledgedOnlyOnceDurable(t *testing.T) {
+	b := newBed(t, quickWorld())
+	o := b.owner()
+	defer o.cancel()
+	o.table.Add(job("j", step(1)))
+	ref := specs.Ref{StepRef: specs.StepRef{Job: "j"}}
+	o.table.Apply(tasks.Record{Task: &tasks.TaskChange{Ref: ref, State: tasks.Placed, Attempt: 1, Runner: "w00"}})
+	r := o.unseen(runner(0))
+	o.ended(r, agent.End{Number: 1, Ref: ref, Attempt: 1, How: agent.Done})
+	if r.Durable != 0 {
+		t.Errorf("end %d counts as durable, though it was not written", r.Durable)
+	}
+	for _, after := range o.pending.after {
+		after()
+	}
+	if r.Durable != 1 {
+		t.Errorf("end %d is the last durable one after the write, want 1", r.Durable)
+	}
+}
+
+// What a former lead started on a runner that this lead can't reach runs on until its leases have ended.
+func TestLeasesOfAnUnseenRunnerMayBeTheLongest(t *testing.T) {
+	b := newBed(t, quickWorld())
+	o := b.owner()
+	defer o.cancel()
+	began := b.clock.Now()
+	r := o.unseen(runner(0))
+	if r.Lapsed(began.Add(loneLead + quickWorld().MaxLease)) {
+		t.Error("the leases of a former lead are taken to have ended too early")
+	}
+}
+
+// A job waits until a runner has begun it, also when a start was decided that was never sent.
+func TestJobWaitsUntilARunnerBeginsIt(t *testing.T) {
+	b := newBed(t, quickWorld())
+	o := b.owner()
+	defer o.cancel()
+	o.open = true
+	j := o.table.Add(job("j", step(1)))
+	r := o.unseen(runner(0))
+	o.start(order.Start{Task: j.Occurrences[0].Steps[0].Tasks[0], Runner: r})
+	run := j.Occurrences[0].Steps[0].Tasks[0].Run
+	waits := func(what string, want int) {
+		t.Helper()
+		if got, err := o.Waiting("q"); err != nil || got != want {
+			t.Errorf("%s: %d jobs wait (%v), want %d", what, got, err, want)
+		}
+	}
+	waits("while its start is being written", 1)
+	o.drop(run)
+	waits("after its start was dropped", 1)
+	o.start(order.Start{Task: run.Task, Runner: r})
+	o.started(run.Task.Run, agent.StartRequest{}, nil)
+	waits("once the runner has begun it", 0)
+	o.ended(r, agent.End{Number: 1, Ref: run.Key.Ref, Attempt: 2, How: agent.Stopped})
+	waits("after its run was stopped", 0)
+}
+
 // What a run of an ended job occupies is not known to a new lead.
 func TestNothingIsPlacedBesideAStranger(t *testing.T) {
 	b := newBed(t, quickWorld())
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -212,7 +212,7 @@
 	}
 	waiting := 0
 	for _, j := range o.table.Jobs {
-		if !j.Begun {
+		if !j.Ran {
 			waiting++
 		}
 	}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -132,8 +132,7 @@
 	switch {
 	case err == nil:
 		if !run.Confirmed {
-			now := o.config.Clock.Now()
-			run.Confirmed, run.Since, run.Moved = true, now, now
+			run.Confirm(o.config.Clock.Now())
 		}
 		if o.unwanted(run) || run.Dropped {
 			o.stop(run)
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -53,7 +53,8 @@
 	task.State, task.Attempt, task.Failures = c.State, c.Attempt, c.Failures
 	task.Faulted, task.Runner, task.Saved = c.Faulted, c.Runner, c.Saved
 	step.count(task.State, 1)
-	step.Job.Begun = step.Job.Begun || c.Attempt > 0
+	step.Job.Attempted = step.Job.Attempted || c.Attempt > 0
+	step.Job.Ran = step.Job.Ran || c.State == Done || c.Failures > 0 || c.Saved != ""
 }
 
 // count adds to the counts of the step, and through it to those of its occurrence and job.
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -148,6 +148,14 @@
 	return run
 }
 
+// Confirm notes that the runner has begun the run.
+func (r *Run) Confirm(at time.Time) {
+	r.Confirmed, r.Since, r.Moved = true, at, at
+	if r.Task != nil {
+		r.Task.Step.Job.Ran = true
+	}
+}
+
 // Release frees what a run occupied.
 func (r *Runner) Release(run *Run) {
 	if r.Runs[run.Key] != run {
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -81,8 +81,10 @@
 
 	// Job is a job that has not ended.
 	Job struct {
-		Spec        specs.Job
-		Begun       bool
+		Spec specs.Job
+		// Attempted tells that a start was decided, Ran that a runner is known to have begun one.
+		Attempted   bool
+		Ran         bool
 		Occurrences map[int]*Occurrence
 		// Advised and Started are when the first advice came and the first task was ordered; zero before, or when
 		// that was under a former lead.
@@ -246,7 +248,7 @@
 
 // State returns the state of the job as callers see it.
 func (j *Job) State() JobState {
-	if j.Begun {
+	if j.Attempted {
 		return JobRunning
 	}
 	return JobPending
