Say in which order runners are named for advice, and describe the soak

The function that was to sort runners by room never did, since it returned lists that were not longer than its limit as they were. Runners were named in the order of their ids all along; the code says so now and behaves as before.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -52,8 +52,8 @@
 	return need(s).Fits(r.free) && unjudged(s, r)
 }
 
-// inquire asks about those runners that are wanted: as many of the ones with the most room as should hold the step,
-// given the share that its queue is usually allowed.
+// inquire asks about those runners that are wanted: as many as should hold the step, given the share that its queue is
+// usually allowed. They are named in the order of their ids, so that work fills some and leaves others to gangs.
 func (p *pass) inquire(s *tasks.Step, wants func(*tasks.Step, *room) bool) {
 	if !p.mayAsk(s) {
 		return
@@ -64,26 +64,16 @@
 			unknown = append(unknown, r)
 		}
 	}
-	sorted := mostFree(unknown, len(unknown))
 	share := p.table.Shares.Of(s.Job.Spec.Queue.Name)
 	wanted := float64(s.Idle) * namedFactor
-	for i, r := range sorted {
+	for i, r := range unknown {
 		if i+1 >= agent.MaxAdvised || (wanted <= 0 && i+1 >= leastNamed) {
-			p.ask(s, sorted[:i+1])
+			p.ask(s, unknown[:i+1])
 			return
 		}
 		wanted -= share * float64(max(p.holds(s, r), 1))
 	}
-	p.ask(s, sorted)
-}
-
-func mostFree(rooms []*room, most int) []*room {
-	if len(rooms) <= most {
-		return rooms
-	}
-	sorted := slices.Clone(rooms)
-	slices.SortStableFunc(sorted, func(a, b *room) int { return cmp.Compare(b.free.Cores, a.free.Cores) })
-	return sorted[:most]
+	p.ask(s, unknown)
 }
 
 // mayAsk tells whether a call on the step may be made now.
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -84,7 +84,7 @@
 		wanted = append(wanted, sh.room)
 	}
 	spare := max(spareTickets, len(wanted)/gangSpare)
-	for _, r := range mostFree(rooms, len(rooms)) {
+	for _, r := range rooms {
 		if spare == 0 {
 			break
 		}
--- a/internal/proof/soak/daemon.go
+++ b/internal/proof/soak/daemon.go
@@ -160,8 +160,7 @@
 	}
 }
 
-// unharmed tells whether the daemon's process runs, or ended so lately that a caller may not have noticed, and was
-// never paused or killed.
+// unharmed tells whether the daemon's process runs and was never paused or killed.
 func (d *daemon) unharmed() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/proof/soak/faults.go
+++ b/internal/proof/soak/faults.go
@@ -23,7 +23,8 @@
 	// lostStarts and lateBy are how many starts get no answer, and by how much they are carried out late.
 	lostStarts = 5
 	lateBy     = 2 * time.Second
-	lostCalls  = 6
+	// lostCalls is how many calls to the store get no answer.
+	lostCalls = 6
 	// insistLimit is how long a change of the platform's store is repeated.
 	insistLimit = 10 * time.Second
 )
@@ -259,7 +260,7 @@
 	s.world.runners.reset()
 }
 
-// runner returns one of the runners that live.
+// runner returns the runner that has been there the longest.
 func (s *series) runner() specs.RunnerID {
 	// The stand-in's list does not fail.
 	all, _, _ := s.world.platform.Fleet.List(context.Background())
