Let the soak send signals only to daemons that listen

A program that has just begun ends at once on SIGTERM or SIGHUP (seen: exit 143), which the soak took for a broken promise.

--- a/internal/proof/soak/faults.go
+++ b/internal/proof/soak/faults.go
@@ -154,7 +154,9 @@
 func (s *series) stop(ctx context.Context) {
 	d := s.daemon()
 	s.world.event("stop", "%s", d.where.Name)
-	d.terminate()
+	if !d.terminate() {
+		return
+	}
 	d.awaitExit()
 	s.sleep(ctx, s.span())
 	s.world.again(d)
@@ -170,6 +172,9 @@
 
 func (s *series) hangup(context.Context) {
 	d := s.daemon()
+	if !d.listens() {
+		return
+	}
 	s.world.event("hang up", "%s", d.where.Name)
 	d.signal(syscall.SIGHUP, false)
 }
