--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -230,6 +230,23 @@
 	}
 }
 
+// A runner that left before the term was never listed to the lead.
+func TestNoStopGoesToARunnerOfUnknownAddress(t *testing.T) {
+	b := newBed(t, quickWorld())
+	o := b.owner()
+	defer o.cancel()
+	j := o.table.Add(job("j", step(1)))
+	run := o.unseen(agent.Runner{ID: "gone"}).Occupy(j.Occurrences[0].Steps[0].Tasks[0], 1)
+	run.Sent = true
+	o.stop(run)
+	if got := o.counters.stops.Count(); got != 0 {
+		t.Errorf("%d stops were sent, want none", got)
+	}
+	if !run.Dropped {
+		t.Error("the run is still wanted")
+	}
+}
+
 // The directory may change a runner's entry at any moment, also between the decision on a hold and its sending.
 func TestEntryChangesWhileItsRunnerIsHeld(t *testing.T) {
 	b := newBed(t, quickWorld())
