Have the test of unsure slots look at these alone

Traced: a tick calls the lead without waiting for the answer, and after three seconds the answer lends three more slots, at times before the test counts.

--- a/internal/route/lend/holder_test.go
+++ b/internal/route/lend/holder_test.go
@@ -23,6 +23,7 @@
 	lender *Lender
 	holder *Holder
 	up     runner.Upstream
+	leads  map[types.DataCentre]Lead
 }
 
 func newPair(t *testing.T) *pair {
@@ -32,7 +33,7 @@
 	self := peer.Target{VM: "e", Site: site, Address: "e"}
 	node := peer.NewNetwork().Join(self, meter.Discard())
 	up := runner.Upstream{ID: "u", Service: "desk", VM: "w", Site: site, Endpoint: "u", Slots: 8, Connections: 64}
-	p := &pair{t: t, clock: clock, up: up}
+	p := &pair{t: t, clock: clock, up: up, leads: map[types.DataCentre]Lead{"d": {Target: self, Epoch: 1}}}
 	p.lender = NewLender(LenderConfig{
 		Self: self, Clock: clock, Peers: node, Audit: audit.Discard{}, Log: zerolog.Nop(),
 		Metrics:   metrics.NewRegistry(),
@@ -42,9 +43,7 @@
 	p.holder = NewHolder(HolderConfig{
 		Self: self, Clock: clock, Peers: node, Audit: audit.Discard{}, Log: zerolog.Nop(),
 		Metrics: metrics.NewRegistry(),
-		Leads: func() map[types.DataCentre]Lead {
-			return map[types.DataCentre]Lead{"d": {Target: self, Epoch: 1}}
-		},
+		Leads:   func() map[types.DataCentre]Lead { return p.leads },
 	})
 	if err := node.Register(ServiceName, NewService(p.lender, p.holder)); err != nil {
 		t.Fatal(err)
@@ -104,6 +103,8 @@
 		t.Fatalf("%d slots are free while a call may still run", len(got))
 	}
 	p.clock.Advance(3 * time.Second)
+	// A lead would lend more slots meanwhile.
+	p.leads = nil
 	p.holder.Tick(context.Background())
 	if got := p.acquire(); len(got) != 1 {
 		t.Fatalf("%d slots are free after the call has ended, want 1", len(got))
