--- a/internal/proof/soak/daemon.go
+++ b/internal/proof/soak/daemon.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// graceTime is the time between the signal to stop and the end of a daemon.
+	graceTime = 5 * time.Second
 	// exitLimit is how long a daemon may take to end after it was told to: its grace time, and what a busy machine
 	// takes to see that it has ended.
 	exitLimit = 7 * time.Second
@@ -52,7 +54,7 @@
 )
 
 func newDaemon(w *world, name types.VMID) (*daemon, error) {
-	store, err := newProxy(w.platform.Address)
+	store, err := newProxy(w.clock, w.platform.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -60,6 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
+	where.Grace = graceTime
 	settings, err := where.WriteSettings(w.config.Directory)
 	if err != nil {
 		return nil, err
