--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -232,10 +232,7 @@
 	for {
 		err := snapshot.Run(o.ctx)
 		if err == nil || errs.Is(err, errs.Fenced) || o.ctx.Err() != nil {
-			o.ledgerMu.Lock()
-			jobLedger.FinishSnapshot(snapshot, err)
-			o.ledgerMu.Unlock()
-			o.removeStoredResults(snapshot, err)
+			o.finishSnapshot(jobLedger, snapshot, err)
 			o.counters.ledgerSnapshot.UpdateSince(began)
 			return
 		}
@@ -244,12 +241,20 @@
 	}
 }
 
-// removeStoredResults removes the job results from the tables that a snapshot has stored; err is the result of writing
-// it, and nothing is removed unless it is nil.
-func (o *Owner) removeStoredResults(snapshot *ledger.Snapshot, err error) {
-	if err != nil {
-		return
+// finishSnapshot records that a snapshot ran, and with which error. The stored results are removed before the ledger
+// may begin the next snapshot: that one would otherwise store them again, and the second removal, which goes by their
+// count, would remove newer results that no snapshot holds.
+func (o *Owner) finishSnapshot(jobLedger *ledger.Ledger, snapshot *ledger.Snapshot, err error) {
+	if err == nil {
+		o.removeStoredResults(snapshot)
 	}
+	o.ledgerMu.Lock()
+	defer o.ledgerMu.Unlock()
+	jobLedger.FinishSnapshot(snapshot, err)
+}
+
+// removeStoredResults removes the job results that a snapshot has stored from the tables.
+func (o *Owner) removeStoredResults(snapshot *ledger.Snapshot) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.RecentResults = slices.Clone(o.table.RecentResults[snapshot.ResultCount():])
