Report a refused ledger write as in doubt when the term ends

Cause: backOff returned an error of kind Unavailable, which means that nothing was done, when the term ended while it waited after a refusal; an earlier try of the same write may be stored although its answer was lost.

Change: the error is of kind Lost.

Result: TestRefusalAfterALostAnswerIsInDoubt fails on the former code and passes on this one.

--- a/internal/flow/ledger/ledger_test.go
+++ b/internal/flow/ledger/ledger_test.go
@@ -246,6 +246,41 @@
 	}
 }
 
+// refusingStore applies the first batch without answering it and refuses all others; onRefusal is called at each refusal.
+type refusingStore struct {
+	store.Batcher
+
+	calls     atomic.Int64
+	onRefusal func()
+}
+
+func (s *refusingStore) Apply(ctx context.Context, batch store.Batch) (store.Outcome, error) {
+	if s.calls.Add(1) > 1 {
+		s.onRefusal()
+		return store.Outcome{}, errs.New(errs.Unavailable, "refused")
+	}
+	if out, err := s.Batcher.Apply(ctx, batch); err != nil {
+		return out, err
+	}
+	return store.Outcome{}, errs.New(errs.Lost, "the answer was lost")
+}
+
+// A term may end while the store refuses a write of which an earlier try was stored. The error must not say that the
+// write is not stored.
+func TestRefusalAfterALostAnswerIsInDoubt(t *testing.T) {
+	f := newStoreFixture(t)
+	l, _ := f.openLedger()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.config.Store = &refusingStore{Batcher: f.batcher(), onRefusal: func() { time.AfterFunc(retryBackoff/3, cancel) }}
+	if err := l.Append(ctx, Entry{Jobs: []*specs.Job{newJob("j")}}); !errs.Is(err, errs.Lost) {
+		t.Errorf("got %v, want an error of kind Lost", err)
+	}
+	if _, table := f.openLedger(); table.Jobs["j"] == nil {
+		t.Fatal("the first try was not stored")
+	}
+}
+
 func TestResultsAreStoredOnceAndRetainedForAWhile(t *testing.T) {
 	f := newStoreFixture(t)
 	l, table := f.openLedger()
--- a/internal/flow/ledger/write.go
+++ b/internal/flow/ledger/write.go
@@ -141,11 +141,13 @@
 	}
 }
 
+// backOff waits before the next try of a write that the store refused. If ctx ends meanwhile, the error is of kind Lost:
+// another try may still be unanswered, or have taken effect although its answer was lost.
 func (l *Ledger) backOff(ctx context.Context) error {
 	select {
 	case <-l.config.Clock.After(retryBackoff):
 		return nil
 	case <-ctx.Done():
-		return errs.New(errs.Unavailable, "the store refused a write, and it was not retried: %v", ctx.Err())
+		return errs.New(errs.Lost, "the store refused the latest try of a write, an earlier one may be stored: %v", ctx.Err())
 	}
 }
