Delete the records of a daemon that steps down for sure

Cause: StepDown ignored that its batch was not applied, which happens when the daemon knows an outdated version of the leader record; its renew loop then kept the lease alive, and with it the record, until the process ended. A lease that expired after the daemon had stepped down made the renew loop register it as a member again, so that it got work.

Change: the deletion is tried again with the present version; a daemon that has stepped down does not register.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -40,6 +40,8 @@
 	watchTimeout = 2600 * time.Millisecond
 	// retryBackoff is the pause after a failed call to the store.
 	retryBackoff = 150 * time.Millisecond
+	// maxDeleteTries limits the tries to delete this daemon's records when it steps down.
+	maxDeleteTries = 3
 	// decideInterval is how often a daemon checks whether it should claim leadership or end its term.
 	decideInterval = 100 * time.Millisecond
 	// A daemon waits for rankDelayFactor times its latency to the store, at most maxRankDelay, before it claims
@@ -213,26 +215,51 @@
 }
 
 // StepDown gives up leadership for good: it deletes the daemon's records in the store and ends its term. The daemon
-// does not claim leadership again.
+// neither claims leadership nor registers again.
 func (e *Elector) StepDown(ctx context.Context) {
 	e.mu.Lock()
 	e.steppedDown = true
-	term, leaderVersion := e.term, e.leaderVersion
-	key := store.Key(string(memberPrefix) + string(e.config.Self.VM))
-	batch := store.Batch{Deletes: []store.Key{key}}
-	if term != nil {
-		batch.Conditions = []store.Condition{{Key: leaderKey, Expect: leaderVersion}}
-		batch.Deletes = append(batch.Deletes, leaderKey)
-	}
+	term := e.term
 	e.mu.Unlock()
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := e.config.Store.Apply(limited, batch); err != nil {
+	if err := e.deleteRecords(ctx, term); err != nil {
 		e.config.Log.Warn().Err(err).Msg("could not delete the member and leader records; they expire with the lease")
 	}
 	e.endTerm("retired")
 }
 
+// deleteRecords deletes the member record, and with it the leader record while that is the one of the term. It tries
+// again when the leader record has changed meanwhile, for example by a write of this daemon whose answer was late.
+func (e *Elector) deleteRecords(ctx context.Context, term *Term) error {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for range maxDeleteTries {
+		out, err := e.config.Store.Apply(limited, e.recordDeletes(term))
+		if err != nil || out.Applied {
+			return err
+		}
+		present := out.Find(leaderKey)
+		present.Deleted = present.Version == store.Absent
+		e.mu.Lock()
+		e.applyLeader(present)
+		e.mu.Unlock()
+	}
+	return errs.New(errs.Conflict, "the leader record changed before each of %d tries", maxDeleteTries)
+}
+
+// recordDeletes returns the batch that deletes this daemon's records.
+func (e *Elector) recordDeletes(term *Term) store.Batch {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	batch := store.Batch{Deletes: []store.Key{e.memberKey()}}
+	leads := term != nil && e.leaderVersion != store.Absent &&
+		e.leader.Target.VM == e.config.Self.VM && e.leader.Epoch == term.Epoch
+	if leads {
+		batch.Conditions = []store.Condition{{Key: leaderKey, Expect: e.leaderVersion}}
+		batch.Deletes = append(batch.Deletes, leaderKey)
+	}
+	return batch
+}
+
 // EndTerm ends this daemon's term if it leads, for example because a newer leader was found. The reason is for the log.
 func (e *Elector) EndTerm(reason string) {
 	e.endTerm(reason)
--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -183,6 +183,42 @@
 	}
 }
 
+// The version of the leader record that a daemon knows may be out of date when it steps down: the answer to its latest
+// write of the record may still be missing. The successor must not wait for a lease that the daemon goes on renewing.
+func TestLeaderStepsDownWithAnOutdatedVersion(t *testing.T) {
+	f := newClusterFixture(t)
+	a, b := f.join("a"), f.join("b")
+	leader := f.awaitLeader(a, b)
+	other := a
+	if leader == a {
+		other = b
+	}
+	leader.mu.Lock()
+	leader.leaderVersion--
+	leader.mu.Unlock()
+	leader.StepDown(context.Background())
+	f.eventually("the other leads", func() bool { return f.termOf(other) != nil })
+}
+
+// A daemon that has stepped down still serves for a while, in which its lease may expire. It must not be listed as a
+// member again, since members get work.
+func TestDaemonThatSteppedDownDoesNotRegisterAgain(t *testing.T) {
+	f := newClusterFixture(t)
+	a, b := f.join("a"), f.join("b")
+	f.awaitLeader(a, b)
+	f.eventually("both are members", func() bool { return len(a.Members()) == 2 })
+	b.StepDown(context.Background())
+	f.eventually("one member is left", func() bool { return len(a.Members()) == 1 })
+	b.mu.Lock()
+	b.lease = 0
+	b.mu.Unlock()
+	for until := time.Now().Add(testTTL); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if len(a.Members()) != 1 {
+			t.Fatal("the daemon that stepped down is a member again")
+		}
+	}
+}
+
 func TestSuspectedLeaderIsReplacedBeforeItsLeaseExpires(t *testing.T) {
 	f := newClusterFixture(t)
 	a, b := f.join("a"), f.join("b")
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -53,8 +53,12 @@
 	return nil
 }
 
-// register acquires a lease and writes the member record under it.
+// register acquires a lease and writes the member record under it. A daemon that has stepped down is not registered; if
+// it steps down meanwhile, its record is deleted again.
 func (e *Elector) register(ctx context.Context) error {
+	if e.hasSteppedDown() {
+		return errs.New(errs.Draining, "this daemon has stepped down; it does not register again")
+	}
 	limited, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	began := e.config.Clock.Now()
@@ -72,12 +76,21 @@
 		return err
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.lease = lease
 	e.observeLatency(latency)
+	e.mu.Unlock()
+	if e.hasSteppedDown() {
+		return e.deleteRecords(ctx, nil)
+	}
 	return nil
 }
 
+func (e *Elector) hasSteppedDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.steppedDown
+}
+
 // watchLoop keeps the known leader, epoch and members up to date until ctx ends.
 func (e *Elector) watchLoop(ctx context.Context) {
 	var version store.Version
