Ask every daemon to take over, and end a connection's silence with an answer

Cause: broadcast cancelled its other calls at the first answer, so a daemon to which a connection was still being opened was never asked to take over. A connection between daemons counted as silent since its first call without an answer, however many answers came after it, so that a later single timeout closed it for all calls that share it.

Change: the calls of a broadcast go on until they are answered or time out; an answer ends the silence.

Result: TestTakeoverIsRequestedOfEveryDaemon and TestAnAnswerEndsTheSilenceOfAConnection fail on the former code and pass on this one.

--- a/internal/flow/front/leader.go
+++ b/internal/flow/front/leader.go
@@ -108,10 +108,9 @@
 }
 
 // broadcast calls all other daemons and reports whether one of them answered without an error. It returns at the first
-// such answer and cancels the other calls.
+// such answer; the other calls go on until they are answered or time out, so that every daemon is asked.
 func (f *Front) broadcast(ctx context.Context, method peer.Method, args *RelieveArgs) bool {
 	limited, cancel := context.WithTimeout(ctx, takeoverTimeout)
-	defer cancel()
 	var wg sync.WaitGroup
 	answered := make(chan struct{}, 1)
 	for _, m := range f.elector.Members() {
@@ -132,6 +131,7 @@
 	finished := make(chan struct{})
 	go func() {
 		wg.Wait()
+		cancel()
 		close(finished)
 	}()
 	select {
--- a/internal/flow/front/leader_test.go
+++ b/internal/flow/front/leader_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
@@ -138,3 +139,44 @@
 	defer p.mu.Unlock()
 	return slices.Contains(p.methods, m)
 }
+
+// slowPeer answers the calls to one daemon after a delay, unless their context ends before, and all others at once.
+type slowPeer struct {
+	slow  types.VMID
+	delay time.Duration
+	asked chan types.VMID
+}
+
+func (p *slowPeer) Call(ctx context.Context, to peer.Target, _ peer.Method, _, _ any) error {
+	if to.VM == p.slow {
+		select {
+		case <-time.After(p.delay):
+		case <-ctx.Done():
+			return errs.New(errs.Lost, "no answer: %v", ctx.Err())
+		}
+	}
+	p.asked <- to.VM
+	return nil
+}
+
+// Opening a connection to one daemon may take longer than the answer of another. The request must still reach all, since
+// the first one that answers may be the wrong one to take over.
+func TestTakeoverIsRequestedOfEveryDaemon(t *testing.T) {
+	peers := &slowPeer{slow: "far", delay: 50 * time.Millisecond, asked: make(chan types.VMID, 2)}
+	f := New(Config{
+		Self: peer.Target{VM: "self"}, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+		Metrics: metrics.NewRegistry(), Peers: peers,
+	})
+	f.elector.AdoptLeader(elect.Leader{Target: peer.Target{VM: "near"}, Epoch: 1})
+	f.elector.AdoptLeader(elect.Leader{Target: peer.Target{VM: "far"}, Epoch: 2})
+	if !f.broadcast(context.Background(), methodRelieve, &RelieveArgs{Epoch: 2}) {
+		t.Fatal("no daemon answered")
+	}
+	for range 2 {
+		select {
+		case <-peers.asked:
+		case <-time.After(2 * takeoverTimeout):
+			t.Fatal("a daemon was not asked")
+		}
+	}
+}
--- a/internal/node/peer/dial_test.go
+++ b/internal/node/peer/dial_test.go
@@ -113,3 +113,46 @@
 		t.Errorf("%d connections after the silence timeout of the first, want 2", got)
 	}
 }
+
+// Pause is an RPC service whose calls take as long as they are told.
+type Pause struct{}
+
+// For waits for the duration.
+func (Pause) For(args *time.Duration, _ *struct{}) error {
+	time.Sleep(*args)
+	return nil
+}
+
+// Two slow calls with answers between them do not make a connection silent, however long ago the first one was.
+func TestAnAnswerEndsTheSilenceOfAConnection(t *testing.T) {
+	l := newCountingListener(t)
+	server := NewServer()
+	if err := server.Register("Pause", Pause{}); err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(l)
+	defer server.Close()
+	clock := clockwork.NewFakeClock()
+	client := NewClient(meter.Discard())
+	client.clock = clock
+	defer client.Close()
+	to := Target{Address: types.Address(l.Addr().String())}
+	call := func(takes, timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		return client.Call(ctx, to, "Pause.For", &takes, &struct{}{})
+	}
+	for range 2 {
+		if err := call(100*time.Millisecond, 10*time.Millisecond); err == nil {
+			t.Fatal("the slow call did not time out")
+		}
+		time.Sleep(200 * time.Millisecond)
+		if err := call(0, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(2 * silenceTimeout)
+	}
+	if got := l.accepted.Load(); got != 1 {
+		t.Errorf("%d connections were opened, want 1", got)
+	}
+}
--- a/internal/node/peer/rpc.go
+++ b/internal/node/peer/rpc.go
@@ -61,8 +61,8 @@
 	link struct {
 		rpc  *rpc.Client
 		conn *countedConn
-		// silentSince is when a call first timed out without a byte read during it, as Unix time in nanoseconds. A
-		// call that times out although bytes were read during it resets silentSince to 0.
+		// silentSince is when a call first timed out without a byte read during it, as Unix time in nanoseconds. An
+		// answer resets it to 0, and so does a call that times out although bytes were read during it.
 		silentSince atomic.Int64
 	}
 
@@ -183,6 +183,7 @@
 	call := l.rpc.Go(string(method), args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		l.silentSince.Store(0)
 		err = c.callError(to.Address, l, call.Error)
 	case <-ctx.Done():
 		err = errs.New(errs.Lost, "calling %s at %s: %v", method, to.Address, ctx.Err())
