Say nothing false about jobs and requests whose outcome is in doubt

Change: a cancellation after the end changes nothing; the error after a commit is of kind Unknown; the answer to a former id is dropped when a later attempt may have run the request.

--- a/client/client.go
+++ b/client/client.go
@@ -128,7 +128,8 @@
 
 // Do sends a request and retries it where that is safe. The error is nil only if the outcome is Done and the answer has
 // the complete body. With outcome NotRun, the request did not run and never will. With Unknown, it may have run, and
-// Ask may return its outcome later. The answer is nil if no entry sent one.
+// Ask may return its outcome later. The answer is nil if no entry sent one, or if a later attempt may have run the
+// request.
 func (c *Client) Do(ctx context.Context, r Request) (*Answer, error) {
 	ctx, cancel, deadline := c.withDeadline(ctx)
 	defer cancel()
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// A request that is sent under a new id after NotRun may run under that one. Its caller must not get the answer to the
+// former id, which says that the request never runs.
+func TestNoAnswerToAFormerIDAfterALostOne(t *testing.T) {
+	s := newScriptedEntry(t, replyOutcome(types.OutcomeNotRun, errs.Overloaded), truncatedResponse)
+	c := newClient(t, s.server.URL)
+	a, err := c.Do(context.Background(), Request{Service: "desk", Team: "team", Class: types.ClassNormal, Body: []byte("refund")})
+	if a != nil || !errs.Is(err, errs.Lost) {
+		t.Errorf("got answer %+v, error %v, want no answer and an error of kind Lost", a, err)
+	}
+}
+
 func newClient(t *testing.T, entries ...string) *Client {
 	t.Helper()
 	c, err := New(Config{Entries: entries, Timeout: 5 * time.Second})
--- a/client/send.go
+++ b/client/send.go
@@ -20,7 +20,8 @@
 	backoff *backoff.ExponentialBackOff
 	// mayHaveRun is true if the current id was sent before and its request may therefore have run.
 	mayHaveRun bool
-	// answer is the latest answer and err the latest error or nil. Do returns both; they may be of different attempts.
+	// answer is the latest answer and err the latest error or nil. Do returns both; they may be of different attempts. The
+	// answer is dropped once a later attempt may have run the request.
 	answer *Answer
 	err    error
 }
@@ -42,7 +43,7 @@
 		return s.handleFailure(entry, err)
 	}
 	if err := checkAnswer(s.request.ID, answer); err != nil {
-		s.mayHaveRun, s.err = true, err
+		s.mayHaveRun, s.answer, s.err = true, nil, err
 		return false, s.retryDelay(err)
 	}
 	return s.handleAnswer(entry, answer)
@@ -57,7 +58,7 @@
 	case errs.Is(err, errs.Unavailable, errs.Draining, errs.Overloaded):
 		return false, s.retryDelay(err)
 	case errs.Is(err, errs.Lost):
-		s.mayHaveRun = true
+		s.mayHaveRun, s.answer = true, nil
 		return false, s.retryDelay(err)
 	default:
 		return true, 0
--- a/internal/sched/commit/image.go
+++ b/internal/sched/commit/image.go
@@ -119,9 +119,11 @@
 	j.updateEnded(at)
 }
 
+// cancelJob cancels a job that has not ended. A cancellation may be committed after the end, when both were under way; the
+// job's tasks are dropped by then, and its counts must stay.
 func (s *CommittedState) cancelJob(c *Cancel, at time.Time) {
 	j, ok := s.Jobs[c.Job]
-	if !ok {
+	if !ok || !j.Ended.IsZero() {
 		return
 	}
 	j.Cancelled = true
--- a/internal/sched/commit/journal_test.go
+++ b/internal/sched/commit/journal_test.go
@@ -188,3 +188,21 @@
 		}
 	})
 }
+
+// A job may end while its cancellation is being committed. Its results must stay.
+func TestCancellationAfterTheEndChangesNothing(t *testing.T) {
+	s := &CommittedState{Jobs: make(map[types.JobID]*CommittedJob)}
+	s.Apply(acceptRecords(1)[0], now)
+	task := newJob(1).ID.Task(0)
+	s.Apply(Record{Intent: &Intent{Task: task, Number: 1, Worker: "w", Boot: 1}}, now)
+	s.Apply(Record{End: &End{Task: task, Number: 1, State: table.TaskDone}}, now)
+	before := *s.Jobs[newJob(1).ID]
+	if before.Ends.Done != 1 {
+		t.Fatalf("the job has the results %+v before the cancellation, want one task done", before.Ends)
+	}
+	s.Apply(Record{Cancel: &Cancel{Job: newJob(1).ID}}, now)
+	after := *s.Jobs[newJob(1).ID]
+	if after.Ends != before.Ends || after.Cancelled {
+		t.Errorf("the job has the results %+v, cancelled %v after the cancellation, want %+v and false", after.Ends, after.Cancelled, before.Ends)
+	}
+}
--- a/internal/sched/lead/submit.go
+++ b/internal/sched/lead/submit.go
@@ -48,7 +48,11 @@
 	if err != nil {
 		return types.JobStatus{}, err
 	}
-	return l.Status(ctx, id)
+	status, err := l.Status(ctx, id)
+	if err != nil && w != nil {
+		return types.JobStatus{}, errs.New(errs.Unknown, "job %s: the submission or cancellation took effect, but its state is not known: %v", id, err)
+	}
+	return status, err
 }
 
 func (l *Leader) submit(job types.Job) (*waiter, error) {
