Make tests of the job scheduler check what their names say

The test of the number of runners that a call for advice names showed that a call for a wide step named one too many; it names just what its rule says.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -72,14 +72,12 @@
 	}
 	share := p.table.Shares.Of(s.Job.Spec.Queue.Name)
 	wanted := float64(s.WaitingTasks) * askedCapacityFactor
-	for i, r := range unknown {
-		if i+1 >= agent.MaxAdvised || (wanted <= 0 && i+1 >= minAskedRunners) {
-			p.addAdviceCall(s, unknown[:i+1])
-			return
-		}
-		wanted -= share * float64(max(p.countFitting(s, r), 1))
+	named := 0
+	for named < min(len(unknown), agent.MaxAdvised) && (wanted > 0 || named < minAskedRunners) {
+		wanted -= share * float64(max(p.countFitting(s, unknown[named]), 1))
+		named++
 	}
-	p.addAdviceCall(s, unknown)
+	p.addAdviceCall(s, unknown[:named])
 }
 
 // canCallAdvice reports whether a call for advice on the step may be made now: none is in flight, and the budget allows
--- a/internal/flow/order/order_test.go
+++ b/internal/flow/order/order_test.go
@@ -146,13 +146,16 @@
 			t.Error("plan does not consist of one start on rack r1, whose runners have the label of the step")
 		}
 	})
-	// Rack checks the racks of the starts in the plan; it does not check that there are any.
 	t.Run("Rack", func(t *testing.T) {
 		f := newTableFixture(t, 6)
 		s := stepOf(2, types.Core)
 		s.Rack = "r2"
 		f.addJob("j", 0, s)
-		for _, st := range f.plan(start).Starts {
+		starts := f.plan(start).Starts
+		if len(starts) != 2 {
+			t.Errorf("%d starts, want 2", len(starts))
+		}
+		for _, st := range starts {
 			if st.Runner.Info.Rack != "r2" {
 				t.Errorf("task starts on rack %s, want r2", st.Runner.Info.Rack)
 			}
@@ -202,7 +205,7 @@
 		}
 	})
 	// The gang needs two empty runners, but w0 and w1 have half a core free, and w2 to w9 two cores. Two of the latter
-	// must get no small task; the check does not look at the reservation itself.
+	// must get no small task, and all other free cores must be used.
 	t.Run("ReservesCapacityAgainstWorkBehindIt", func(t *testing.T) {
 		f := newTableFixture(t, 10)
 		for _, id := range []specs.RunnerID{"w0", "w1"} {
@@ -226,6 +229,14 @@
 		if withoutStart != 2 {
 			t.Errorf("%d of the runners w2 to w9 get no task, want 2, reserved for the gang", withoutStart)
 		}
+		// 6 runners have room for 4 small tasks each, w0 and w1 for one each.
+		total := 0
+		for _, n := range got {
+			total += n
+		}
+		if total != 26 {
+			t.Errorf("%d small tasks start, want 26", total)
+		}
 	})
 }
 
@@ -244,13 +255,19 @@
 			t.Errorf("%d starts, %d calls for advice; want no start and one call that names all 3 runners", len(p.Starts), len(p.AdviceCalls))
 		}
 	})
-	// One runner is enough for the step, but a call names at least minAskedRunners, 12; the check allows up to 15 of
-	// the 60. Learn raises the share of the queue from 0.3 to 0.375, since one answer weighs 1/8.
+	// The queue is allowed 0.375 of the runners: Learn raises the share from 0.3, since one answer weighs 1/8. So a runner
+	// counts for 1.5 of its 4 cores. The call must name enough runners for askedCapacityFactor times the tasks, but at
+	// least minAskedRunners.
 	t.Run("NamesNoMoreRunnersThanTheStepNeeds", func(t *testing.T) {
-		f, _ := advised(t, 60)
-		f.table.Shares.Learn("q0", 10, 9)
-		if p := f.plan(start); len(p.AdviceCalls) != 1 || len(p.AdviceCalls[0].Runners) > 15 {
-			t.Errorf("call for advice names %d runners for one task, want at most 15", len(p.AdviceCalls[0].Runners))
+		for _, tt := range []struct{ tasks, want int }{{tasks: 1, want: minAskedRunners}, {tasks: 15, want: 40}} {
+			f := newTableFixture(t, 60)
+			j := f.addJob("j", 0, stepOf(tt.tasks, types.Core))
+			j.Spec.Queue.Advice = policy
+			f.table.Shares.Learn("q0", 10, 9)
+			p := f.plan(start)
+			if len(p.AdviceCalls) != 1 || len(p.AdviceCalls[0].Runners) != tt.want {
+				t.Errorf("%d calls for advice for %d tasks; want one that names %d runners", len(p.AdviceCalls), tt.tasks, tt.want)
+			}
 		}
 	})
 	t.Run("AsksAboutMoreWhenAllowedRunnersAreFull", func(t *testing.T) {
--- a/internal/flow/owner/health_test.go
+++ b/internal/flow/owner/health_test.go
@@ -60,7 +60,7 @@
 	return n
 }
 
-// TestStalledTasksMove checks that stalled tasks are stopped, not that they start elsewhere.
+// Stalled tasks are stopped, and start on another runner once their runner has listed them as stopped.
 func TestStalledTasksMove(t *testing.T) {
 	f := newHealthFixture(t, 3)
 	f.reportProgress(30, 0)
@@ -76,6 +76,17 @@
 	if f.runner.Usable(f.began.Add(stallTimeout + time.Second)) {
 		t.Error("the runner is usable during its quarantine")
 	}
+	other := f.addRunner(runner(1))
+	other.Synced = true
+	for i, run := range f.runs {
+		f.applyResult(f.runner, agent.Result{
+			Number: agent.ResultNumber(i + 1), Ref: run.Key.Ref, Attempt: 1, Outcome: agent.Stopped,
+		})
+	}
+	f.executePlan()
+	if got := len(other.Runs); got != 3 {
+		t.Errorf("%d of the stalled tasks are placed on the other runner, want 3", got)
+	}
 }
 
 // TestTasksMoveAwayFromASlowRunner checks that the tasks on a slow runner are stopped, not that they start elsewhere.
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -129,9 +130,29 @@
 	}
 }
 
-// TestTasksOfACrashedRunnerRunElsewhereAfterItsLease checks that a job is completed on another runner after its runner
-// crashed. It does not check that the second starts wait for the lease, since nothing runs on a crashed runner.
-func TestTasksOfACrashedRunnerRunElsewhereAfterItsLease(t *testing.T) {
+// A runner that cannot be reached may run its tasks until their leases expire on its own clock. They must start elsewhere
+// only after that.
+func TestTasksOfAnUnreachableRunnerRunElsewhereAfterItsLease(t *testing.T) {
+	w := quickWorld()
+	w.RunTime = func(specs.Ref) time.Duration { return time.Minute }
+	f := newFixture(t, w)
+	f.addRunners(1)
+	o, _ := f.startOwner()
+	f.submit(o, job("j", step(2)))
+	f.eventually("tasks run", func() bool { return f.fleet.StartCount() == 2 })
+	f.fleet.SetUnreachable("w00", true)
+	unreachableSince := time.Now()
+	f.fleet.Add(runner(1))
+	f.eventually("the tasks run elsewhere", func() bool { return f.fleet.StartCount() == 4 })
+	// The last renewal that the runner received may be as old as one wait for results.
+	if earliest := leaseTTL - longPollTimeout - longPollMargin; time.Since(unreachableSince) < earliest {
+		t.Errorf("the tasks run elsewhere %s after the runner was last reached, want %s or more", time.Since(unreachableSince), earliest)
+	}
+	f.checkNoViolations()
+}
+
+// A crashed runner runs nothing, so its job is completed elsewhere.
+func TestTasksOfACrashedRunnerRunElsewhere(t *testing.T) {
 	w := quickWorld()
 	w.RunTime = func(specs.Ref) time.Duration { return 200 * time.Millisecond }
 	f := newFixture(t, w)
@@ -145,21 +166,46 @@
 	f.checkNoViolations()
 }
 
-// TestRunnerThatFailsTasksIsQuarantined checks that all jobs are completed although one of four runners fails every
-// task. It does not check the quarantine itself.
+// A runner that fails every task gets none during its quarantine, so it costs few attempts and all jobs are completed.
 func TestRunnerThatFailsTasksIsQuarantined(t *testing.T) {
 	w := quickWorld()
 	w.Fails = func(r specs.RunnerID, _ specs.Ref, _ specs.Attempt) bool { return r == "w00" }
 	f := newFixture(t, w)
 	f.addRunners(4)
 	o, _ := f.startOwner()
-	for i := range 20 {
-		f.submit(o, job(fmt.Sprintf("j%d", i), step(2)))
+	for i := range 60 {
+		f.submit(o, job(fmt.Sprintf("j%d", i), step(4)))
 	}
-	for i := range 20 {
+	for i := range 60 {
 		f.waitForState(o, specs.JobID(fmt.Sprintf("j%d", i)), tasks.JobCompleted)
 	}
 	f.checkNoViolations()
+	checkQuarantine(t, f.fleet.StartedAttempts(), "w00", w.RunTime(specs.Ref{}))
+}
+
+// checkQuarantine checks that a runner on which every attempt fails after runTime started no more than fit on it twice
+// within minQuarantine.
+func checkQuarantine(t *testing.T, attempts []agent.StartedAttempt, id specs.RunnerID, runTime time.Duration) {
+	t.Helper()
+	slots := int(runner(0).Capacity.Cores / types.Core)
+	var starts []time.Time
+	for _, a := range attempts {
+		if a.Runner == id {
+			starts = append(starts, a.At)
+		}
+	}
+	if len(starts) == 0 {
+		t.Fatalf("no attempt started on %s", id)
+	}
+	early := 0
+	for _, at := range starts {
+		if at.Sub(starts[0]) < minQuarantine+runTime {
+			early++
+		}
+	}
+	if most := 2 * slots; early > most {
+		t.Errorf("%d attempts started on %s before its quarantine ended, want at most %d", early, id, most)
+	}
 }
 
 // A runner lists a failure again that a former leader has applied but not acknowledged. It must not count twice.
