Pack payloads and stored values

Cause: on the small twin of the large deployment (2 Mbit/s a VM), the leader's link was full: it sends each job's payload to the store and to the runners, and a record of about 170 bytes for each change of a task.

Change: payloads are compressed where they are accepted and unpacked where a task starts; values in the store are compressed at its adapter. Values that were stored before are read as they are.

--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -117,7 +117,7 @@
 	Job struct {
 		ID       JobID     `json:"ID"`
 		Queue    Queue     `json:"Queue"`
-		Payload  string    `json:"Payload"`
+		Payload  Payload   `json:"Payload"`
 		Steps    []Step    `json:"Steps"`
 		Schedule *Schedule `json:"Schedule,omitempty"`
 		Accepted time.Time `json:"Accepted"`
--- a/internal/plat/agent/agent.go
+++ b/internal/plat/agent/agent.go
@@ -110,7 +110,7 @@
 	StartRequest struct {
 		Ref        specs.Ref
 		Attempt    specs.Attempt
-		Payload    string
+		Payload    specs.Payload
 		Deadline   Clock
 		Fence      Fence
 		Checkpoint specs.Checkpoint
