Send the leader's requests to runners through relays

Cause: on the large deployment one VM cannot talk to 1,100 runners: at 1,450 starts a second its processor is full, starts get no answer, their tickets run out, renewals time out, and everything is repeated.

Change: with more runners than a share of its capacity, the leader sends starts, stops and renewals in batches to two or more strong daemons in each data centre, which carry them out as they are and return the answers in batches. A relay keeps no state of runners: the fence, deadline and attempt number make a runner refuse what is late. A relay that fails or is slow is replaced. A site with few runners has no relays.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -165,6 +165,17 @@
 	return out
 }
 
+// Strengths returns the election weight of each daemon that this daemon knows to be alive.
+func (e *Elector) Strengths() map[types.VMID]Strength {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[types.VMID]Strength, len(e.members))
+	for vm, m := range e.members {
+		out[vm] = m.Strength
+	}
+	return out
+}
+
 // StoreReachable reports whether the store has answered a watch or a renewal within the last TTL.
 func (e *Elector) StoreReachable() bool {
 	e.mu.Lock()
--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/owner"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/relay"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
@@ -68,6 +69,7 @@
 		callMetrics callMetrics
 		balancer    adviceBalancer
 		adviceCache adviceCache
+		relays      *relay.Server
 
 		mu       sync.Mutex
 		ctx      context.Context
@@ -97,6 +99,7 @@
 	}
 	f.balancer = newAdviceBalancer()
 	f.adviceCache = newAdviceCache()
+	f.relays = relay.NewServer(relay.ServerConfig{Agents: c.Agents, Clock: c.Clock, Log: c.Log})
 	f.elector = elect.New(elect.Config{
 		Self: c.Self, Strength: c.Strength, Store: c.Store, Clock: c.Clock, Log: c.Log, TTL: c.TTL,
 		OnStartedLeading: f.startLeading, OnStoppedLeading: f.stopLeading,
@@ -166,14 +169,19 @@
 		return
 	}
 	ctx := f.ctx
+	termCtx, endTerm := context.WithCancel(ctx)
 	o := owner.New(owner.Config{
 		Term: t, Store: f.config.Store, Clock: f.config.Clock, Log: f.config.Log, Metrics: f.config.Metrics,
-		Agents: f.config.Agents, Directory: f.config.Directory, Advise: f.advise, AdviceBudget: f.adviceBudget, CollectCachedAdvice: f.collectCachedAdvice, Catalog: f.Catalog,
+		Agents: f.newRelayClient(termCtx, t), Directory: f.config.Directory, Advise: f.advise, AdviceBudget: f.adviceBudget,
+		CollectCachedAdvice: f.collectCachedAdvice, Catalog: f.Catalog,
 		LastContact: f.elector.LastContact, OnFenced: f.elector.EndTerm, Bounds: f.config.Bounds,
 		OnWritesStalled: func(isStalled func() bool) { f.requestTakeover(ctx, t.Epoch, isStalled) },
 	})
 	f.owner, f.term = o, t
-	f.terms.Go(func() { o.Run(ctx) })
+	f.terms.Go(func() {
+		defer endTerm()
+		o.Run(ctx)
+	})
 }
 
 // stopLeading ends the term as leader.
--- a/internal/flow/front/service.go
+++ b/internal/flow/front/service.go
@@ -80,8 +80,11 @@
 	Service struct{ front *Front }
 )
 
-// Register registers the daemon's RPC service.
+// Register registers the daemon's RPC services.
 func (f *Front) Register(r peer.Registrar) error {
+	if err := f.relays.Register(r); err != nil {
+		return err
+	}
 	return r.Register(serviceName, &Service{front: f})
 }
 
--- /dev/null
+++ b/internal/flow/relay/link.go
@@ -0,0 +1,320 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+)
+
+const (
+	// dispatchDelay lets orders accumulate, so that one call carries many.
+	dispatchDelay = 4 * time.Millisecond
+	// dispatchTimeout is how long a relay may take to accept a batch.
+	dispatchTimeout = 600 * time.Millisecond
+	// transitMargin is how much longer than the request to the runner an order may take on its way through the relay.
+	// The relay tells a runner that does not answer from an answer that is on its way, so an order is not repeated because
+	// a daemon is slow.
+	transitMargin = 600 * time.Millisecond
+	// collectMargin is how much longer than maxCollectWait the reply to Collect may take.
+	collectMargin = 600 * time.Millisecond
+	// latencyDivisor gives one batch the weight 1/latencyDivisor in the moving average of a relay's latency.
+	latencyDivisor = 4
+	// A relay is slow when its latency is above minSlowLatency and slowFactor times the usual one.
+	minSlowLatency = 100 * time.Millisecond
+	slowFactor     = 4
+)
+
+type (
+	// link is the leader's side of one relay. It is safe for concurrent use.
+	link struct {
+		client *Client
+		target peer.Target
+		// queued and expecting wake the loops: an order was queued, and an answer is expected.
+		queued    chan struct{}
+		expecting chan struct{}
+
+		mu     sync.Mutex
+		lastID OrderID
+		// running is set once the loops of the link run.
+		running bool
+		queue   []Order
+		// waiting holds the orders without an answer.
+		waiting map[OrderID]chan<- result
+		// latency is the moving average of how long the relay takes to accept a batch; zero when it is not known.
+		latency time.Duration
+		// failedOn is when the relay last failed; it gets no orders until backoffUntil.
+		failedOn     time.Time
+		backoffUntil time.Time
+	}
+
+	// result is what the sender of an order waits for.
+	result struct {
+		answer Answer
+		err    error
+	}
+)
+
+func newLink(c *Client, target peer.Target) *link {
+	return &link{
+		client: c, target: target, queued: make(chan struct{}, 1), expecting: make(chan struct{}, 1),
+		waiting: make(map[OrderID]chan<- result),
+	}
+}
+
+// send queues an order and waits for its answer. The request to the runner ends with the deadline of ctx, and send returns
+// at most transitMargin later. The error is the one of the runner, or of kind Unavailable when the order was not sent, or
+// of kind Lost when no answer arrived.
+func (l *link) send(ctx context.Context, o Order) (Answer, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return Answer{}, errs.New(errs.Internal, "an order through a relay needs a context with a deadline")
+	}
+	o.Timeout = deadline.Sub(l.client.config.Clock.Now())
+	done := make(chan result, 1)
+	id := l.enqueue(o, done)
+	l.client.counters.relayed.Inc(1)
+	select {
+	case r := <-done:
+		return r.answer, r.err
+	case <-l.client.ctx.Done():
+	case <-l.client.config.Clock.After(o.Timeout + transitMargin):
+	}
+	l.forget(id)
+	return Answer{}, errs.New(errs.Lost, "no answer through relay %s within %s", l.target.VM, o.Timeout+transitMargin)
+}
+
+func (l *link) enqueue(o Order, done chan<- result) OrderID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastID++
+	o.ID = l.lastID
+	l.queue = append(l.queue, o)
+	l.waiting[o.ID] = done
+	if !l.running {
+		l.running = true
+		go l.dispatchLoop()
+		go l.collectLoop()
+	}
+	wake(l.queued)
+	wake(l.expecting)
+	return o.ID
+}
+
+func (l *link) forget(id OrderID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, id)
+}
+
+// dispatchLoop sends the queued orders in batches until the client's context ends.
+func (l *link) dispatchLoop() {
+	ctx := l.client.ctx
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.queued:
+		}
+		l.client.sleep(dispatchDelay)
+		if batch := l.takeBatch(); len(batch.Orders) > 0 {
+			go l.dispatch(batch)
+		}
+	}
+}
+
+// takeBatch empties the queue into a batch that holds each payload once.
+func (l *link) takeBatch() *DispatchArgs {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := &DispatchArgs{Session: l.client.config.Session, Orders: l.queue}
+	l.queue = nil
+	for i := range batch.Orders {
+		if o := &batch.Orders[i]; o.Start != nil {
+			o.Payload = batch.addPayload(o.Start.Payload)
+			withoutPayload := *o.Start
+			withoutPayload.Payload = ""
+			o.Start = &withoutPayload
+		}
+	}
+	return batch
+}
+
+// addPayload returns the index of a payload, which it adds unless the latest one is the same: the starts of one step
+// follow each other.
+func (a *DispatchArgs) addPayload(payload specs.Payload) int {
+	if last := len(a.Payloads) - 1; last >= 0 && a.Payloads[last] == payload {
+		return last
+	}
+	a.Payloads = append(a.Payloads, payload)
+	return len(a.Payloads) - 1
+}
+
+// dispatch sends a batch. When that fails, the relay is taken to have failed.
+func (l *link) dispatch(batch *DispatchArgs) {
+	ctx, cancel := context.WithTimeout(l.client.ctx, dispatchTimeout)
+	defer cancel()
+	began := l.client.config.Clock.Now()
+	err := l.client.config.Peers.Call(ctx, l.target, methodDispatch, batch, &DispatchReply{})
+	if err == nil {
+		l.observeLatency(l.client.config.Clock.Since(began))
+		return
+	}
+	if l.client.ctx.Err() != nil {
+		return
+	}
+	kind := errs.Lost
+	if errs.Is(err, errs.Unavailable) {
+		kind = errs.Unavailable
+	}
+	ids := make([]OrderID, 0, len(batch.Orders))
+	for i := range batch.Orders {
+		ids = append(ids, batch.Orders[i].ID)
+	}
+	l.fail(ids, errs.New(kind, "relay %s did not accept the order: %v", l.target.VM, err))
+	l.markFailed(failureBackoff, err)
+}
+
+// collectLoop collects the answers while some are expected, until the client's context ends.
+func (l *link) collectLoop() {
+	ctx := l.client.ctx
+	for ctx.Err() == nil {
+		if !l.expectsAnswers() {
+			select {
+			case <-ctx.Done():
+			case <-l.expecting:
+			}
+			continue
+		}
+		if err := l.collect(ctx); err != nil && ctx.Err() == nil {
+			l.markFailed(failureBackoff, err)
+			l.client.sleep(dispatchDelay)
+		}
+	}
+}
+
+func (l *link) expectsAnswers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) > 0
+}
+
+func (l *link) collect(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, maxCollectWait+collectMargin)
+	defer cancel()
+	reply := &CollectReply{}
+	args := &CollectArgs{Session: l.client.config.Session, Wait: maxCollectWait}
+	if err := l.client.config.Peers.Call(limited, l.target, methodCollect, args, reply); err != nil {
+		return err
+	}
+	for _, a := range reply.Answers {
+		l.deliver(a.ID, result{answer: a, err: a.remoteError()})
+	}
+	return nil
+}
+
+func (l *link) deliver(id OrderID, r result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if done, ok := l.waiting[id]; ok {
+		delete(l.waiting, id)
+		done <- r
+	}
+}
+
+func (l *link) fail(ids []OrderID, err error) {
+	for _, id := range ids {
+		l.deliver(id, result{err: err})
+	}
+}
+
+// markFailed keeps orders away from the relay for a while. The orders that it has not answered are in doubt.
+func (l *link) markFailed(backoff time.Duration, cause error) {
+	now := l.client.config.Clock.Now()
+	l.mu.Lock()
+	waiting := make([]OrderID, 0, len(l.waiting))
+	for id := range l.waiting {
+		waiting = append(waiting, id)
+	}
+	alreadyFailed := now.Before(l.backoffUntil)
+	l.failedOn, l.backoffUntil, l.latency = now, now.Add(backoff), 0
+	l.mu.Unlock()
+	l.client.counters.failures.Inc(1)
+	if !alreadyFailed {
+		l.client.config.Log.Warn().Err(cause).Str("Relay", string(l.target.VM)).Int("Orders", len(waiting)).Dur("Backoff", backoff).
+			Msg("relay failed; its runners are called through others")
+	}
+	l.fail(waiting, errs.New(errs.Lost, "relay %s failed before it answered: %v", l.target.VM, cause))
+}
+
+// failureAt returns when the relay failed if it is in backoff, or zero.
+func (l *link) failureAt(now time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.backoffUntil) {
+		return l.failedOn
+	}
+	return time.Time{}
+}
+
+// observeLatency adds the latency of one batch. A relay that has become much slower than the others gets no orders for a
+// while; the orders that it has are still answered.
+func (l *link) observeLatency(took time.Duration) {
+	l.client.counters.dispatches.Update(took)
+	l.mu.Lock()
+	if l.latency == 0 {
+		l.latency = took
+	} else {
+		l.latency += (took - l.latency) / latencyDivisor
+	}
+	latency := l.latency
+	l.mu.Unlock()
+	if latency < minSlowLatency || latency < slowFactor*l.client.usualLatency() {
+		return
+	}
+	now := l.client.config.Clock.Now()
+	l.mu.Lock()
+	l.failedOn, l.backoffUntil, l.latency = now, now.Add(slowBackoff), 0
+	l.mu.Unlock()
+	l.client.config.Log.Warn().Str("Relay", string(l.target.VM)).Dur("Latency", latency).Dur("Backoff", slowBackoff).
+		Msg("relay is slow; its runners are called through others")
+}
+
+func (l *link) currentLatency() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latency
+}
+
+// medianLatency returns the median of the known latencies, or zero when none is known.
+func medianLatency(links []*link) time.Duration {
+	var known []time.Duration
+	for _, l := range links {
+		if latency := l.currentLatency(); latency > 0 {
+			known = append(known, latency)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[len(known)/2]
+}
+
+func (c *Client) sleep(d time.Duration) {
+	select {
+	case <-c.ctx.Done():
+	case <-c.config.Clock.After(d):
+	}
+}
+
+func wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/flow/relay/server.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
+)
+
+const (
+	// collectDelay lets answers accumulate, so that one reply carries many.
+	collectDelay = 5 * time.Millisecond
+	// sessionTimeout is how long a session is kept that its leader does not use.
+	sessionTimeout = 10 * time.Second
+	// maxAnswers limits the answers of a session that wait to be collected; the oldest are dropped. A leader treats an
+	// order without an answer as in doubt.
+	maxAnswers = 10_000
+)
+
+type (
+	// ServerConfig holds the dependencies of a Server.
+	ServerConfig struct {
+		Agents agent.Agent
+		Clock  clockwork.Clock
+		Log    zerolog.Logger
+	}
+
+	// Server is the relay's side: it carries out the orders of leaders. It is safe for concurrent use.
+	Server struct {
+		config ServerConfig
+
+		mu       sync.Mutex
+		sessions map[SessionID]*session
+	}
+
+	// session holds the answers that a leader has not collected yet.
+	session struct {
+		answers []Answer
+		// ready is closed once there is an answer, and then replaced.
+		ready  chan struct{}
+		usedAt time.Time
+	}
+
+	// Service is the RPC service of a relay.
+	Service struct{ server *Server }
+)
+
+// NewServer returns a server without sessions.
+func NewServer(c ServerConfig) *Server {
+	return &Server{config: c, sessions: make(map[SessionID]*session)}
+}
+
+// Register registers the RPC service.
+func (s *Server) Register(r peer.Registrar) error {
+	return r.Register(ServiceName, &Service{server: s})
+}
+
+// Dispatch begins to carry out the orders and returns without waiting for their answers. It refuses the whole batch when
+// one of its orders is malformed.
+func (s *Service) Dispatch(args *DispatchArgs, _ *DispatchReply) error {
+	for i := range args.Orders {
+		if err := args.Orders[i].Check(len(args.Payloads)); err != nil {
+			return peer.Wire(err)
+		}
+	}
+	to := s.server.use(args.Session)
+	for i := range args.Orders {
+		o := &args.Orders[i]
+		if o.Start != nil {
+			o.Start.Payload = args.Payloads[o.Payload]
+		}
+		go func() { s.server.addAnswer(to, o.carryOut(context.Background(), s.server.config.Agents)) }()
+	}
+	return nil
+}
+
+// Collect returns the answers since the last call. It waits for the first one.
+func (s *Service) Collect(args *CollectArgs, reply *CollectReply) error {
+	from := s.server.use(args.Session)
+	s.server.mu.Lock()
+	ready := from.ready
+	s.server.mu.Unlock()
+	select {
+	case <-ready:
+		<-s.server.config.Clock.After(collectDelay)
+	case <-s.server.config.Clock.After(min(args.Wait, maxCollectWait)):
+	}
+	reply.Answers = s.server.takeAnswers(from)
+	return nil
+}
+
+// use returns the session and notes its use. It drops the sessions that were not used for sessionTimeout.
+func (s *Server) use(id SessionID) *session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Clock.Now()
+	for other, candidate := range s.sessions {
+		if now.Sub(candidate.usedAt) > sessionTimeout {
+			s.config.Log.Info().Str("Session", string(other)).Int("Answers", len(candidate.answers)).Msg("leader no longer uses its relay session; dropping it")
+			delete(s.sessions, other)
+		}
+	}
+	used := s.sessions[id]
+	if used == nil {
+		used = &session{ready: make(chan struct{})}
+		s.sessions[id] = used
+		s.config.Log.Info().Str("Session", string(id)).Msg("relaying orders of a leader")
+	}
+	used.usedAt = now
+	return used
+}
+
+func (s *Server) addAnswer(to *session, a Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	to.answers = append(to.answers, a)
+	if len(to.answers) == 1 {
+		close(to.ready)
+	}
+	if excess := len(to.answers) - maxAnswers; excess > 0 {
+		s.config.Log.Warn().Int("Dropped", excess).Msg("leader does not collect its answers; dropping the oldest")
+		to.answers = to.answers[excess:]
+	}
+}
+
+func (s *Server) takeAnswers(from *session) []Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := from.answers
+	if len(out) > 0 {
+		from.answers, from.ready = nil, make(chan struct{})
+	}
+	return out
+}
+
+// remoteError returns the error of an answer.
+func (a *Answer) remoteError() error {
+	if a.Error == "" {
+		return nil
+	}
+	return errs.Decode(a.Error)
+}
