Plan over ordered tables, and for a quarter of the time at most

Change: the table keeps its runners in order; plans index them by position; gangs compute each runner's cost once; the pause after a plan is at least three times its duration.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -36,7 +36,7 @@
 func (p *pass) allowedRunners(s *tasks.Step) []*runnerCapacity {
 	var out []*runnerCapacity
 	for _, incarnation := range s.Advice.Allowed {
-		r := p.byIncarnation[incarnation]
+		r := p.capacityOf(incarnation)
 		if r != nil && s.Advice.Answers[incarnation].Allowed && canRun(s, r) {
 			out = append(out, r)
 		}
--- a/internal/flow/order/bench_test.go
+++ b/internal/flow/order/bench_test.go
@@ -38,7 +38,7 @@
 		}, 1)
 		r.Synced = true
 		r.Used.Cores = 28 * types.Core
-		t.Runners[r.Info.ID] = r
+		t.SetRunner(r)
 		incarnations = append(incarnations, r.Incarnation())
 	}
 	q := specs.Queue{
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -145,24 +145,33 @@
 // fitAny distributes the gang over the runners, those of the lowest cost first. It returns nil when the gang does not
 // fit.
 func (p *pass) fitAny(s *tasks.Step, runners []*runnerCapacity) []gangShare {
-	sorted := slices.Clone(runners)
-	slices.SortStableFunc(sorted, func(a, b *runnerCapacity) int {
-		return cmp.Compare(cost(s.Tasks[0], a), cost(s.Tasks[0], b))
-	})
+	type candidate struct {
+		gangShare
+		cost float64
+	}
+	var fitting []candidate
+	total := 0
+	for _, r := range runners {
+		if n := p.countFitting(s, r); n > 0 {
+			fitting = append(fitting, candidate{gangShare: gangShare{runner: r, count: n}, cost: cost(s.Tasks[0], r)})
+			total += n
+		}
+	}
 	left := len(s.Tasks)
+	if total < left {
+		return nil
+	}
+	slices.SortStableFunc(fitting, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	var out []gangShare
-	for _, r := range sorted {
-		n := min(left, p.countFitting(s, r))
-		if n == 0 {
-			continue
-		}
-		out = append(out, gangShare{runner: r, count: n})
-		left -= n
+	for _, c := range fitting {
+		c.count = min(left, c.count)
+		out = append(out, c.gangShare)
+		left -= c.count
 		if left == 0 {
-			return out
+			break
 		}
 	}
-	return nil
+	return out
 }
 
 // countFitting returns how many more tasks of the step fit on the runner now.
--- a/internal/flow/order/load_test.go
+++ b/internal/flow/order/load_test.go
@@ -88,7 +88,7 @@
 			Capacity: types.Resources{Cores: loadCores, Memory: 256 * types.GiB},
 		}, 1)
 		r.Synced = true
-		sim.table.Runners[r.Info.ID] = r
+		sim.table.SetRunner(r)
 	}
 	return sim
 }
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -79,12 +79,15 @@
 
 	// pass is the state of one planning pass.
 	pass struct {
-		table         *tasks.Table
-		limits        Limits
-		now           time.Time
-		runners       map[types.ServiceName][]*runnerCapacity
-		byIncarnation map[tasks.Incarnation]*runnerCapacity
-		reserved      map[types.ServiceName]types.MilliCores
+		table  *tasks.Table
+		limits Limits
+		now    time.Time
+		// capacities holds a runnerCapacity for each runner of the table, in its order; those that may not get tasks are
+		// empty.
+		capacities []runnerCapacity
+		// runners holds those that may get tasks, by service, in the order of their ids.
+		runners  map[types.ServiceName][]*runnerCapacity
+		reserved map[types.ServiceName]types.MilliCores
 		// cores is the sum of the cores of the usable runners of each service.
 		cores map[types.ServiceName]types.MilliCores
 		out   Plan
@@ -116,20 +119,18 @@
 // plan is MakePlan with the steps served in the order of the given ranking.
 func plan(t *tasks.Table, now time.Time, limits Limits, compare ranking) Plan {
 	p := &pass{
-		table:         t,
-		limits:        limits,
-		now:           now,
-		runners:       make(map[types.ServiceName][]*runnerCapacity),
-		byIncarnation: make(map[tasks.Incarnation]*runnerCapacity, len(t.Runners)),
-		reserved:      make(map[types.ServiceName]types.MilliCores),
-		cores:         make(map[types.ServiceName]types.MilliCores),
+		table:    t,
+		limits:   limits,
+		now:      now,
+		runners:  make(map[types.ServiceName][]*runnerCapacity),
+		reserved: make(map[types.ServiceName]types.MilliCores),
+		cores:    make(map[types.ServiceName]types.MilliCores),
 	}
-	p.collectRunners()
-	entries := p.sortedEntries(compare)
-	p.out.Idle = len(entries) == 0
-	if p.out.Idle {
+	if p.out.Idle = !hasWaitingStep(t); p.out.Idle {
 		return p.out
 	}
+	p.collectRunners()
+	entries := p.sortedEntries(compare)
 	for _, e := range entries {
 		p.serve(e.step)
 	}
@@ -196,20 +197,43 @@
 	)
 }
 
-// collectRunners collects the runners that may get tasks, by service, in the order of their ids.
+// collectRunners collects the runners that may get tasks.
 func (p *pass) collectRunners() {
-	for _, r := range p.table.Runners {
-		if r.Usable(p.now) {
-			name := r.Info.Service
-			capacity := &runnerCapacity{runner: r, free: r.Free()}
-			p.runners[name] = append(p.runners[name], capacity)
-			p.byIncarnation[r.Incarnation()] = capacity
-			p.cores[name] += r.Info.Capacity.Cores
+	ordered := p.table.OrderedRunners()
+	p.capacities = make([]runnerCapacity, len(ordered))
+	for i, r := range ordered {
+		if !r.Usable(p.now) {
+			continue
 		}
+		name := r.Info.Service
+		p.capacities[i] = runnerCapacity{runner: r, free: r.Free()}
+		p.runners[name] = append(p.runners[name], &p.capacities[i])
+		p.cores[name] += r.Info.Capacity.Cores
+	}
+}
+
+// capacityOf returns the capacity of an incarnation of a runner, or nil when it may not get tasks or is no longer the
+// current one.
+func (p *pass) capacityOf(i tasks.Incarnation) *runnerCapacity {
+	r := p.table.Runners[i.Runner]
+	if r == nil || r.Info.Boot != i.Boot || p.capacities[r.Position()].runner == nil {
+		return nil
 	}
-	for _, runners := range p.runners {
-		slices.SortFunc(runners, func(a, b *runnerCapacity) int { return cmp.Compare(a.runner.Info.ID, b.runner.Info.ID) })
+	return &p.capacities[r.Position()]
+}
+
+// hasWaitingStep reports whether tasks of some step can start.
+func hasWaitingStep(t *tasks.Table) bool {
+	for _, j := range t.Jobs {
+		for _, o := range j.Occurrences {
+			for _, s := range o.Steps {
+				if s.CanStart() {
+					return true
+				}
+			}
+		}
 	}
+	return false
 }
 
 // serve starts as many tasks of the step as fit.
--- a/internal/flow/order/order_test.go
+++ b/internal/flow/order/order_test.go
@@ -33,7 +33,7 @@
 		Capacity: types.Resources{Cores: 4 * types.Core, Memory: 64 * types.GiB},
 	}, 1)
 	r.Synced = true
-	f.table.Runners[r.Info.ID] = r
+	f.table.SetRunner(r)
 	return r
 }
 
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -24,6 +24,9 @@
 const (
 	// minPlanInterval is the minimum time between two plans.
 	minPlanInterval = 8 * time.Millisecond
+	// planShareDivisor limits the share of the time that planning takes: under overload, plans take long, and renewals,
+	// results and callers' requests must not wait for one after the other.
+	planShareDivisor = 4
 	// tickInterval is how often timeouts are checked.
 	tickInterval = 100 * time.Millisecond
 	// ledgerBackoff is the pause after a failed read of the ledger or a failed write of a snapshot.
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -57,7 +57,7 @@
 	// A former leader that is still alive goes on for storeContactTimeout at most, and asks for leases up to the
 	// maximum.
 	r.Deadline = agent.Clock(storeContactTimeout + o.config.Bounds.MaxLeaseTTL)
-	o.table.Runners[info.ID] = r
+	o.table.SetRunner(r)
 	return r
 }
 
@@ -172,7 +172,7 @@
 	o.config.Log.Info().Str("Runner", string(info.ID)).Int("Runs", len(r.Runs)).Msg("runner has restarted; the tasks of its former runs are handled as after an expired lease")
 	next := tasks.NewRunner(info, o.nextFence())
 	next.ClockAt = o.config.Clock.Now()
-	o.table.Runners[info.ID] = next
+	o.table.SetRunner(next)
 	for _, run := range r.Runs {
 		o.removeAbsentRun(run, agent.LeaseExpired)
 	}
@@ -199,7 +199,7 @@
 		o.expireRuns(r, now)
 		o.resendStops(r, now)
 		if !r.Listed && len(r.Runs) == 0 {
-			delete(o.table.Runners, id)
+			o.table.RemoveRunner(id)
 		}
 	}
 	o.updateGauges(now)
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -23,7 +23,8 @@
 	stopRetryInterval = 700 * time.Millisecond
 )
 
-// planLoop plans whenever something has changed, at most once in each minPlanInterval.
+// planLoop plans whenever something has changed, at most once in each minPlanInterval, and so seldom that planning takes at
+// most one part in planShareDivisor of the time.
 func (o *Owner) planLoop() {
 	for {
 		select {
@@ -31,13 +32,13 @@
 			return
 		case <-o.planWake:
 		}
-		o.executePlan()
-		o.sleep(minPlanInterval)
+		took := o.executePlan()
+		o.sleep(max(minPlanInterval, (planShareDivisor-1)*took))
 	}
 }
 
-// executePlan plans once, and begins the starts and the calls for advice of the plan.
-func (o *Owner) executePlan() {
+// executePlan plans once, and begins the starts and the calls for advice of the plan. It returns how long that took.
+func (o *Owner) executePlan() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	began := o.config.Clock.Now()
@@ -51,6 +52,7 @@
 	for _, a := range plan.AdviceCalls {
 		o.requestAdvice(a)
 	}
+	return o.config.Clock.Since(began)
 }
 
 // recordStart records the intent of a start; the start is sent once the intent is durable. The caller must hold o.mu.
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -45,6 +45,9 @@
 		FencePending bool
 		// UnreachableSince is when the lease renewals of the runner began to fail; zero while they succeed.
 		UnreachableSince time.Time
+
+		// position is the index of the runner in Table.OrderedRunners.
+		position int
 	}
 
 	// RunKey identifies one attempt of a task.
@@ -108,6 +111,11 @@
 	return &Runner{Info: info, Fence: fence, Listed: true, Runs: make(map[RunKey]*Run), Health: Health{Speed: 1}}
 }
 
+// Position returns the index of the runner in the latest result of Table.OrderedRunners.
+func (r *Runner) Position() int {
+	return r.position
+}
+
 // Free returns the capacity that no run occupies.
 func (r *Runner) Free() types.Resources {
 	return r.Info.Capacity.Sub(r.Used)
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -6,6 +6,8 @@
 package tasks
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -112,9 +114,12 @@
 		EndedJobs map[specs.JobID]EndedJob
 		// RecentResults holds the job results that no snapshot has stored yet, the oldest first.
 		RecentResults []JobResult
-		Runners       map[specs.RunnerID]*Runner
-		Times         *Times
-		Shares        *Shares
+		// Runners changes through SetRunner and RemoveRunner only.
+		Runners map[specs.RunnerID]*Runner
+		// ordered holds the runners in the order of their ids; nil after a change.
+		ordered []*Runner
+		Times   *Times
+		Shares  *Shares
 	}
 )
 
@@ -143,6 +148,34 @@
 	return j
 }
 
+// SetRunner adds a runner; it replaces the one with its id.
+func (t *Table) SetRunner(r *Runner) {
+	t.Runners[r.Info.ID] = r
+	t.ordered = nil
+}
+
+// RemoveRunner removes a runner.
+func (t *Table) RemoveRunner(id specs.RunnerID) {
+	delete(t.Runners, id)
+	t.ordered = nil
+}
+
+// OrderedRunners returns the runners in the order of their ids. The caller must not change the slice.
+func (t *Table) OrderedRunners() []*Runner {
+	if t.ordered != nil {
+		return t.ordered
+	}
+	t.ordered = make([]*Runner, 0, len(t.Runners))
+	for _, r := range t.Runners {
+		t.ordered = append(t.ordered, r)
+	}
+	slices.SortFunc(t.ordered, func(a, b *Runner) int { return cmp.Compare(a.Info.ID, b.Info.ID) })
+	for i, r := range t.ordered {
+		r.position = i
+	}
+	return t.ordered
+}
+
 // Advance creates the occurrences of scheduled jobs that are due.
 func (t *Table) Advance(now time.Time) {
 	for _, j := range t.Jobs {
