Say nothing false about documents in doubt, and keep spent retries spent

Cause, by reading: isInHistory answered no when the history could not be read, so an operator was told that a document was refused that may have been accepted; retryBudget.deposit overwrote a concurrent spend when the budget was full.

Change: the operator gets an error of kind Lost; deposits go by compare-and-swap.

Result: TestLostAnswerWithAnUnreadableHistoryIsInDoubt fails on the former code and passes on this one.

--- a/internal/conf/edit/edit_test.go
+++ b/internal/conf/edit/edit_test.go
@@ -350,3 +350,31 @@
 	}
 	assertCurrent(t, f.editor("amel"), trial, 3, 30)
 }
+
+// unreadableStore fails to list keys once the accepted record was written.
+type unreadableStore struct {
+	lossyStore
+	written bool
+}
+
+func (u *unreadableStore) Put(ctx context.Context, p store.Put) (store.Entry, error) {
+	u.written = u.written || p.Key == CurrentKey(trial)
+	return u.lossyStore.Put(ctx, p)
+}
+
+func (u *unreadableStore) List(ctx context.Context, prefix store.Key) (store.Page, error) {
+	if u.written {
+		return store.Page{}, errs.New(errs.Unavailable, "the store is down")
+	}
+	return u.Store.List(ctx, prefix)
+}
+
+// The operator must not be told that the document was refused when it is not known whether it was accepted.
+func TestLostAnswerWithAnUnreadableHistoryIsInDoubt(t *testing.T) {
+	f := newEditFixture()
+	put(t, f.editor("amel"), trial, 0, 10)
+	s := &unreadableStore{lossyStore: lossyStore{Store: f.store()}}
+	s.concurrentPut = func() { put(t, f.editor("sami"), trial, 2, 30) }
+	_, err := New(Config{Store: s, Clock: f.clock, By: "amel"}).Put(context.Background(), trial, 1, body(20))
+	assertKind(t, err, errs.Lost)
+}
--- a/internal/conf/edit/replace.go
+++ b/internal/conf/edit/replace.go
@@ -40,8 +40,14 @@
 		return Accepted{}, writeError(err)
 	}
 	_, err = store.Commit(ctx, e.config.Store, store.Put{Key: CurrentKey(d.env), Expect: found.version}, next)
-	if errs.Is(err, errs.Conflict) && !e.isInHistory(ctx, next) {
-		return Accepted{}, e.auditRejection(d.env, e.writeConflict(ctx, d))
+	if errs.Is(err, errs.Conflict) {
+		accepted, historyErr := e.isInHistory(ctx, next)
+		if historyErr != nil {
+			return Accepted{}, errs.New(errs.Lost, "the document may have been accepted; its history could not be read: %v", historyErr)
+		}
+		if !accepted {
+			return Accepted{}, e.auditRejection(d.env, e.writeConflict(ctx, d))
+		}
 	}
 	if err != nil && !errs.Is(err, errs.Conflict) {
 		return Accepted{}, writeError(err)
@@ -51,20 +57,20 @@
 }
 
 // isInHistory reports whether the record was accepted and has been replaced since. This happens when the answer to the
-// write is lost and another operator replaces the record, which archives it, before it is read back. It also returns
-// false when the history can't be read.
-func (e *Editor) isInHistory(ctx context.Context, record Accepted) bool {
+// write is lost and another operator replaces the record, which archives it, before it is read back. After an error it is
+// not known.
+func (e *Editor) isInHistory(ctx context.Context, record Accepted) (bool, error) {
 	page, err := e.config.Store.List(ctx, HistoryKey(record.Environment, record.Revision))
 	if err != nil {
-		return false
+		return false, err
 	}
 	for _, entry := range page.Entries {
 		found, err := Decode(entry)
 		if err == nil && found.Digest == record.Digest && found.By == record.By && found.At.Equal(record.At) {
-			return true
+			return true, nil
 		}
 	}
-	return false
+	return false, nil
 }
 
 // auditAccepted records an accepted change in the audit trail.
--- a/internal/route/entry/budget.go
+++ b/internal/route/entry/budget.go
@@ -21,11 +21,13 @@
 	return b
 }
 
-// deposit adds thousandths of a retry, up to retryReserve. When that is exceeded, a concurrent spend may be overwritten
-// and so not be deducted.
+// deposit adds thousandths of a retry, up to retryReserve.
 func (b *retryBudget) deposit(thousandths int) {
-	if b.balance.Add(int64(thousandths)) > retryReserve {
-		b.balance.Store(retryReserve)
+	for {
+		balance := b.balance.Load()
+		if b.balance.CompareAndSwap(balance, min(balance+int64(thousandths), retryReserve)) {
+			return
+		}
 	}
 }
 
