--- /dev/null
+++ b/internal/plat/agent/requests.go
@@ -0,0 +1,221 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+)
+
+// reachRunner returns a runner that can be called, with its due runs ended and its fence raised to the given one. The
+// caller must hold f.mu.
+func (f *Fleet) reachRunner(to Runner, fence Fence) (*runnerState, error) {
+	s := f.runners[to.ID]
+	if s == nil || f.unreachable[to.ID] {
+		return nil, errs.New(errs.Lost, "runner %s is unreachable", to.ID)
+	}
+	f.endDueRuns(s)
+	if fence < s.fence {
+		return nil, errs.New(errs.Fenced, "fence %d is below the highest one seen, %d", fence, s.fence)
+	}
+	s.fence = fence
+	return s, nil
+}
+
+// RenewLeases extends the leases of a runner, and reports its state as soon as it has a result or the wait is over.
+func (f *Fleet) RenewLeases(ctx context.Context, to Runner, r RenewRequest) (Report, error) {
+	until := f.clock.Now().Add(r.Wait)
+	for {
+		f.mu.Lock()
+		s, err := f.reachRunner(to, r.Fence)
+		if err != nil {
+			f.mu.Unlock()
+			return Report{}, err
+		}
+		f.extendLease(s, r.Deadline)
+		f.acknowledgeResults(s, r.Acknowledged)
+		next, changed := f.nextEndAt(s, until), s.changed
+		if len(s.results) > 0 || !f.clock.Now().Before(until) {
+			report := s.report(f.clock.Now())
+			f.mu.Unlock()
+			return report, nil
+		}
+		f.mu.Unlock()
+		select {
+		case <-changed:
+		case <-f.clock.After(next.Sub(f.clock.Now())):
+		case <-ctx.Done():
+			return Report{}, errs.New(errs.Lost, "renewing the leases of %s: %v", to.ID, ctx.Err())
+		}
+	}
+}
+
+// acknowledgeResults discards the results up to a number. A task whose result Done is acknowledged must not start
+// again, nor have started since it was done. The caller must hold f.mu.
+func (f *Fleet) acknowledgeResults(s *runnerState, upTo ResultNumber) {
+	for _, result := range s.results {
+		if result.Number > upTo || result.Number <= s.expiredUpTo || result.Outcome != Done {
+			continue
+		}
+		f.acknowledged[result.Ref] = true
+		if f.lastStartAt[result.Ref].After(f.doneAt[result.Ref]) {
+			f.violations = append(f.violations, fmt.Sprintf("%s started again before its result was acknowledged", result.Ref))
+		}
+	}
+	s.results = slices.DeleteFunc(s.results, func(result Result) bool { return result.Number <= upTo })
+}
+
+// extendLease extends the lease of a runner to the deadline, at most by MaxLeaseTTL from now. It never shortens the
+// lease. The caller must hold f.mu.
+func (f *Fleet) extendLease(s *runnerState, deadline Clock) {
+	now := Clock(f.clock.Since(s.startedAt))
+	s.leaseUntil = max(s.leaseUntil, min(deadline, now+Clock(f.world.MaxLeaseTTL)))
+}
+
+func (s *runnerState) report(now time.Time) Report {
+	out := Report{Boot: s.info.Boot, Clock: Clock(now.Sub(s.startedAt)), Results: slices.Clone(s.results)}
+	for ref, run := range s.runs {
+		out.Running = append(out.Running, Running{Ref: ref, Attempt: run.attempt, Percent: 1})
+	}
+	return out
+}
+
+// nextEndAt returns when the next run on the runner may end by itself, at the latest the time until. The caller must
+// hold f.mu.
+func (f *Fleet) nextEndAt(s *runnerState, until time.Time) time.Time {
+	for _, run := range s.runs {
+		if run.endAt.Before(until) {
+			until = run.endAt
+		}
+	}
+	return until
+}
+
+// endDueRuns ends the runs on a runner that are due: all of them when the lease expired. The caller must hold f.mu.
+func (f *Fleet) endDueRuns(s *runnerState) {
+	now := f.clock.Now()
+	expired := Clock(now.Sub(s.startedAt)) > s.leaseUntil
+	if expired {
+		s.expiredUpTo = s.lastResult
+	}
+	for ref, run := range maps.Clone(s.runs) {
+		switch {
+		case s.runs[ref] != run:
+			// The run ended with another member of its gang.
+		case expired:
+			f.endRun(s, ref, LeaseExpired)
+		case now.Before(run.endAt):
+		case run.stopped:
+			f.endRun(s, ref, Stopped)
+		case run.willFail:
+			f.endRun(s, ref, Failed)
+		case run.gang != nil:
+			f.endDueGang(s, ref, run)
+		default:
+			f.doneAt[ref] = run.endAt
+			f.endRun(s, ref, Done)
+		}
+	}
+}
+
+// endRun ends a run with an outcome, and with it the other members of its gang. The caller must hold f.mu.
+func (f *Fleet) endRun(s *runnerState, ref specs.Ref, outcome Outcome) {
+	run := s.runs[ref]
+	s.addResult(ref, outcome)
+	if run.gang != nil {
+		f.breakGang(run.gang, ref)
+	}
+}
+
+// Start starts an attempt, or loses the answer as LoseStarts demands.
+func (f *Fleet) Start(_ context.Context, to Runner, r StartRequest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.startsToLose == 0 {
+		return f.beginAttempt(to, r)
+	}
+	f.startsToLose--
+	delay := f.lostStartDelay
+	go func() {
+		<-f.clock.After(delay)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		// The caller was already told that the answer was lost, so the error has no receiver.
+		_ = f.beginAttempt(to, r)
+	}()
+	return errs.New(errs.Lost, "the start was not answered")
+}
+
+// beginAttempt starts an attempt, or returns the error with which the runner refuses it. Repeating a start that was
+// carried out changes nothing. The caller must hold f.mu.
+func (f *Fleet) beginAttempt(to Runner, r StartRequest) error {
+	s, err := f.reachRunner(to, r.Fence)
+	if err != nil {
+		return err
+	}
+	if run := s.runs[r.Ref]; run != nil && run.attempt == r.Attempt {
+		return nil
+	}
+	if now := Clock(f.clock.Since(s.startedAt)); r.Deadline <= now {
+		return errs.New(errs.Deadline, "the start of %s is late: its lease expired at %d ns, the clock is at %d ns", r.Ref, r.Deadline, now)
+	}
+	f.extendLease(s, r.Deadline)
+	if r.Attempt <= s.highestAttempt[r.Ref] {
+		return errs.New(errs.Conflict, "attempt %d of %s is not above the highest attempt seen", r.Attempt, r.Ref)
+	}
+	s.highestAttempt[r.Ref] = r.Attempt
+	f.checkStart(s, r)
+	f.begun = append(f.begun, StartedAttempt{Ref: r.Ref, Attempt: r.Attempt, Runner: s.info.ID, At: f.clock.Now()})
+	run := &runState{attempt: r.Attempt, endAt: f.clock.Now().Add(f.world.RunTime(r.Ref))}
+	run.willFail = f.world.Fails != nil && f.world.Fails(s.info.ID, r.Ref, r.Attempt)
+	s.runs[r.Ref] = run
+	if f.world.GangSize != nil && f.world.GangSize(r.Ref.StepRef) > 0 {
+		f.joinGang(s, r.Ref, run, f.world.GangSize(r.Ref.StepRef))
+	}
+	s.notifyWaiters()
+	return nil
+}
+
+// checkStart records the violations that a start causes: a task that is already done, one that already runs, or one
+// that exceeds the runner's capacity. The caller must hold f.mu.
+func (f *Fleet) checkStart(s *runnerState, r StartRequest) {
+	if f.acknowledged[r.Ref] {
+		f.violations = append(f.violations, fmt.Sprintf("%s starts after its result Done was acknowledged", r.Ref))
+	}
+	f.lastStartAt[r.Ref] = f.clock.Now()
+	for _, other := range f.runners {
+		f.endDueRuns(other)
+		if other.runs[r.Ref] != nil {
+			f.violations = append(f.violations, fmt.Sprintf("%s runs twice, on %s and %s", r.Ref, other.info.ID, s.info.ID))
+		}
+	}
+	if f.world.Takes == nil {
+		return
+	}
+	used := f.world.Takes(r.Ref)
+	for ref := range s.runs {
+		used = used.Add(f.world.Takes(ref))
+	}
+	if !used.Fits(s.info.Capacity) {
+		f.violations = append(f.violations, fmt.Sprintf("%s exceeds the free capacity of %s", r.Ref, s.info.ID))
+	}
+}
+
+// Stop stops an attempt; it ends after StopTimeout. An attempt that has not started yet never will.
+func (f *Fleet) Stop(_ context.Context, to Runner, r StopRequest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, err := f.reachRunner(to, r.Fence)
+	if err != nil {
+		return err
+	}
+	s.highestAttempt[r.Ref] = max(s.highestAttempt[r.Ref], r.Attempt)
+	if run := s.runs[r.Ref]; run != nil && run.attempt == r.Attempt && !run.stopped {
+		run.stopped, run.endAt = true, f.clock.Now().Add(f.world.StopTimeout)
+	}
+	return nil
+}
