Pause between the tries of a ledger write

Only refusals were followed by a pause.

Change: the pause doubles from 60 to 240 ms after each failure of either kind; only a first lost answer is followed by a try at once.

--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -55,8 +55,11 @@
 	latencyWeightDivisor = 4
 	// initialLatency is the latency that is assumed before the first write.
 	initialLatency = 60 * time.Millisecond
-	// retryBackoff is the wait after a try that the store refused.
-	retryBackoff = 60 * time.Millisecond
+	// retryBackoff is the wait after the first failed try of a write. It doubles with each further one, up to
+	// maxRetryBackoff.
+	retryBackoff        = 60 * time.Millisecond
+	maxBackoffDoublings = 2
+	maxRetryBackoff     = 240 * time.Millisecond
 )
 
 type (
--- a/internal/flow/ledger/ledger_test.go
+++ b/internal/flow/ledger/ledger_test.go
@@ -281,6 +281,33 @@
 	}
 }
 
+// brokenStore breaks the connection of each call at once, as a store that is down may do, and counts the calls.
+type brokenStore struct {
+	store.Batcher
+	calls atomic.Int64
+}
+
+func (s *brokenStore) Apply(context.Context, store.Batch) (store.Outcome, error) {
+	s.calls.Add(1)
+	return store.Outcome{}, errs.New(errs.Lost, "connection reset")
+}
+
+// A store that breaks connections at once must not be called again and again without a pause by each write in flight.
+func TestTriesOfAStoreThatBreaksConnectionsAreSpread(t *testing.T) {
+	f := newStoreFixture(t)
+	l, _ := f.openLedger()
+	broken := &brokenStore{Batcher: f.batcher()}
+	l.config.Store = broken
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := l.Append(ctx, Entry{Jobs: []*specs.Job{newJob("j")}}); !errs.Is(err, errs.Lost) {
+		t.Errorf("got %v, want kind Lost", err)
+	}
+	if got := broken.calls.Load(); got > 8 {
+		t.Errorf("%d tries in one second, want at most 8", got)
+	}
+}
+
 func TestResultsAreStoredOnceAndRetainedForAWhile(t *testing.T) {
 	f := newStoreFixture(t)
 	l, table := f.openLedger()
--- a/internal/flow/ledger/write.go
+++ b/internal/flow/ledger/write.go
@@ -70,8 +70,8 @@
 	}()
 }
 
-// handleResult handles the result of a try. It reports whether the write is done, with its error. After a refusal of
-// the store, it waits for retryBackoff.
+// handleResult handles the result of a try. It reports whether the write is done, with its error. After a failure, it
+// waits before the next try.
 func (f *inFlightWrite) handleResult(ctx context.Context, got tryResult) (bool, error) {
 	l := f.write.ledger
 	if got.err == nil {
@@ -84,10 +84,8 @@
 	}
 	f.failures++
 	l.reportFailure(f.failures, l.config.Clock.Since(f.startedAt), got.err)
-	if errs.Is(got.err, errs.Unavailable) {
-		if err := l.backOff(ctx); err != nil {
-			return true, err
-		}
+	if err := l.backOff(ctx, f.failures, got.err); err != nil {
+		return true, err
 	}
 	return false, nil
 }
@@ -141,13 +139,18 @@
 	}
 }
 
-// backOff waits before the next try of a write that the store refused. If ctx ends meanwhile, the error is of kind Lost:
-// another try may still be unanswered, or have taken effect although its answer was lost.
-func (l *Ledger) backOff(ctx context.Context) error {
+// backOff waits before the next try of a write, longer after each failure: while the store is down, many writes are tried.
+// Only a first lost answer is followed by a try at once, which finds out whether the write took effect. If ctx ends
+// meanwhile, the error is of kind Lost: another try may still be unanswered, or have taken effect although its answer was
+// lost.
+func (l *Ledger) backOff(ctx context.Context, failures int, cause error) error {
+	if failures == 1 && errs.Is(cause, errs.Lost) {
+		return nil
+	}
 	select {
-	case <-l.config.Clock.After(retryBackoff):
+	case <-l.config.Clock.After(min(retryBackoff<<min(failures-1, maxBackoffDoublings), maxRetryBackoff)):
 		return nil
 	case <-ctx.Done():
-		return errs.New(errs.Lost, "the store refused the latest try of a write, an earlier one may be stored: %v", ctx.Err())
+		return errs.New(errs.Lost, "the latest try of a write failed (%v), an earlier one may be stored: %v", cause, ctx.Err())
 	}
 }
