--- a/internal/app/cmds/soak.go
+++ b/internal/app/cmds/soak.go
@@ -15,6 +15,7 @@
 	flagDaemons = "daemons"
 	flagRunners = "runners"
 	flagCallers = "callers"
+	flagNarrow  = "narrow-links"
 
 	defaultSeeds = 3
 )
@@ -29,6 +30,7 @@
 			&cli.IntFlag{Name: flagDaemons, Value: soak.DefaultDaemons, Usage: "number of daemons"},
 			&cli.IntFlag{Name: flagRunners, Value: soak.DefaultRunners, Usage: "number of runners"},
 			&cli.IntFlag{Name: flagCallers, Value: soak.DefaultCallers, Usage: "number of callers that submit jobs concurrently"},
+			&cli.BoolFlag{Name: flagNarrow, Usage: "let the leader call the runners through relays, as over narrow network links"},
 			&cli.DurationFlag{Name: flagLength, Value: soak.DefaultLength, Usage: "how long failures are injected"},
 		},
 		Action: runSoak,
@@ -66,6 +68,7 @@
 	report, err := soak.Run(ctx, soak.Config{
 		Seed: seed, Command: []string{executable, "platform"}, Directory: directory, Daemons: c.Int(flagDaemons),
 		Runners: c.Int(flagRunners), Callers: c.Int(flagCallers), Length: c.Duration(flagLength),
+		NarrowLinks: c.Bool(flagNarrow),
 	})
 	if err != nil {
 		return false, err
--- a/internal/proof/soak/daemon.go
+++ b/internal/proof/soak/daemon.go
@@ -63,6 +63,9 @@
 		return nil, err
 	}
 	config.DrainTimeout = drainTimeout
+	if h.config.NarrowLinks {
+		config.LinkMbps = narrowLinkMbps
+	}
 	settingsPath, err := config.WriteSettings(h.config.Directory)
 	if err != nil {
 		return nil, err
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -41,6 +41,8 @@
 	readyTimeout = 20 * time.Second
 	// completionTimeout is how long after the last fault every accepted job must have ended.
 	completionTimeout = 40 * time.Second
+	// narrowLinkMbps is the bandwidth of a daemon's link with NarrowLinks, in Mbit/s.
+	narrowLinkMbps = 4
 	// violationPollInterval is the interval at which the violations that the runners saw are collected.
 	violationPollInterval = 100 * time.Millisecond
 	pollInterval          = 20 * time.Millisecond
@@ -67,6 +69,8 @@
 		Callers   int
 		// Length is how long faults are injected.
 		Length time.Duration
+		// NarrowLinks makes the settings state links so narrow that the leader calls the runners through relays.
+		NarrowLinks bool
 	}
 
 	// Report is the result of a run.
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -48,6 +48,11 @@
 }
 
 func runSeed(t *testing.T, seed uint64, length time.Duration) {
+	t.Helper()
+	runWithLinks(t, seed, length, false)
+}
+
+func runWithLinks(t *testing.T, seed uint64, length time.Duration, narrowLinks bool) {
 	t.Helper()
 	t.Parallel()
 	directory, err := soak.NewDirectory(seed)
@@ -58,6 +63,7 @@
 	report, err := soak.Run(t.Context(), soak.Config{
 		Seed: seed, Command: []string{os.Args[0], "platform"}, Directory: directory, Daemons: soak.DefaultDaemons,
 		Runners: soak.DefaultRunners, Callers: soak.DefaultCallers, Length: length,
+		NarrowLinks: narrowLinks,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -106,6 +112,11 @@
 	runSeed(t, 1, shortLength)
 }
 
+// The daemons that relay the leader's requests to runners fail like all others.
+func TestSoakThroughRelays(t *testing.T) {
+	runWithLinks(t, 2, shortLength, true)
+}
+
 // The seeds that failed in the past run at full length.
 func TestRegressions(t *testing.T) {
 	for seed, cause := range regressions {
