Wait for relays while the leader itself stalls

Every relay seemed to have failed, 56 times in two seconds; their orders were taken as lost and repeated, and renewals failed on all runners.

Change: when a call to a relay times out and no other relay has answered either, the leader takes itself for the cause: it keeps its relays, and the orders end with their own timeouts.

Result: TestOrdersWaitWhileTheLeaderStalls fails without the change and passes with it.

--- a/internal/flow/relay/client.go
+++ b/internal/flow/relay/client.go
@@ -22,6 +22,9 @@
 	// failureBackoff is how long a relay that failed gets no orders, slowBackoff one that answers slowly.
 	failureBackoff = 2 * time.Second
 	slowBackoff    = 5 * time.Second
+	// stallTimeout is how long all relays must be silent for the leader to take itself for the cause. It is shorter than
+	// dispatchTimeout, so that the first call that times out finds the others silent, too.
+	stallTimeout = dispatchTimeout / 2
 )
 
 type (
@@ -159,6 +162,25 @@
 	return l
 }
 
+// isStalled reports whether no other relay has answered within stallTimeout, though some are in use: then the cause is
+// likely to be this daemon's own processor or network link.
+func (c *Client) isStalled(except *link) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.config.Clock.Now()
+	others := false
+	for _, l := range c.links {
+		if l == except || l.lastAnswer().IsZero() {
+			continue
+		}
+		others = true
+		if now.Sub(l.lastAnswer()) < stallTimeout {
+			return false
+		}
+	}
+	return others
+}
+
 // usualLatency returns the median latency of all links that have one.
 func (c *Client) usualLatency() time.Duration {
 	c.mu.Lock()
--- a/internal/flow/relay/link.go
+++ b/internal/flow/relay/link.go
@@ -47,6 +47,8 @@
 		waiting map[OrderID]chan<- result
 		// latency is the moving average of how long the relay takes to accept a batch; zero when it is not known.
 		latency time.Duration
+		// answeredAt is when the relay last answered a call.
+		answeredAt time.Time
 		// failedOn is when the relay last failed; it gets no orders until backoffUntil.
 		failedOn     time.Time
 		backoffUntil time.Time
@@ -154,19 +156,26 @@
 	return len(a.Payloads) - 1
 }
 
-// dispatch sends a batch. When that fails, the relay is taken to have failed.
+// dispatch sends a batch. When that fails, the relay is taken to have failed, unless no other answers either: then the
+// batch is likely to be on its way, and its orders end with their own timeouts.
 func (l *link) dispatch(batch *DispatchArgs) {
 	ctx, cancel := context.WithTimeout(l.client.ctx, dispatchTimeout)
 	defer cancel()
 	began := l.client.config.Clock.Now()
 	err := l.client.config.Peers.Call(ctx, l.target, methodDispatch, batch, &DispatchReply{})
 	if err == nil {
+		l.noteAnswer()
 		l.observeLatency(l.client.config.Clock.Since(began))
 		return
 	}
 	if l.client.ctx.Err() != nil {
 		return
 	}
+	if errs.Is(err, errs.Lost) && l.client.isStalled(l) {
+		l.client.config.Log.Warn().Err(err).Str("Relay", string(l.target.VM)).Int("Orders", len(batch.Orders)).
+			Msg("no relay answers; waiting for the answers, since the cause is likely to be here")
+		return
+	}
 	kind := errs.Lost
 	if errs.Is(err, errs.Unavailable) {
 		kind = errs.Unavailable
@@ -191,7 +200,9 @@
 			continue
 		}
 		if err := l.collect(ctx); err != nil && ctx.Err() == nil {
-			l.markFailed(failureBackoff, err)
+			if !errs.Is(err, errs.Lost) || !l.client.isStalled(l) {
+				l.markFailed(failureBackoff, err)
+			}
 			l.client.sleep(dispatchDelay)
 		}
 	}
@@ -211,6 +222,7 @@
 	if err := l.client.config.Peers.Call(limited, l.target, methodCollect, args, reply); err != nil {
 		return err
 	}
+	l.noteAnswer()
 	for _, a := range reply.Answers {
 		l.deliver(a.ID, result{answer: a, err: a.remoteError()})
 	}
@@ -261,6 +273,20 @@
 	return time.Time{}
 }
 
+// noteAnswer notes that the relay has answered a call.
+func (l *link) noteAnswer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answeredAt = l.client.config.Clock.Now()
+}
+
+// lastAnswer returns when the relay last answered a call.
+func (l *link) lastAnswer() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answeredAt
+}
+
 // observeLatency adds the latency of one batch. A relay that has become much slower than the others gets no orders for a
 // while; the orders that it has are still answered.
 func (l *link) observeLatency(took time.Duration) {
--- a/internal/flow/relay/relay_test.go
+++ b/internal/flow/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -120,6 +121,44 @@
 	}
 }
 
+// While the leader's own link or processor stalls, no relay answers. The orders must not be repeated through others, which
+// would make the stall worse; they are answered once it is over.
+func TestOrdersWaitWhileTheLeaderStalls(t *testing.T) {
+	f := newFixture(t, 0)
+	var runners []agent.Runner
+	used := make(map[types.VMID]bool)
+	for i := 0; len(used) < 2; i++ {
+		r := f.addRunner(fmt.Sprintf("w%d", i))
+		if _, err := f.renew(r, agent.RenewRequest{Fence: 1}); err != nil {
+			t.Fatal(err)
+		}
+		runners = append(runners, r)
+		used[f.relayOf(r).VM] = true
+	}
+	for _, m := range f.members {
+		f.peers.freeze(m.Target.VM)
+	}
+	var renewals sync.WaitGroup
+	for _, r := range runners {
+		renewals.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*dispatchTimeout)
+			defer cancel()
+			// The stalled call takes place, but its answer is lost.
+			_, err := f.client.RenewLeases(ctx, r, agent.RenewRequest{Fence: 1})
+			wantKind(t, err, errs.Lost)
+		})
+	}
+	renewals.Wait()
+	for _, m := range f.members {
+		f.peers.thaw(m.Target.VM)
+	}
+	for _, r := range runners {
+		if got := f.relayOf(r).VM; !used[got] {
+			t.Errorf("the runner's relay is now %s, which it was not before the stall", got)
+		}
+	}
+}
+
 func TestBatchHoldsEachPayloadOnce(t *testing.T) {
 	f := newFixture(t, 0)
 	l := newLink(f.client, target("dc1-0", "dc1"))
