Ask for a takeover while the store does not answer

Its tries of writes count as failed after 2 s each, and the others were asked to take over after four; the lease in the store expired first, 1.4 s and more.

The others still take over only if the store answers them and the leader's writes are still stalled then.

Result: TestTakeoverIsRequestedWhenTheStoreDoesNotAnswer.

--- a/internal/flow/owner/admit_test.go
+++ b/internal/flow/owner/admit_test.go
@@ -58,6 +58,29 @@
 	}
 }
 
+// A store that does not answer this daemon only must not be waited for until the daemon's lease expires: another daemon
+// may be able to write.
+func TestTakeoverIsRequestedWhenTheStoreDoesNotAnswer(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newOwner()
+	defer o.cancel()
+	requested := make(chan struct{}, 1)
+	o.config.OnWritesStalled = func(isStalled func() bool) {
+		if isStalled() {
+			requested <- struct{}{}
+		}
+	}
+	o.inFlight = []*inFlightWrite{{beganAt: f.clock.Now().Add(-admitWriteTimeout / 2)}}
+	o.tick()
+	o.inFlight[0].beganAt = f.clock.Now().Add(-2 * admitWriteTimeout)
+	o.tick()
+	select {
+	case <-requested:
+	case <-time.After(time.Second):
+		t.Error("the other daemons are not asked to take over")
+	}
+}
+
 // Callers that are rejected at the same time must not come back at the same time.
 func TestRejectedCallersComeBackAtDifferentTimes(t *testing.T) {
 	o := newOverloadedOwner(t)
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -194,6 +194,7 @@
 	defer o.mu.Unlock()
 	now := o.config.Clock.Now()
 	o.applyCatalog()
+	o.checkUnansweredWrites()
 	o.table.Advance(now)
 	o.table.PurgeEnded(now.Add(-o.config.Bounds.StatusRetention))
 	for id, r := range o.table.Runners {
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -159,20 +159,32 @@
 	o.config.Log.Debug().Err(err).Int("Tries", tries).Dur("After", after).Msg("a try of a ledger write failed")
 	refused := errs.Is(err, errs.Unavailable) && tries >= takeoverRefusedTries
 	unanswered := tries >= takeoverUnansweredTries
-	if (!refused && !unanswered) || o.config.OnWritesStalled == nil {
+	if !refused && !unanswered {
 		return
 	}
 	o.mu.Lock()
-	now := o.config.Clock.Now()
-	recent := now.Sub(o.takeoverRequestedAt) < takeoverRequestInterval
-	if !recent {
-		o.takeoverRequestedAt = now
+	defer o.mu.Unlock()
+	o.requestTakeover(err, after)
+}
+
+// checkUnansweredWrites asks the other daemons to take over when the oldest write has got no answer for so long that new
+// jobs are rejected: the store may be unreachable for this daemon only. The caller must hold o.mu.
+func (o *Owner) checkUnansweredWrites() {
+	if age := o.oldestWriteAge(); age > admitWriteTimeout {
+		o.requestTakeover(errs.New(errs.Lost, "the store has not answered"), age)
 	}
-	o.mu.Unlock()
-	if !recent {
-		o.config.Log.Warn().Err(err).Int("Tries", tries).Dur("After", after).Msg("ledger writes keep failing; asking the other daemons to take over")
-		go o.config.OnWritesStalled(o.hasStalledWrites)
+}
+
+// requestTakeover asks the other daemons to take over, at most once in each takeoverRequestInterval. The caller must hold
+// o.mu.
+func (o *Owner) requestTakeover(cause error, after time.Duration) {
+	now := o.config.Clock.Now()
+	if o.config.OnWritesStalled == nil || now.Sub(o.takeoverRequestedAt) < takeoverRequestInterval {
+		return
 	}
+	o.takeoverRequestedAt = now
+	o.config.Log.Warn().Err(cause).Dur("After", after).Msg("ledger writes keep failing; asking the other daemons to take over")
+	go o.config.OnWritesStalled(o.hasStalledWrites)
 }
 
 // hasStalledWrites reports whether a write has been in flight for longer than takeoverWriteTimeout.
