Make several calls for the advice on a gang at the same time

Cause: one call names 100 runners at most, of which a queue may be allowed a quarter, and takes 1.2 s at the large deployment. A gang that needs more than 25 runners needed several calls one after the other, while the tickets of the first, valid for 1.5 s, expired.

Change: calls for a gang name 50 runners at most, and up to eight are made together through different daemons.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -16,6 +16,10 @@
 	minAskedRunners = 12
 	// spareTickets is how many runners more than needed a call names when it renews tickets.
 	spareTickets = 2
+	// gangCallRunners is how many runners one call for a gang names at most, maxGangCalls how many calls are made for a
+	// gang at the same time.
+	gangCallRunners = 50
+	maxGangCalls    = 8
 	// maxMarginDivisor limits the ticket margin to this fraction, 1/maxMarginDivisor, of a ticket's validity.
 	maxMarginDivisor = 2
 )
@@ -52,9 +56,9 @@
 	return out
 }
 
-// requestAdvice plans a call for advice on runners that the service was never asked about: as many as should hold the
+// requestAdvice plans calls for advice on runners that the service was never asked about: as many as should hold the
 // waiting tasks askedCapacityFactor times, given the share of the runners that its queue is usually allowed, but at least
-// minAskedRunners and at most agent.MaxAdvised. Runners that have free capacity now come first, since a ticket for a full
+// minAskedRunners and at most maxNamed. Runners that have free capacity now come first, since a ticket for a full
 // one expires unused; full ones follow only if they are included.
 func (p *pass) requestAdvice(s *tasks.Step, includeFull bool) {
 	if !p.canCallAdvice(s) || p.askable[s.Job.Spec.Queue.Service] <= 0 {
@@ -84,7 +88,7 @@
 
 // isEnough reports whether no more runners need to be named.
 func (c *candidates) isEnough() bool {
-	return len(c.named) == agent.MaxAdvised || (c.wanted <= 0 && len(c.named) >= minAskedRunners)
+	return len(c.named) == maxNamed(c.step) || (c.wanted <= 0 && len(c.named) >= minAskedRunners)
 }
 
 // addRunner names a runner on which count tasks fit now.
@@ -135,20 +139,42 @@
 	return s.Advice.Pending == 0 && p.limits.AdviceBudget.Allows(s.Job.Spec.Queue.Advice.CallDuration(1))
 }
 
-// addAdviceCall adds a call for advice on the runners to the plan, unless one is in flight or the budget is spent.
+// addAdviceCall adds calls for advice on the runners to the plan, unless one is in flight or the budget is spent.
 func (p *pass) addAdviceCall(s *tasks.Step, runners []*runnerCapacity) {
 	if s.Advice.Pending > 0 || len(runners) == 0 {
 		return
 	}
-	if !p.limits.AdviceBudget.Spend(s.Job.Spec.Queue.Advice.CallDuration(len(runners))) {
-		return
+	planned := len(p.out.AdviceCalls)
+	for chunk := range slices.Chunk(runners, maxPerCall(s)) {
+		if !p.limits.AdviceBudget.Spend(s.Job.Spec.Queue.Advice.CallDuration(len(chunk))) {
+			break
+		}
+		call := AdviceCall{Step: s}
+		for _, r := range chunk {
+			call.Runners = append(call.Runners, r.runner)
+		}
+		p.out.AdviceCalls = append(p.out.AdviceCalls, call)
 	}
-	call := AdviceCall{Step: s}
-	for _, r := range runners {
-		call.Runners = append(call.Runners, r.runner)
+	if len(p.out.AdviceCalls) > planned {
+		p.claimAskable(s)
+	}
+}
+
+// maxPerCall returns how many runners one call for advice on the step names at most. Calls for a gang are short and made
+// at the same time, through several daemons: all tickets of a gang must be valid together.
+func maxPerCall(s *tasks.Step) int {
+	if s.Spec.Gang {
+		return gangCallRunners
+	}
+	return agent.MaxAdvised
+}
+
+// maxNamed returns how many runners the calls for advice on the step name together at most.
+func maxNamed(s *tasks.Step) int {
+	if s.Spec.Gang {
+		return gangCallRunners * maxGangCalls
 	}
-	p.out.AdviceCalls = append(p.out.AdviceCalls, call)
-	p.claimAskable(s)
+	return agent.MaxAdvised
 }
 
 // ticket returns the ticket for a start on the runner, and whether the task may start there: the ticket must stay valid
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -7,7 +7,6 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
-	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
 // gangSpareDivisor sets the number of spare runners that a call for a gang's tickets names: one for every
@@ -80,7 +79,7 @@
 	return out
 }
 
-// renewGangTickets plans a call for tickets for all runners of the shares, and for some spare ones, since free capacity
+// renewGangTickets plans calls for tickets for all runners of the shares, and for some spare ones, since free capacity
 // changes before the tickets arrive.
 func (p *pass) renewGangTickets(s *tasks.Step, shares []gangShare, runners []*runnerCapacity) {
 	var wanted []*runnerCapacity
@@ -97,7 +96,7 @@
 			spare--
 		}
 	}
-	p.addAdviceCall(s, wanted[:min(len(wanted), agent.MaxAdvised)])
+	p.addAdviceCall(s, wanted[:min(len(wanted), maxNamed(s))])
 }
 
 // allTasksWait reports whether every task of the gang waits and may start now.
--- a/internal/flow/owner/advice.go
+++ b/internal/flow/owner/advice.go
@@ -20,13 +20,16 @@
 func (o *Owner) requestAdvice(a order.AdviceCall) {
 	s := a.Step
 	policy := s.Job.Spec.Queue.Advice
-	s.Advice.Pending++
 	o.counters.adviceCalls.Inc(1)
 	incarnations := make([]tasks.Incarnation, 0, len(a.Runners))
 	for _, r := range a.Runners {
 		incarnations = append(incarnations, r.Incarnation())
 	}
-	s.Advice.Asked = incarnations
+	if s.Advice.Pending == 0 {
+		s.Advice.Asked = nil
+	}
+	s.Advice.Pending++
+	s.Advice.Asked = append(s.Advice.Asked, incarnations...)
 	// The share of the queue is learned only from calls whose first runner has no answer yet.
 	_, answered := s.Advice.Answers[incarnations[0]]
 	firstAnswer := !answered
--- a/internal/flow/tasks/advice.go
+++ b/internal/flow/tasks/advice.go
@@ -13,7 +13,7 @@
 	Advice struct {
 		// Pending counts the calls in flight.
 		Pending int
-		// Asked holds the runners that the latest call named.
+		// Asked holds the runners that the latest calls named, those that were made together.
 		Asked []Incarnation
 		// Answers holds the latest answer for each runner that was named in a call.
 		Answers map[Incarnation]RunnerAdvice
