Carry out no orders that were held up on their way to a relay

Cause: a relay whose process or link stands still reads the leader's batches when it goes on, and carried them out as if they had just been sent, seconds after the leader had given up on them: the runner may be draining by then, or the job be cancelled.

Change: a batch says when it was sent; a relay takes the delay beyond that of the quickest batch off the time that its orders have, and does not carry out those that have none left.

Result: TestOrdersThatWereHeldUpAreNotCarriedOut fails without the change and passes with it.

--- a/internal/flow/relay/client.go
+++ b/internal/flow/relay/client.go
@@ -51,6 +51,7 @@
 	Client struct {
 		config   ClientConfig
 		ctx      context.Context
+		beganAt  time.Time
 		counters clientCounters
 
 		mu      sync.Mutex
@@ -70,7 +71,7 @@
 // NewClient returns a client whose background work ends with ctx.
 func NewClient(ctx context.Context, c ClientConfig) *Client {
 	return &Client{
-		config: c, ctx: ctx, runners: make(map[specs.RunnerID]types.DataCentre), links: make(map[types.VMID]*link),
+		config: c, ctx: ctx, beganAt: c.Clock.Now(), runners: make(map[specs.RunnerID]types.DataCentre), links: make(map[types.VMID]*link),
 		counters: clientCounters{
 			relayed:    metrics.GetOrRegisterCounter("Relay.Orders", c.Metrics),
 			failures:   metrics.GetOrRegisterCounter("Relay.Failures", c.Metrics),
--- a/internal/flow/relay/link.go
+++ b/internal/flow/relay/link.go
@@ -133,7 +133,9 @@
 func (l *link) takeBatch() *DispatchArgs {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	batch := &DispatchArgs{Session: l.client.config.Session, Orders: l.queue}
+	batch := &DispatchArgs{
+		Session: l.client.config.Session, SentAt: l.client.config.Clock.Since(l.client.beganAt), Orders: l.queue,
+	}
 	l.queue = nil
 	for i := range batch.Orders {
 		if o := &batch.Orders[i]; o.Start != nil {
--- a/internal/flow/relay/relay.go
+++ b/internal/flow/relay/relay.go
@@ -60,7 +60,10 @@
 	// DispatchArgs hands a batch of orders to a relay, which carries them out at once. The tasks of one step have the same
 	// payload, so that each is sent only once in a batch.
 	DispatchArgs struct {
-		Session  SessionID
+		Session SessionID
+		// SentAt is when the batch was sent, as the time since the session began on the leader's clock. It shows the relay
+		// which batches were held up on their way.
+		SentAt   time.Duration
 		Payloads []specs.Payload
 		Orders   []Order
 	}
--- a/internal/flow/relay/relay_test.go
+++ b/internal/flow/relay/relay_test.go
@@ -98,6 +98,25 @@
 	}
 }
 
+// A relay that stood still must not carry out orders that were sent long before: the runner may be draining by now, or the
+// job cancelled.
+func TestOrdersThatWereHeldUpAreNotCarriedOut(t *testing.T) {
+	f := newFixture(t, 0)
+	r := f.addRunner("w0")
+	if err := f.start(r, startOf("first")); err != nil {
+		t.Fatal(err)
+	}
+	frozen := f.relayOf(r).VM
+	f.peers.freeze(frozen)
+	wantKind(t, f.start(r, startOf("late")), errs.Lost)
+	time.Sleep(callTimeout)
+	f.peers.thaw(frozen)
+	time.Sleep(10 * dispatchDelay)
+	if got := f.fleet.StartCount(); got != 1 {
+		t.Errorf("%d starts, want only the first", got)
+	}
+}
+
 // When no relay answers, the cause is likely to be at the leader; it must go on trying rather than call all runners itself.
 func TestRelaysAreTriedAgainWhenAllHaveFailed(t *testing.T) {
 	f := newFixture(t, 0)
--- a/internal/flow/relay/server.go
+++ b/internal/flow/relay/server.go
@@ -45,6 +45,9 @@
 		// ready is closed once there is an answer, and then replaced.
 		ready  chan struct{}
 		usedAt time.Time
+		// leaderClock is the earliest time, on the relay's clock, at which the session can have begun: the least
+		// difference between the arrival of a batch and its SentAt. Zero before the first batch.
+		leaderClock time.Time
 	}
 
 	// Service is the RPC service of a relay.
@@ -70,8 +73,13 @@
 		}
 	}
 	to := s.server.use(args.Session)
+	late := s.server.lateness(to, args.SentAt)
 	for i := range args.Orders {
 		o := &args.Orders[i]
+		if o.Timeout -= late; o.Timeout <= 0 {
+			s.server.addAnswer(to, o.outdated(late))
+			continue
+		}
 		if o.Start != nil {
 			o.Start.Payload = args.Payloads[o.Payload]
 		}
@@ -116,6 +124,18 @@
 	return used
 }
 
+// lateness returns how much longer than the quickest batch of its session a batch was on its way. A relay whose process or
+// network link stood still must not carry out orders that the leader has given up on meanwhile.
+func (s *Server) lateness(from *session, sentAt time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	began := s.config.Clock.Now().Add(-sentAt)
+	if from.leaderClock.IsZero() || began.Before(from.leaderClock) {
+		from.leaderClock = began
+	}
+	return began.Sub(from.leaderClock)
+}
+
 func (s *Server) addAnswer(to *session, a Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,6 +159,12 @@
 	return out
 }
 
+// outdated returns the answer to an order that arrived too late to be carried out.
+func (o *Order) outdated(late time.Duration) Answer {
+	err := errs.New(errs.Unavailable, "the order arrived %s late at the relay; nothing was done", late)
+	return Answer{ID: o.ID, Error: errs.Encode(err)}
+}
+
 // remoteError returns the error of an answer.
 func (a *Answer) remoteError() error {
 	if a.Error == "" {
