Start nothing without recent knowledge of the directory

A leader that cannot read the store does not learn which runners are draining; once its writes are confirmed, it sent the starts that had waited for them before it read the directory again.

Change: no task starts, and no plan is made, while the latest answer of the directory is older than 2 s.

Result: TestNothingStartsWithoutTheDirectory fails without the change and passes with it.

--- a/internal/flow/owner/health_test.go
+++ b/internal/flow/owner/health_test.go
@@ -83,6 +83,7 @@
 			Number: agent.ResultNumber(i + 1), Ref: run.Key.Ref, Attempt: 1, Outcome: agent.Stopped,
 		})
 	}
+	f.directoryAt = f.config.Clock.Now()
 	f.executePlan()
 	if got := len(other.Runs); got != 3 {
 		t.Errorf("%d of the stalled tasks are placed on the other runner, want 3", got)
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -121,6 +121,8 @@
 		// by a part.
 		writeLatency   time.Duration
 		catalogVersion specs.CatalogVersion
+		// directoryAt is the time to which the tables contain the changes of the directory.
+		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
 		backlog order.Backlog
 		// notYetDurable holds the ended jobs whose result is not durable yet, with the state that is still reported to
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -18,6 +18,9 @@
 	// listTimeout limits one call to the directory. Runners write to it all the time, so a watch that returns nothing
 	// for longer has stopped delivering changes.
 	listTimeout = 1600 * time.Millisecond
+	// maxDirectoryAge is how old the tables' knowledge of the directory may be when a task starts. A leader that cannot
+	// read the directory does not learn which runners are draining, though it may still reach them through relays.
+	maxDirectoryAge = 2 * time.Second
 )
 
 // adoptPlacedTasks adopts the attempts that a former leader placed: each occupies its runner until that runner
@@ -87,12 +90,13 @@
 	ctx, cancel := context.WithTimeout(o.ctx, listTimeout)
 	defer cancel()
 	if !*listed {
+		askedAt := o.config.Clock.Now()
 		runners, version, err := o.config.Directory.List(ctx)
 		if err != nil {
 			return err
 		}
 		*lastVersion, *listed = version, true
-		o.applyList(runners)
+		o.applyList(runners, askedAt)
 		return nil
 	}
 	changes, version, err := o.config.Directory.Changes(ctx, *lastVersion)
@@ -102,6 +106,7 @@
 	*lastVersion = version
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.directoryAt = o.config.Clock.Now()
 	for _, c := range changes {
 		if c.Gone {
 			o.runnerRemoved(c.Runner.ID)
@@ -112,10 +117,11 @@
 	return nil
 }
 
-// applyList applies the whole directory: runners that it does not name are marked as removed.
-func (o *Owner) applyList(runners []agent.Runner) {
+// applyList applies the whole directory as it was at the given time: runners that it does not name are marked as removed.
+func (o *Owner) applyList(runners []agent.Runner, at time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.directoryAt = at
 	present := make(map[specs.RunnerID]bool, len(runners))
 	for _, r := range runners {
 		present[r.ID] = true
@@ -145,6 +151,12 @@
 	o.startRenewLoop(r)
 }
 
+// knowsDirectory reports whether the tables' knowledge of the directory is recent enough to start tasks. The caller must
+// hold o.mu.
+func (o *Owner) knowsDirectory() bool {
+	return o.config.Clock.Since(o.directoryAt) <= maxDirectoryAge
+}
+
 // updateRunner applies a directory entry to a runner of the same incarnation. The caller must hold o.mu.
 func (o *Owner) updateRunner(r *tasks.Runner, info agent.Runner) {
 	if info.Draining && !r.Info.Draining {
--- a/internal/flow/owner/runners_test.go
+++ b/internal/flow/owner/runners_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -278,3 +280,45 @@
 		t.Error("Run goes on, though the term was stopped before it began")
 	}
 }
+
+// unreadableDirectory returns errors while it is unreadable.
+type unreadableDirectory struct {
+	agent.Directory
+	unreadable atomic.Bool
+}
+
+func (d *unreadableDirectory) List(ctx context.Context) ([]agent.Runner, uint64, error) {
+	if d.unreadable.Load() {
+		return nil, 0, errs.New(errs.Unavailable, "the directory is unreadable")
+	}
+	return d.Directory.List(ctx)
+}
+
+func (d *unreadableDirectory) Changes(ctx context.Context, after uint64) ([]agent.Change, uint64, error) {
+	if d.unreadable.Load() {
+		return nil, after, errs.New(errs.Unavailable, "the directory is unreadable")
+	}
+	return d.Directory.Changes(ctx, after)
+}
+
+// A leader that cannot read the directory does not know which runners are draining. It must start nothing until it can
+// read it again.
+func TestNothingStartsWithoutTheDirectory(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	f.addRunners(2)
+	o := f.newOwner()
+	directory := &unreadableDirectory{Directory: f.fleet}
+	o.config.Directory = directory
+	f.runOwner(o)
+	f.submit(o, job("before", step(1)))
+	f.waitForState(o, "before", tasks.JobCompleted)
+	directory.unreadable.Store(true)
+	time.Sleep(maxDirectoryAge + listTimeout)
+	f.submit(o, job("meanwhile", step(1)))
+	time.Sleep(5 * listDelay)
+	if got := f.fleet.StartCount(); got != 1 {
+		t.Errorf("%d starts, want only the one before the directory became unreadable", got)
+	}
+	directory.unreadable.Store(false)
+	f.waitForState(o, "meanwhile", tasks.JobCompleted)
+}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -41,6 +41,9 @@
 func (o *Owner) executePlan() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.knowsDirectory() {
+		return 0
+	}
 	began := o.config.Clock.Now()
 	plan := order.MakePlan(o.table, began, order.Limits{
 		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency,
@@ -70,7 +73,7 @@
 }
 
 // dispatchStart sends the start of a durable intent, or discards the run when it is not wanted any more, when its
-// ticket is about to expire or when its runner is no longer usable. The caller must hold o.mu.
+// ticket is about to expire, or when its runner is no longer usable or may be draining. The caller must hold o.mu.
 func (o *Owner) dispatchStart(run *tasks.Run) {
 	r := run.Runner
 	if r.Runs[run.Key] != run {
@@ -78,7 +81,7 @@
 	}
 	now := o.config.Clock.Now()
 	stale := !run.TicketUntil.IsZero() && run.TicketUntil.Before(now.Add(ticketMargin/2))
-	if run.StartCancelled || stale || o.isUnwanted(run) || !r.Usable(now) {
+	if run.StartCancelled || stale || o.isUnwanted(run) || !r.Usable(now) || !o.knowsDirectory() {
 		o.discardRun(run)
 		return
 	}
