Give a leader time for its next try before it is replaced

Cause: the pause between two tries of a ledger write grew to 240 ms, longer than the 150 ms that a leader gets after the store has answered another daemon. After an outage the others could take over from a leader that was about to write again.

Change: the pause grows to 120 ms at most, the leader gets 400 ms.

--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -37,8 +37,8 @@
 	// takeoverTimeout limits a call that asks peers for a store check or for a takeover.
 	takeoverTimeout = 600 * time.Millisecond
 	// takeoverDelay is the time that this daemon gets for its stalled writes after the store has answered a peer, before
-	// it requests a takeover.
-	takeoverDelay = 150 * time.Millisecond
+	// it requests a takeover. It is longer than the pause between two tries of a write.
+	takeoverDelay = 400 * time.Millisecond
 	// peerQueryTimeout limits one call that asks a peer for leader and catalog.
 	peerQueryTimeout = 250 * time.Millisecond
 )
--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -58,8 +58,8 @@
 	// retryBackoff is the wait after the first failed try of a write. It doubles with each further one, up to
 	// maxRetryBackoff.
 	retryBackoff        = 60 * time.Millisecond
-	maxBackoffDoublings = 2
-	maxRetryBackoff     = 240 * time.Millisecond
+	maxBackoffDoublings = 1
+	maxRetryBackoff     = 120 * time.Millisecond
 )
 
 type (
