Let orders to relays be late by as much as the leader waits for

Cause: a relay took the delay of a batch off the time of its orders; the first try of a start has 250 ms, so that under load starts were dropped, planned again and dropped again.

Change: an order is dropped only if it was longer on its way than the leader waits for its answer beyond its timeout.

--- a/internal/flow/relay/server.go
+++ b/internal/flow/relay/server.go
@@ -64,7 +64,8 @@
 	return r.Register(ServiceName, &Service{server: s})
 }
 
-// Dispatch begins to carry out the orders and returns without waiting for their answers. It refuses the whole batch when
+// Dispatch begins to carry out the orders and returns without waiting for their answers. Orders that were so long on their
+// way that the leader does not wait for their answers any more are not carried out. Dispatch refuses the whole batch when
 // one of its orders is malformed.
 func (s *Service) Dispatch(args *DispatchArgs, _ *DispatchReply) error {
 	for i := range args.Orders {
@@ -76,7 +77,7 @@
 	late := s.server.lateness(to, args.SentAt)
 	for i := range args.Orders {
 		o := &args.Orders[i]
-		if o.Timeout -= late; o.Timeout <= 0 {
+		if late > transitMargin {
 			s.server.addAnswer(to, o.outdated(late))
 			continue
 		}
