Carry out late renewals and stops at a relay

Cause: a relay refused every order that had been too long on its way. A renewal or a stop that is late does no harm, and under overload the leases of everything on its runners would expire for want of it.

Change: only starts are refused.

--- a/internal/flow/relay/server.go
+++ b/internal/flow/relay/server.go
@@ -64,9 +64,9 @@
 	return r.Register(ServiceName, &Service{server: s})
 }
 
-// Dispatch begins to carry out the orders and returns without waiting for their answers. Orders that were so long on their
-// way that the leader does not wait for their answers any more are not carried out. Dispatch refuses the whole batch when
-// one of its orders is malformed.
+// Dispatch begins to carry out the orders and returns without waiting for their answers. Starts that were so long on their
+// way that the leader does not wait for their answers any more are not carried out; late renewals and stops do no harm.
+// Dispatch refuses the whole batch when one of its orders is malformed.
 func (s *Service) Dispatch(args *DispatchArgs, _ *DispatchReply) error {
 	for i := range args.Orders {
 		if err := args.Orders[i].Check(len(args.Payloads)); err != nil {
@@ -77,7 +77,7 @@
 	late := s.server.lateness(to, args.SentAt)
 	for i := range args.Orders {
 		o := &args.Orders[i]
-		if late > transitMargin {
+		if o.Start != nil && late > transitMargin {
 			s.server.addAnswer(to, o.outdated(late))
 			continue
 		}
@@ -126,7 +126,7 @@
 }
 
 // lateness returns how much longer than the quickest batch of its session a batch was on its way. A relay whose process or
-// network link stood still must not carry out orders that the leader has given up on meanwhile.
+// network link stood still must not carry out starts that the leader has given up on meanwhile.
 func (s *Server) lateness(from *session, sentAt time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -160,9 +160,9 @@
 	return out
 }
 
-// outdated returns the answer to an order that arrived too late to be carried out.
+// outdated returns the answer to a start that arrived too late to be carried out.
 func (o *Order) outdated(late time.Duration) Answer {
-	err := errs.New(errs.Unavailable, "the order arrived %s late at the relay; nothing was done", late)
+	err := errs.New(errs.Unavailable, "the start arrived %s late at the relay; nothing was done", late)
 	return Answer{ID: o.ID, Error: errs.Encode(err)}
 }
 
