Follow a directory that changes all the time without falling behind

The age of the directory was taken from the last answer, however far back its changes were.

Change: after a page of 200 changes or more the next call follows at once, and the tables count as recent only after a smaller one. Reading the whole list may take 4 s.

Result: TestDirectoryWithManyChangesIsFollowed fails on the former code.

--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	// listDelay lets changes of the directory accumulate, so that one call returns many.
-	listDelay = 250 * time.Millisecond
-	// listTimeout limits one call to the directory. Runners write to it all the time, so a watch that returns nothing
-	// for longer has stopped delivering changes.
-	listTimeout = 1600 * time.Millisecond
+	// listDelay lets changes of the directory accumulate, so that one call returns many. After manyChanges or more, the
+	// next call follows at once: a call may return only a part of the changes, and the tables must not fall behind.
+	listDelay   = 250 * time.Millisecond
+	manyChanges = 200
+	// changesTimeout limits a call that waits for changes. Runners write to the directory all the time, so a watch that
+	// returns nothing for longer has stopped delivering changes. listTimeout limits the reading of the whole directory.
+	changesTimeout = 1600 * time.Millisecond
+	listTimeout    = 4 * time.Second
 	// maxDirectoryAge is how old the tables' knowledge of the directory may be when a task starts. A leader that cannot
 	// read the directory does not learn which runners are draining, though it may still reach them through relays.
 	maxDirectoryAge = 2 * time.Second
@@ -70,7 +73,7 @@
 	var version uint64
 	listed := false
 	for o.ctx.Err() == nil {
-		err := o.readDirectory(&version, &listed)
+		count, err := o.readDirectory(&version, &listed)
 		if errs.Is(err, errs.Conflict) {
 			o.config.Log.Info().Msg("directory history is no longer available; reading the whole list")
 			listed = false
@@ -81,32 +84,50 @@
 			listed = false
 			o.config.Log.Warn().Err(err).Msg("reading the directory of runners failed; reading the whole list next")
 		}
-		o.sleep(listDelay)
+		if count < manyChanges {
+			o.sleep(listDelay)
+		}
 	}
 }
 
-// readDirectory reads the whole directory unless listed is set, else waits for the changes after lastVersion.
-func (o *Owner) readDirectory(lastVersion *uint64, listed *bool) error {
-	ctx, cancel := context.WithTimeout(o.ctx, listTimeout)
-	defer cancel()
+// readDirectory reads the whole directory unless listed is set, else waits for the changes after lastVersion. It returns
+// the number of changes.
+func (o *Owner) readDirectory(lastVersion *uint64, listed *bool) (int, error) {
 	if !*listed {
-		askedAt := o.config.Clock.Now()
-		runners, version, err := o.config.Directory.List(ctx)
-		if err != nil {
-			return err
-		}
-		*lastVersion, *listed = version, true
-		o.applyList(runners, askedAt)
-		return nil
+		return 0, o.listDirectory(lastVersion, listed)
 	}
+	ctx, cancel := context.WithTimeout(o.ctx, changesTimeout)
+	defer cancel()
 	changes, version, err := o.config.Directory.Changes(ctx, *lastVersion)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	*lastVersion = version
+	o.applyChanges(changes)
+	return len(changes), nil
+}
+
+// listDirectory reads the whole directory.
+func (o *Owner) listDirectory(lastVersion *uint64, listed *bool) error {
+	ctx, cancel := context.WithTimeout(o.ctx, listTimeout)
+	defer cancel()
+	askedAt := o.config.Clock.Now()
+	runners, version, err := o.config.Directory.List(ctx)
+	if err != nil {
+		return err
+	}
+	*lastVersion, *listed = version, true
+	o.applyList(runners, askedAt)
+	return nil
+}
+
+// applyChanges applies changes of the directory, in order.
+func (o *Owner) applyChanges(changes []agent.Change) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.directoryAt = o.config.Clock.Now()
+	if len(changes) < manyChanges {
+		o.directoryAt = o.config.Clock.Now()
+	}
 	for _, c := range changes {
 		if c.Gone {
 			o.runnerRemoved(c.Runner.ID)
@@ -114,7 +135,6 @@
 			o.applyEntry(c.Runner)
 		}
 	}
-	return nil
 }
 
 // applyList applies the whole directory as it was at the given time: runners that it does not name are marked as removed.
--- a/internal/flow/owner/runners_test.go
+++ b/internal/flow/owner/runners_test.go
@@ -313,7 +313,7 @@
 	f.submit(o, job("before", step(1)))
 	f.waitForState(o, "before", tasks.JobCompleted)
 	directory.unreadable.Store(true)
-	time.Sleep(maxDirectoryAge + listTimeout)
+	time.Sleep(maxDirectoryAge + changesTimeout)
 	f.submit(o, job("meanwhile", step(1)))
 	time.Sleep(5 * listDelay)
 	if got := f.fleet.StartCount(); got != 1 {
@@ -322,3 +322,48 @@
 	directory.unreadable.Store(false)
 	f.waitForState(o, "meanwhile", tasks.JobCompleted)
 }
+
+// pagedDirectory returns the changes of the directory in pages, each after a delay, and counts the calls.
+type pagedDirectory struct {
+	agent.Directory
+	page  int
+	total int
+}
+
+func (d *pagedDirectory) List(context.Context) ([]agent.Runner, uint64, error) {
+	return []agent.Runner{runner(0)}, 1, nil
+}
+
+// Changes returns the next page of total changes; the last one says that the runner is draining.
+func (d *pagedDirectory) Changes(ctx context.Context, after uint64) ([]agent.Change, uint64, error) {
+	if int(after) > d.total {
+		<-ctx.Done()
+		return nil, after, nil
+	}
+	var out []agent.Change
+	for n := int(after); n <= d.total && len(out) < d.page; n++ {
+		r := runner(0)
+		r.Draining = n == d.total
+		out = append(out, agent.Change{Runner: r})
+	}
+	return out, after + uint64(len(out)), nil
+}
+
+// The runners of a large deployment change the directory faster than pages with a pause between them could follow. The
+// leader must not fall behind, or it starts tasks on runners that are leaving.
+func TestDirectoryWithManyChangesIsFollowed(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newOwner()
+	o.config.Directory = &pagedDirectory{page: manyChanges, total: 50 * manyChanges}
+	f.runOwner(o)
+	began := time.Now()
+	f.eventually("the last change is known", func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		r := o.table.Runners["w00"]
+		return r != nil && r.Info.Draining
+	})
+	if took := time.Since(began); took > 4*listDelay {
+		t.Errorf("it took %s until 50 pages of changes were known, want at most %s", took, 4*listDelay)
+	}
+}
