Ask about no more runners than a step can keep answers about

Cause: on 3,000 runners a waiting gang came to have answers about all of them, 300 KB each; the leader's memory rose from 144 to 220 MB.

Change: a step with answers about 800 runners asks about no more, unless none that it is allowed is usable.

Result: TestAdvice/AsksAboutNoMoreThanItCanKeep.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -20,6 +20,9 @@
 	// gang at the same time.
 	gangCallRunners = 50
 	maxGangCalls    = 8
+	// maxKnownRunners is how many runners a step may have answers about before it asks about no more, unless none of those
+	// that it is allowed is usable: the answers of many waiting steps take much of the leader's memory.
+	maxKnownRunners = 800
 	// maxMarginDivisor limits the ticket margin to this fraction, 1/maxMarginDivisor, of a ticket's validity.
 	maxMarginDivisor = 2
 )
@@ -64,6 +67,9 @@
 	if !p.canCallAdvice(s) || p.askable[s.Job.Spec.Queue.Service] <= 0 {
 		return
 	}
+	if len(s.Advice.Answers) >= maxKnownRunners && !includeFull {
+		return
+	}
 	c := candidates{pass: p, step: s, wanted: float64(s.WaitingTasks) * askedCapacityFactor, share: p.table.Shares.Of(s.Job.Spec.Queue.Name)}
 	if s.Spec.Gang {
 		c.addEmptiest()
--- a/internal/flow/order/order_test.go
+++ b/internal/flow/order/order_test.go
@@ -350,6 +350,27 @@
 			t.Errorf("%d calls for advice, want %d, one for each core that may come free", got, want)
 		}
 	})
+	// The answers of many waiting steps about every runner of a large deployment do not fit a leader's memory.
+	t.Run("AsksAboutNoMoreThanItCanKeep", func(t *testing.T) {
+		for _, tt := range []struct{ known, calls int }{{known: maxKnownRunners - 1, calls: 1}, {known: maxKnownRunners, calls: 0}} {
+			f := newTableFixture(t, maxKnownRunners+50)
+			j := f.addJob("j", 0, stepOf(1, types.Core))
+			j.Spec.Queue.Advice = policy
+			s := j.Occurrences[0].Steps[0]
+			var asked []tasks.Incarnation
+			var permits []agent.Permit
+			for i := range tt.known {
+				r := f.table.Runners[specs.RunnerID(fmt.Sprintf("w%d", i))]
+				r.Used = r.Info.Capacity
+				asked = append(asked, r.Incarnation())
+				permits = append(permits, agent.Permit{Runner: r.Info.ID, Ticket: "T"})
+			}
+			s.Advice.RecordAnswer(asked, permits, start.Add(time.Second))
+			if p := f.plan(start); len(p.AdviceCalls) != tt.calls {
+				t.Errorf("%d calls for advice with answers about %d runners, want %d", len(p.AdviceCalls), tt.known, tt.calls)
+			}
+		}
+	})
 	t.Run("AsksAboutMoreWhenAllowedRunnersAreFull", func(t *testing.T) {
 		f, s := advised(t, 30)
 		full := f.table.Runners["w1"]
