Remember strong daemons while the list of members is empty

Change: the strongest daemon is remembered for 20 s after it was last listed.

Result: TestWeakDaemonRemembersStrongOnes fails without the change and passes with it.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -54,6 +54,9 @@
 	strongShare   = 0.75
 	weakShare     = 0.4
 	weakDelayStep = 500 * time.Millisecond
+	// strengthMemory is how long the strongest daemon is remembered after it was last listed. After an outage in which
+	// leases expired, no daemon is listed at first, and a weak one must still let the strong ones claim leadership.
+	strengthMemory = 20 * time.Second
 )
 
 type (
@@ -120,6 +123,10 @@
 		// listed means that leader, epoch and members were read from the store; lastContact is when it last answered.
 		listed      bool
 		lastContact time.Time
+		// strongest is the highest Strength of a daemon that was listed within strengthMemory, the last time at
+		// strongestAt.
+		strongest   Strength
+		strongestAt time.Time
 		term        *Term
 		steppedDown bool
 		// vacantSince is when leadership was first found to be vacant; zero while it is not.
@@ -374,4 +381,13 @@
 		return
 	}
 	e.members[vm] = m
+	e.rememberStrength(m.Strength)
+}
+
+// rememberStrength updates the highest Strength that was listed recently. The caller must hold e.mu.
+func (e *Elector) rememberStrength(strength Strength) {
+	now := e.config.Clock.Now()
+	if strength >= e.strongest || now.Sub(e.strongestAt) > strengthMemory {
+		e.strongest, e.strongestAt = strength, now
+	}
 }
--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -325,3 +325,20 @@
 	strong.StepDown(context.Background())
 	f.eventually("the weak one leads once no other does", func() bool { return f.termOf(weak) != nil })
 }
+
+// When leases expire during an outage of the store, the list of members is empty at first. A weak daemon must not claim
+// leadership at once because it does not see the strong ones.
+func TestWeakDaemonRemembersStrongOnes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := New(Config{Self: peer.Target{VM: "weak"}, Strength: 0.2, Clock: clock, Log: zerolog.Nop()})
+	e.applyMember(store.Entry{Key: memberPrefix + "strong", Value: []byte(`{"Target":{"VM":"strong"},"Strength":1}`)})
+	e.applyMember(store.Entry{Key: memberPrefix + "weak", Value: []byte(`{"Target":{"VM":"weak"},"Strength":0.2}`)})
+	clear(e.members)
+	if got := e.weakDelay(); got != 2*weakDelayStep {
+		t.Errorf("the weak daemon waits %s after the strong one was listed, want %s", got, 2*weakDelayStep)
+	}
+	clock.Advance(strengthMemory + time.Second)
+	if got := e.weakDelay(); got != 0 {
+		t.Errorf("the weak daemon waits %s long after the strong one was listed, want none", got)
+	}
+}
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -184,12 +184,17 @@
 	}
 }
 
-// weakDelay returns the delay during which this daemon lets stronger ones claim leadership first. The caller must hold
+// weakDelay returns the delay during which this daemon lets stronger ones claim leadership first, also ones that were
+// listed until recently. The caller must hold
 // e.mu.
 func (e *Elector) weakDelay() time.Duration {
 	strongest := e.config.Strength
 	for _, m := range e.members {
 		strongest = max(strongest, m.Strength)
+		e.rememberStrength(m.Strength)
+	}
+	if e.config.Clock.Since(e.strongestAt) <= strengthMemory {
+		strongest = max(strongest, e.strongest)
 	}
 	switch {
 	case e.config.Strength >= strongShare*strongest:
