--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -134,6 +134,16 @@
 	return leader
 }
 
+// awaitLeaderOf waits until one of two daemons leads, and returns it and the other one.
+func (f *clusterFixture) awaitLeaderOf(a, b *daemon) (leader, other *daemon) {
+	f.t.Helper()
+	leader = f.awaitLeader(a, b)
+	if leader == a {
+		return leader, b
+	}
+	return leader, a
+}
+
 func (f *clusterFixture) isKnownTo(leader *daemon, all []*daemon) bool {
 	for _, d := range all {
 		if c, ok := d.Leader(); !ok || c.Target.VM != leader.vm {
@@ -170,11 +180,7 @@
 func TestLeaderThatStepsDownIsReplacedAtOnce(t *testing.T) {
 	f := newClusterFixture(t)
 	a, b := f.join("a"), f.join("b")
-	leader := f.awaitLeader(a, b)
-	other := a
-	if leader == a {
-		other = b
-	}
+	leader, other := f.awaitLeaderOf(a, b)
 	began := time.Now()
 	leader.StepDown(context.Background())
 	f.eventually("the other leads", func() bool { return f.termOf(other) != nil })
@@ -188,11 +194,7 @@
 func TestLeaderStepsDownWithAnOutdatedVersion(t *testing.T) {
 	f := newClusterFixture(t)
 	a, b := f.join("a"), f.join("b")
-	leader := f.awaitLeader(a, b)
-	other := a
-	if leader == a {
-		other = b
-	}
+	leader, other := f.awaitLeaderOf(a, b)
 	leader.mu.Lock()
 	leader.leaderVersion--
 	leader.mu.Unlock()
@@ -222,11 +224,7 @@
 func TestSuspectedLeaderIsReplacedBeforeItsLeaseExpires(t *testing.T) {
 	f := newClusterFixture(t)
 	a, b := f.join("a"), f.join("b")
-	leader := f.awaitLeader(a, b)
-	other := a
-	if leader == a {
-		other = b
-	}
+	leader, other := f.awaitLeaderOf(a, b)
 	other.SuspectLeader(f.termOf(leader).Epoch, "test")
 	f.eventually("the other leads", func() bool { return f.termOf(other) != nil })
 	f.eventually("the former leader ends its term", func() bool { return f.termOf(leader) == nil })
@@ -237,11 +235,7 @@
 func TestLeaderPartitionedFromTheStoreIsReplaced(t *testing.T) {
 	f := newClusterFixture(t)
 	a, b := f.join("a"), f.join("b")
-	leader := f.awaitLeader(a, b)
-	other := a
-	if leader == a {
-		other = b
-	}
+	leader, other := f.awaitLeaderOf(a, b)
 	f.memory.Faults.SetPartitioned(types.DataCentre(leader.vm), true)
 	f.eventually("the other leads", func() bool { return f.termOf(other) != nil })
 	if c, _ := other.Leader(); c.Target.VM != other.vm {
