--- a/internal/flow/specs/catalog.go
+++ b/internal/flow/specs/catalog.go
@@ -18,6 +18,8 @@
 		Host   string `json:"Host"`
 		Prefix string `json:"Prefix"`
 		Queue  Queue  `json:"Queue"`
+		// Public means that calls on the route need no key.
+		Public bool `json:"Public,omitempty"`
 	}
 
 	// Service is a named set of runners.
@@ -34,12 +36,17 @@
 		Services []Service      `json:"Services"`
 		// MaxBody limits the body of a request, in bytes.
 		MaxBody int64 `json:"MaxBody"`
+		// NeedsKeys means that calls must carry a key of one of the organisations, unless their route is public.
+		NeedsKeys     bool           `json:"NeedsKeys,omitempty"`
+		Organisations []Organisation `json:"Organisations,omitempty"`
 
 		indexOnce sync.Once
 		// byHost holds the routes of each host, those with the longest prefixes first, and byQueue the first route to each
 		// queue.
 		byHost  map[string][]*Route
 		byQueue map[QueueName]*Route
+		byKey   map[KeyDigest]*Organisation
+		byName  map[OrganisationName]*Organisation
 	}
 )
 
@@ -70,6 +77,26 @@
 	return r.Queue, true
 }
 
+// KeyOwner returns the organisation that holds the key, or false when none does.
+func (c *Catalog) KeyOwner(key KeyDigest) (*Organisation, bool) {
+	if c == nil {
+		return nil, false
+	}
+	c.indexOnce.Do(c.buildIndex)
+	o, ok := c.byKey[key]
+	return o, ok
+}
+
+// Organisation returns the organisation with the name, or false when there is none.
+func (c *Catalog) Organisation(name OrganisationName) (*Organisation, bool) {
+	if c == nil {
+		return nil, false
+	}
+	c.indexOnce.Do(c.buildIndex)
+	o, ok := c.byName[name]
+	return o, ok
+}
+
 func (c *Catalog) buildIndex() {
 	c.byHost = make(map[string][]*Route)
 	c.byQueue = make(map[QueueName]*Route, len(c.Routes))
@@ -83,4 +110,17 @@
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	c.indexOrganisations()
+}
+
+func (c *Catalog) indexOrganisations() {
+	c.byKey = make(map[KeyDigest]*Organisation)
+	c.byName = make(map[OrganisationName]*Organisation, len(c.Organisations))
+	for i := range c.Organisations {
+		o := &c.Organisations[i]
+		c.byName[o.Name] = o
+		for _, key := range o.Keys {
+			c.byKey[key] = o
+		}
+	}
 }
--- /dev/null
+++ b/internal/flow/specs/organisation.go
@@ -0,0 +1,59 @@
+package specs
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
+
+type (
+	// OrganisationName names an organisation; empty means none.
+	OrganisationName string
+
+	// KeyDigest is the SHA-256 digest of a caller's key. Keys themselves are neither kept nor handed on.
+	KeyDigest [sha256.Size]byte
+
+	// Organisation is a customer whose callers share its keys, its quota and its weight.
+	Organisation struct {
+		Name OrganisationName `json:"Name"`
+		Keys []KeyDigest      `json:"Keys,omitempty"`
+		// Weight is the number of jobs per second that the organisation may submit with the full claim to the runners.
+		Weight float64 `json:"Weight"`
+		// Quota limits what its runs occupy on all runners together; a resource that is 0 has no limit.
+		Quota types.Resources `json:"Quota"`
+	}
+
+	// Caller is who makes a call, as the daemon that received it has found out. The zero value is a caller without an
+	// organisation: one of a public route, or of a catalog that requires no keys.
+	Caller struct {
+		Organisation OrganisationName
+		// Key is the digest of the key that the call carried.
+		Key KeyDigest
+		// Catalog is the version of the catalog that held the key.
+		Catalog CatalogVersion
+		// Public means that the route of the call is public, so that the call may concern jobs of any organisation.
+		Public bool
+	}
+)
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest {
+	return sha256.Sum256([]byte(key))
+}
+
+// MarshalText returns the digest in hexadecimal digits. The error is always nil.
+func (d KeyDigest) MarshalText() ([]byte, error) {
+	return []byte(hex.EncodeToString(d[:])), nil
+}
+
+// UnmarshalText parses hexadecimal digits. It returns an error of kind Invalid if they are not a digest.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	if err != nil || len(decoded) != len(d) {
+		return errs.New(errs.Invalid, "a digest of a key must have %d hexadecimal digits", hex.EncodedLen(len(d)))
+	}
+	copy(d[:], decoded)
+	return nil
+}
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -85,6 +85,8 @@
 	// Job is a job that has not ended.
 	Job struct {
 		Spec specs.Job
+		// Organisation is the one whose job it is, or nil.
+		Organisation *Organisation
 		// Attempted is set once a start was decided, Ran once a runner is known to have begun one.
 		Attempted   bool
 		Ran         bool
@@ -121,8 +123,10 @@
 		Runners map[specs.RunnerID]*Runner
 		// ordered holds the runners in the order of their ids; nil after a change.
 		ordered []*Runner
-		Times   *Times
-		Shares  *Shares
+		// Organisations holds those that have jobs or runs, or that the catalog names.
+		Organisations map[specs.OrganisationName]*Organisation
+		Times         *Times
+		Shares        *Shares
 	}
 )
 
@@ -132,8 +136,11 @@
 		Jobs:      make(map[specs.JobID]*Job),
 		EndedJobs: make(map[specs.JobID]EndedJob),
 		Runners:   make(map[specs.RunnerID]*Runner),
-		Times:     NewTimes(),
-		Shares:    NewShares(),
+
+		Organisations: make(map[specs.OrganisationName]*Organisation),
+
+		Times:  NewTimes(),
+		Shares: NewShares(),
 	}
 }
 
