--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -29,6 +29,7 @@
 // admit returns nil when a new job may be accepted. Otherwise the error is of kind Overloaded (too many jobs) or
 // Unavailable (writes are stalled). The caller must hold o.mu.
 func (o *Owner) admit(job *specs.Job) error {
+	o.applyCatalog()
 	if len(o.table.Jobs) >= maxJobs {
 		return errs.After(errs.Overloaded, fullRetryDelay, "%d accepted jobs wait or run, which is the maximum", len(o.table.Jobs))
 	}
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -290,13 +290,15 @@
 	}
 }
 
-// applyCatalog gives the accepted jobs the queue policies of a new catalog. The caller must hold o.mu.
+// applyCatalog gives the accepted jobs the queue policies of a new catalog, and the organisations its limits. The caller
+// must hold o.mu.
 func (o *Owner) applyCatalog() {
 	c := o.config.Catalog()
 	if c == nil || c.Version == o.catalogVersion {
 		return
 	}
 	o.catalogVersion = c.Version
+	o.table.SetLimits(c)
 	for _, j := range o.table.Jobs {
 		if q, ok := c.Queue(j.Spec.Queue.Name); ok {
 			j.Spec.Queue = q
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -44,6 +44,7 @@
 	if !o.knowsDirectory() {
 		return 0
 	}
+	o.applyCatalog()
 	began := o.config.Clock.Now()
 	plan := order.MakePlan(o.table, began, order.Limits{
 		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency,
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -125,8 +125,10 @@
 		ordered []*Runner
 		// Organisations holds those that have jobs or runs, or that the catalog names.
 		Organisations map[specs.OrganisationName]*Organisation
-		Times         *Times
-		Shares        *Shares
+		// LimitsKnown is set once SetLimits was called.
+		LimitsKnown bool
+		Times       *Times
+		Shares      *Shares
 	}
 )
 
@@ -146,7 +148,7 @@
 
 // NewJob returns a job that the table does not hold yet, without occurrences.
 func (t *Table) NewJob(spec *specs.Job) *Job {
-	j := &Job{Spec: *spec, Occurrences: make(map[int]*Occurrence)}
+	j := &Job{Spec: *spec, Organisation: t.organisation(spec.Organisation), Occurrences: make(map[int]*Occurrence)}
 	j.CriticalPath, j.Work = t.Times.CriticalPath(&j.Spec), t.Times.Work(&j.Spec)
 	return j
 }
