--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -31,6 +31,9 @@
 	minCallTime = 100 * time.Millisecond
 	// retryBackoff is the pause before a call to the leader is retried.
 	retryBackoff = 40 * time.Millisecond
+	// firstCatalogTimeout is how long a call waits for the first catalog. When all daemons start at once, callers reach them
+	// before they have read it, and a refusal would cost the caller one of its few tries.
+	firstCatalogTimeout = 700 * time.Millisecond
 	// retryAfter is the time after which callers may retry: by then a new leader should have taken over.
 	retryAfter = time.Second
 	// peerQueryInterval is how often a daemon asks a peer for leader and catalog while the store does not answer it.
@@ -86,6 +89,8 @@
 		terms    sync.WaitGroup
 		catalog  *specs.Catalog
 		draining bool
+		// hasCatalog is closed once there is a catalog.
+		hasCatalog chan struct{}
 	}
 
 	callMetrics struct {
@@ -100,7 +105,7 @@
 
 // New returns a Front that takes part in the election and serves requests once Run is called.
 func New(c Config) *Front {
-	f := &Front{config: c}
+	f := &Front{config: c, hasCatalog: make(chan struct{})}
 	f.callMetrics = callMetrics{
 		submits: metrics.GetOrRegisterTimer("Front.Submit", c.Metrics),
 		states:  metrics.GetOrRegisterTimer("Front.State", c.Metrics),
@@ -170,6 +175,9 @@
 		return
 	}
 	f.config.Log.Info().Uint64("Version", uint64(c.Version)).Int("Routes", len(c.Routes)).Msg("catalog in force")
+	if f.catalog == nil {
+		close(f.hasCatalog)
+	}
 	f.catalog = c
 	f.callMetrics.catalog.Update(int64(c.Version))
 }
@@ -181,6 +189,20 @@
 	return f.catalog
 }
 
+// AwaitCatalog returns the catalog in force. While there is none, it waits for the first one, until ctx ends or for
+// firstCatalogTimeout, and then returns nil.
+func (f *Front) AwaitCatalog(ctx context.Context) *specs.Catalog {
+	if c := f.Catalog(); c != nil {
+		return c
+	}
+	select {
+	case <-f.hasCatalog:
+	case <-ctx.Done():
+	case <-f.config.Clock.After(firstCatalogTimeout):
+	}
+	return f.Catalog()
+}
+
 // startLeading begins a term as leader; the elector calls it when this daemon was elected.
 func (f *Front) startLeading(t elect.Term) {
 	f.mu.Lock()
--- a/internal/flow/front/front_test.go
+++ b/internal/flow/front/front_test.go
@@ -122,3 +122,38 @@
 		t.Errorf("catalog %d is in force, want 5", got)
 	}
 }
+
+// A call that reaches a daemon just after its start must not be refused when the catalog arrives in the next moment.
+func TestCallsWaitForTheFirstCatalog(t *testing.T) {
+	newFront := func() (*Front, *clockwork.FakeClock) {
+		clock := clockwork.NewFakeClockAt(now)
+		return New(Config{Clock: clock, Log: zerolog.Nop(), Metrics: metrics.NewRegistry()}), clock
+	}
+	await := func(f *Front) <-chan *specs.Catalog {
+		out := make(chan *specs.Catalog, 1)
+		go func() { out <- f.AwaitCatalog(t.Context()) }()
+		return out
+	}
+	t.Run("Arrives", func(t *testing.T) {
+		f, clock := newFront()
+		got := await(f)
+		if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+			t.Fatal(err)
+		}
+		f.SetCatalog(&specs.Catalog{Version: 3})
+		if c := <-got; c == nil || c.Version != 3 {
+			t.Errorf("got catalog %v, want version 3", c)
+		}
+	})
+	t.Run("DoesNotArrive", func(t *testing.T) {
+		f, clock := newFront()
+		got := await(f)
+		if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(firstCatalogTimeout)
+		if c := <-got; c != nil {
+			t.Errorf("got catalog %v, want none", c)
+		}
+	})
+}
--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// takeoverRetryDelay is when callers should retry after a stalled write, once a new leader has taken over.
-	takeoverRetryDelay = time.Second
 	// fullRetryDelay is when callers should retry once more jobs may be accepted again.
 	fullRetryDelay = 2 * time.Second
 	// admitWriteTimeout is how long a ledger write may be in flight before new jobs are rejected at once.
@@ -34,7 +32,7 @@
 		return errs.After(errs.Overloaded, fullRetryDelay, "%d accepted jobs wait or run, which is the maximum", len(o.table.Jobs))
 	}
 	if age := o.oldestWriteAge(); age > admitWriteTimeout {
-		return errs.After(errs.Unavailable, takeoverRetryDelay, "the store has not confirmed a write for %s", age)
+		return errs.After(errs.Unavailable, outageRetryDelay(age), "the store has not confirmed a write for %s", age)
 	}
 	return o.admitByBacklog(job)
 }
