Stop work that would not end before its runner leaves

Cause: what runs on a runner when it leaves is lost, and its task starts elsewhere only once the lease has expired, 5 s later. A run that will not end in time is stopped: at the last moment if that saves its work, at once if its progress shows that its work will be lost.

--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -12,6 +12,7 @@
 	startsUnanswered metrics.Counter
 	runsLost         metrics.Counter
 	stops            metrics.Counter
+	stopsBeforeLeave metrics.Counter
 	runsFailed       metrics.Counter
 	adviceCalls      metrics.Counter
 	adviceFailures   metrics.Counter
@@ -41,7 +42,7 @@
 		jobs: gauge("Jobs"), jobsWaiting: gauge("JobsWaiting"), runs: gauge("Runs"), coresFree: gauge("CoresFree"),
 		jobsAccepted: count("JobsAccepted"), jobsRejected: count("JobsRefused"), jobsEnded: count("JobsEnded"),
 		starts: count("Starts"), startsRejected: count("StartsRejected"), startsUnanswered: count("StartsUnanswered"),
-		runsLost: count("RunsLost"), stops: count("Stops"), runsFailed: count("RunsFailed"),
+		runsLost: count("RunsLost"), stops: count("Stops"), stopsBeforeLeave: count("StopsBeforeLeave"), runsFailed: count("RunsFailed"),
 		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
 		renewals: count("Holds"), renewFailures: count("HoldFailures"),
 		ledgerLoad: timer("LedgerLoad"), ledgerWrite: timer("LedgerWrite"), ledgerSnapshot: timer("LedgerImage"), acceptToDurable: timer("AcceptToDurable"),
--- /dev/null
+++ b/internal/flow/owner/leaving.go
@@ -0,0 +1,99 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+const (
+	// leaveMargin is how much earlier than it said a runner is taken to leave: its entry was read some time after it was
+	// written, and a stop has to reach the runner.
+	leaveMargin = 500 * time.Millisecond
+	// maxLeaveTime is the expected time until the end of a run that goes on until its job is cancelled.
+	maxLeaveTime = 24 * time.Hour
+)
+
+type (
+	// leavingRun is what decides about a run on a runner that leaves.
+	leavingRun struct {
+		// untilLeave is the time until the runner leaves, untilEnd the expected time until the run ends.
+		untilLeave time.Duration
+		untilEnd   time.Duration
+		// measured means that untilEnd follows from the progress of the run, not from an estimate.
+		measured bool
+		// saves means that a stop saves what the run has done, or that it has nothing to save.
+		saves bool
+	}
+
+	// leaveDecision is what happens to a run on a runner that leaves.
+	leaveDecision int
+)
+
+const (
+	// keepRunning leaves the run alone for now.
+	keepRunning leaveDecision = iota
+	// stopToMove stops the run, so that its task goes on elsewhere from its checkpoint.
+	stopToMove
+	// stopToRestart stops the run, so that its task starts from its beginning elsewhere.
+	stopToRestart
+)
+
+// decide answers a load in which runners are taken away at short notice while they are full. Whatever runs on a runner when
+// it leaves is lost, and starts elsewhere only once its lease has expired. So a run that will not end in time is stopped: at
+// the last moment if that saves its work, and at once if it is sure that its work will be lost.
+func (r leavingRun) decide(stopTimeout time.Duration) leaveDecision {
+	isLastMoment := r.untilLeave <= stopTimeout+leaveMargin+tickInterval
+	switch {
+	case r.untilEnd <= r.untilLeave-leaveMargin:
+		return keepRunning
+	case r.saves && isLastMoment:
+		return stopToMove
+	case r.saves:
+		return keepRunning
+	case isLastMoment || r.measured:
+		return stopToRestart
+	default:
+		return keepRunning
+	}
+}
+
+// stopRunsBeforeLeave stops the runs on a draining runner that will not end before it leaves. The caller must hold o.mu.
+func (o *Owner) stopRunsBeforeLeave(r *tasks.Runner, now time.Time) {
+	if r.LeavesAt.IsZero() || !r.Synced || !r.UnreachableSince.IsZero() {
+		return
+	}
+	for _, run := range r.Runs {
+		if !run.Confirmed || run.Stopping || run.Task == nil || run.Task.Run != run {
+			continue
+		}
+		leaving := o.leavingRun(run, now)
+		decision := leaving.decide(o.config.Bounds.StopTimeout)
+		if decision == keepRunning {
+			continue
+		}
+		o.config.Log.Info().Str("Runner", string(r.Info.ID)).Str("Task", run.Key.Ref.String()).Int("Percent", run.Percent).
+			Dur("UntilLeave", leaving.untilLeave).Dur("UntilEnd", leaving.untilEnd).Bool("Saved", decision == stopToMove).
+			Msg("stopping task that would not end before its runner leaves")
+		o.counters.stopsBeforeLeave.Inc(1)
+		o.stopRun(run)
+	}
+}
+
+// leavingRun returns what decides about a run on a runner that leaves. The caller must hold o.mu.
+func (o *Owner) leavingRun(run *tasks.Run, now time.Time) leavingRun {
+	spec := run.Task.Step.Spec
+	out := leavingRun{untilLeave: run.Runner.LeavesAt.Sub(now), saves: spec.Checkpoint || spec.Service}
+	if spec.Service {
+		out.untilEnd = maxLeaveTime
+		return out
+	}
+	total, measured := o.projectedRunTime(run, now)
+	if measured {
+		out.measured = run.Percent-run.First >= minProgressPercent
+		out.untilEnd = total * time.Duration(completePercent-run.Percent) / completePercent
+		return out
+	}
+	out.untilEnd = o.expectedRunTime(run) - now.Sub(run.ConfirmedAt)
+	return out
+}
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -66,9 +66,18 @@
 	// maximum.
 	r.Deadline = agent.Clock(storeContactTimeout + o.config.Bounds.MaxLeaseTTL)
 	o.table.SetRunner(r)
+	o.noteLeave(r)
 	return r
 }
 
+// noteLeave notes when a draining runner leaves, by its latest entry in the directory. The caller must hold o.mu.
+func (o *Owner) noteLeave(r *tasks.Runner) {
+	r.LeavesAt = time.Time{}
+	if r.Info.Draining && r.Info.Remaining > 0 {
+		r.LeavesAt = o.config.Clock.Now().Add(r.Info.Remaining)
+	}
+}
+
 // directoryLoop keeps the runners in the tables up to date with the directory.
 func (o *Owner) directoryLoop() {
 	var version uint64
@@ -188,6 +197,7 @@
 	}
 	r.Info = info
 	r.Listed = true
+	o.noteLeave(r)
 }
 
 // runnerRemoved marks a runner that the directory no longer lists. Its runs may go on. The caller must hold o.mu.
@@ -207,6 +217,7 @@
 	next := tasks.NewRunner(info, o.nextFence())
 	next.ClockAt = o.config.Clock.Now()
 	o.table.SetRunner(next)
+	o.noteLeave(next)
 	for _, run := range r.Runs {
 		o.removeAbsentRun(run, agent.LeaseExpired)
 	}
@@ -233,6 +244,7 @@
 	for id, r := range o.table.Runners {
 		o.expireRuns(r, now)
 		o.resendStops(r, now)
+		o.stopRunsBeforeLeave(r, now)
 		if !r.Listed && len(r.Runs) == 0 {
 			o.table.RemoveRunner(id)
 		}
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -28,6 +28,8 @@
 		Synced bool
 		// Listed is set while the directory lists the runner.
 		Listed bool
+		// LeavesAt is when a draining runner leaves at the earliest; zero when it is not draining or does not say.
+		LeavesAt time.Time
 		// Health rates how the runner executes its tasks.
 		Health Health
 
