Leave a source of the catalog whose own knowledge is old

A source with old knowledge of the store answers a poll at once. Its follower left it only when its own knowledge was old, too. With younger knowledge from another head it polled the source again without a pause: with one of two heads refused by the store, eight daemons in memory made 39,931 polls in 2 s. The follower now judges the source by the age that it reports, and the new test, which failed with that figure, passes with its limit of 280.

--- a/internal/flow/feed/feed.go
+++ b/internal/flow/feed/feed.go
@@ -241,7 +241,8 @@
 	if reply.Version >= known && reply.Version != 0 {
 		f.confirm(reply.Position, sentAt.Add(reply.Waited-reply.Age))
 	}
-	if !isNewer && !reply.Receiving && f.age() > f.maxAge {
+	// A source with old knowledge answers at once. It is left even if this daemon has younger knowledge from elsewhere.
+	if isStale := max(f.age(), reply.Age) > f.maxAge; !isNewer && !reply.Receiving && isStale {
 		f.avoid(target, staleBackoff, "its knowledge of the store is too old")
 	}
 }
--- a/internal/flow/feed/feed_test.go
+++ b/internal/flow/feed/feed_test.go
@@ -294,6 +294,23 @@
 	}
 }
 
+// A source whose knowledge is old answers at once. A follower with younger knowledge from elsewhere must not ask it again and
+// again without a pause.
+func TestDaemonsPollSlowlyWhileTheStoreRefusesAHead(t *testing.T) {
+	f := newFixture(t, 4, applyTimeout)
+	f.store.write(1, 1)
+	f.waitForVersion(1)
+	f.store.setCutOff("a1", true)
+	time.Sleep(applyTimeout / ageDivisor)
+	before := f.calls.Get(methodPoll.Kind(), meter.Calls)
+	time.Sleep(applyTimeout)
+	polls := f.calls.Get(methodPoll.Kind(), meter.Calls) - before
+	// Seven daemons have a source.
+	if limit := int64(7 * 20 * applyTimeout / time.Second); polls > limit {
+		t.Errorf("%d polls in %s, want %d at most, 20 a second for each daemon", polls, applyTimeout, limit)
+	}
+}
+
 func TestOlderCatalogIsNotInstalled(t *testing.T) {
 	var applied []specs.CatalogVersion
 	f := New(Config{
