--- a/internal/flow/specs/catalog.go
+++ b/internal/flow/specs/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/subtle"
 	"slices"
 	"strings"
 	"sync"
@@ -45,7 +46,6 @@
 		// queue.
 		byHost  map[string][]*Route
 		byQueue map[QueueName]*Route
-		byKey   map[KeyDigest]*Organisation
 		byName  map[OrganisationName]*Organisation
 	}
 )
@@ -77,14 +77,22 @@
 	return r.Queue, true
 }
 
-// KeyOwner returns the organisation that holds the key, or false when none does.
+// KeyOwner returns the organisation that holds the key, or false when none does. It compares the key with every key of the
+// catalog, each in constant time, so that its duration tells nothing about them.
 func (c *Catalog) KeyOwner(key KeyDigest) (*Organisation, bool) {
 	if c == nil {
 		return nil, false
 	}
-	c.indexOnce.Do(c.buildIndex)
-	o, ok := c.byKey[key]
-	return o, ok
+	owner := -1
+	for i := range c.Organisations {
+		for j := range c.Organisations[i].Keys {
+			owner = subtle.ConstantTimeSelect(subtle.ConstantTimeCompare(key[:], c.Organisations[i].Keys[j][:]), i, owner)
+		}
+	}
+	if owner < 0 {
+		return nil, false
+	}
+	return &c.Organisations[owner], true
 }
 
 // Organisation returns the organisation with the name, or false when there is none.
@@ -114,13 +122,9 @@
 }
 
 func (c *Catalog) indexOrganisations() {
-	c.byKey = make(map[KeyDigest]*Organisation)
 	c.byName = make(map[OrganisationName]*Organisation, len(c.Organisations))
 	for i := range c.Organisations {
 		o := &c.Organisations[i]
 		c.byName[o.Name] = o
-		for _, key := range o.Keys {
-			c.byKey[key] = o
-		}
 	}
 }
