Check the keys of organisations on the users' platform

The feed keeps when the store last showed that it had no newer catalog: at the time when the request was sent, with the age added along the way through other daemons, and on a clock that counts suspension. It does not exist after a restart. The leader checks the caller again if its catalog is newer, and shows a job only to its organisation, also after the job has ended and after a change of the leader.

Catalogs of daemons of a former version are not taken over, since they lack the keys. A catalog without organisations adds nothing to the calls to the leader.

--- a/internal/flow/feed/feed.go
+++ b/internal/flow/feed/feed.go
@@ -17,6 +17,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/uptime"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
@@ -29,6 +30,9 @@
 	// waitDivisor gives the time that a source or the store waits for a new catalog before it answers, as a part of the
 	// largest age. Knowledge passes two daemons at most, and must not be too old after that.
 	waitDivisor = 4
+	// confirmationWaitDivisor gives the longest wait as a part of the greatest age of a confirmation. Behind two daemons, the
+	// confirmation is then half as old as it may be at most.
+	confirmationWaitDivisor = 8
 	// shortWaitDivisor gives the wait of a daemon whose knowledge is old, as a part of the usual one.
 	shortWaitDivisor = 8
 	// failureBackoff is how long a source that failed is not used, staleBackoff one that fell behind.
@@ -58,6 +62,9 @@
 	Update struct {
 		Catalog  *specs.Catalog
 		Position Position
+		// Lagging means that the answer shows a state of the store before the position that was asked for. It does not tell
+		// whether there is a newer catalog.
+		Lagging bool
 	}
 
 	// Origin is the store that the operator writes the catalog to.
@@ -75,8 +82,13 @@
 		// Leader returns the daemon that leads, or false when none is known.
 		Leader func() (elect.Leader, bool)
 		// Apply puts a catalog in force that is newer than all before it.
-		Apply   func(*specs.Catalog)
-		Clock   clockwork.Clock
+		Apply func(*specs.Catalog)
+		Clock clockwork.Clock
+		// MaxConfirmationAge returns how old the confirmation of the catalog may be, or 0 for any age. It may be nil, which means
+		// any age.
+		MaxConfirmationAge func() time.Duration
+		// Uptime is a clock that counts the time that the VM is suspended. It dates confirmations.
+		Uptime  uptime.Clock
 		Log     zerolog.Logger
 		Metrics metrics.Registry
 		// ApplyTimeout is the time within which a new catalog should be in force.
@@ -103,7 +115,8 @@
 		position Position
 		// confirmedAt is the latest time at which the store is known to have had no newer catalog. It begins as the time of
 		// the start, so that the sources have some time to read their first catalog.
-		confirmedAt time.Time
+		confirmedAt  time.Time
+		confirmation confirmation
 		// receivingSince is when a catalog began to arrive, here or at the source; zero while none arrives. The last part
 		// arrived at progressAt.
 		receivingSince time.Time
@@ -128,7 +141,7 @@
 // New returns a Feed that follows the catalog once Run is called.
 func New(c Config) *Feed {
 	maxAge := c.ApplyTimeout / ageDivisor
-	return &Feed{
+	f := &Feed{
 		config: c, maxAge: maxAge, wait: maxAge / waitDivisor,
 		pacer:   pacer{clock: c.Clock, rate: c.LinkRate / linkShareDivisor},
 		changed: make(chan struct{}), unusableUntil: make(map[types.VMID]time.Time),
@@ -140,6 +153,17 @@
 			storeReads: metrics.GetOrRegisterCounter("Catalog.StoreReads", c.Metrics),
 		},
 	}
+	c.Metrics.GetOrRegister("Access.AgeMs", metrics.NewFunctionalGauge(f.confirmationAgeMs))
+	return f
+}
+
+// confirmationAgeMs returns the age of the confirmation in milliseconds, or -1 when there is none.
+func (f *Feed) confirmationAgeMs() int64 {
+	_, c := f.Confirmation()
+	if !c.Known {
+		return -1
+	}
+	return c.Age.Milliseconds()
 }
 
 // Run follows the catalog until ctx ends.
@@ -198,7 +222,7 @@
 	after := f.position
 	f.mu.Unlock()
 	wait := f.nextWait()
-	sentAt := f.config.Clock.Now()
+	sentAt, sentAtUptime := f.config.Clock.Now(), f.config.Uptime()
 	f.counters.storeReads.Inc(1)
 	update, err := f.config.Origin.Next(ctx, Request{After: after, Wait: wait, OnProgress: f.noteProgress})
 	if err != nil {
@@ -218,11 +242,13 @@
 		f.install(&document{catalog: update.Catalog}, update.Position)
 	}
 	f.confirm(update.Position, confirmedAt)
+	f.confirmFromStore(update, after, sentAtUptime)
 }
 
 // followPeer waits for a newer catalog at another daemon, and fetches it.
 func (f *Feed) followPeer(ctx context.Context, target peer.Target) {
 	known := f.Version()
+	sentAtUptime := f.config.Uptime()
 	reply, sentAt, err := f.poll(ctx, target, known)
 	isNewer := err == nil && reply.Version > known
 	if isNewer {
@@ -240,6 +266,7 @@
 	f.noteReceiving(reply.Receiving || isNewer)
 	if reply.Version >= known && reply.Version != 0 {
 		f.confirm(reply.Position, sentAt.Add(reply.Waited-reply.Age))
+		f.adoptPolled(reply, sentAtUptime)
 	}
 	// A source with old knowledge answers at once. It is left even if this daemon has younger knowledge from elsewhere.
 	if isStale := max(f.age(), reply.Age) > f.maxAge; !isNewer && !reply.Receiving && isStale {
@@ -250,12 +277,27 @@
 // nextWait returns how long to wait for a newer catalog. The wait is short when the knowledge of the store grows old, for
 // example after a long transfer, so that it is soon confirmed.
 func (f *Feed) nextWait() time.Duration {
+	short := f.wait / shortWaitDivisor
 	if f.age() > f.maxAge/2 {
-		return f.wait / shortWaitDivisor
+		return short
+	}
+	if maxAge := f.maxConfirmationAge(); maxAge > 0 {
+		return max(min(f.wait, maxAge/confirmationWaitDivisor), short)
 	}
 	return f.wait
 }
 
+// maxConfirmationAge returns how old the confirmation may be, or 0 for any age, as while the catalog requires no keys.
+func (f *Feed) maxConfirmationAge() time.Duration {
+	f.mu.Lock()
+	needsKeys := f.document != nil && f.document.catalog.NeedsKeys
+	f.mu.Unlock()
+	if !needsKeys || f.config.MaxConfirmationAge == nil {
+		return 0
+	}
+	return f.config.MaxConfirmationAge()
+}
+
 func (f *Feed) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/flow/feed/feed_test.go
+++ b/internal/flow/feed/feed_test.go
@@ -160,7 +160,7 @@
 		Self: self, Origin: &origin{store: f.store, vm: self.VM}, Peers: node,
 		Members: func() []elect.Member { return f.members },
 		Leader:  func() (elect.Leader, bool) { return elect.Leader{Target: f.members[0].Target, Epoch: 1}, true },
-		Apply:   func(*specs.Catalog) {}, Clock: clockwork.NewRealClock(),
+		Apply:   func(*specs.Catalog) {}, Clock: clockwork.NewRealClock(), Uptime: testUptime,
 		Log:     zerolog.New(zerolog.NewTestWriter(f.t)).With().Str("VM", string(self.VM)).Logger(),
 		Metrics: metrics.NewRegistry(), ApplyTimeout: applyTimeout,
 	})
@@ -314,7 +314,7 @@
 func TestOlderCatalogIsNotInstalled(t *testing.T) {
 	var applied []specs.CatalogVersion
 	f := New(Config{
-		Apply: func(c *specs.Catalog) { applied = append(applied, c.Version) }, Clock: clockwork.NewRealClock(),
+		Apply: func(c *specs.Catalog) { applied = append(applied, c.Version) }, Clock: clockwork.NewRealClock(), Uptime: testUptime,
 		Metrics: metrics.NewRegistry(), ApplyTimeout: applyTimeout,
 	})
 	for _, version := range []specs.CatalogVersion{3, 9, 4, 9, 10} {
@@ -384,3 +384,8 @@
 		t.Errorf("error %v for a catalog of another digest, want kind Invalid", err)
 	}
 }
+
+var testStart = time.Now()
+
+// testUptime is a clock for tests in which nothing is suspended.
+func testUptime() time.Duration { return time.Since(testStart) }
--- a/internal/flow/feed/fetch.go
+++ b/internal/flow/feed/fetch.go
@@ -19,7 +19,8 @@
 	maxEncodedBytes = 16 << 20
 )
 
-// poll asks a source for the state of its catalog. It also returns when the call was sent.
+// poll asks a source for the state of its catalog. It also returns when the call was sent. An error of kind Invalid means that
+// the source runs a former version: its catalogs lack the organisations, and it knows no confirmations.
 func (f *Feed) poll(ctx context.Context, target peer.Target, known specs.CatalogVersion) (*PollReply, time.Time, error) {
 	wait := f.nextWait()
 	limited, cancel := context.WithTimeout(ctx, wait+pollMargin)
@@ -27,16 +28,26 @@
 	sentAt := f.config.Clock.Now()
 	reply := &PollReply{}
 	err := f.config.Peers.Call(limited, target, methodPoll, &PollArgs{Version: known, Wait: wait}, reply)
+	if err == nil && !reply.KeepsOrganisations {
+		err = errs.New(errs.Invalid, "%s runs a former version, whose catalogs lack the organisations", target.VM)
+	}
 	return reply, sentAt, err
 }
 
-// FetchNewer fetches the catalog of another daemon if it is newer than this daemon's.
+// FetchNewer fetches the catalog of another daemon if it is newer than this daemon's, and adopts its confirmation.
 func (f *Feed) FetchNewer(ctx context.Context, target peer.Target) error {
+	sentAt := f.config.Uptime()
 	reply, _, err := f.poll(ctx, target, f.Version())
-	if err != nil || reply.Version <= f.Version() {
+	if err != nil {
 		return err
 	}
-	return f.fetch(ctx, target, reply)
+	if reply.Version > f.Version() {
+		err = f.fetch(ctx, target, reply)
+	}
+	if err == nil {
+		f.adoptPolled(reply, sentAt)
+	}
+	return err
 }
 
 // fetch fetches the catalog that a poll has described, and puts it in force. The error is of kind NotFound when the source
--- a/internal/flow/feed/service.go
+++ b/internal/flow/feed/service.go
@@ -38,6 +38,13 @@
 		// Bytes and Digest describe the encoded catalog, if it is newer than the caller's.
 		Bytes  int
 		Digest uint64
+		// Confirmed means that the source knows when the store had no newer catalog than Version, ConfirmedAge how long ago
+		// that was by a clock that counts suspension. ConfirmedAge is read after Waited.
+		Confirmed    bool
+		ConfirmedAge time.Duration
+		// KeepsOrganisations is set by all versions of the program whose catalogs hold organisations. A catalog of a former
+		// version would lack the keys.
+		KeepsOrganisations bool
 	}
 
 	// ReadArgs asks for a part of an encoded catalog.
@@ -74,11 +81,15 @@
 		case <-f.config.Clock.After(min(args.Wait, f.wait)):
 		}
 	}
+	// If the ages were read first, a pause before Waited is computed would count as time that the source has waited, and
+	// make its knowledge seem younger.
+	reply.Waited = f.config.Clock.Since(began)
 	f.mu.Lock()
 	d := f.document
 	reply.Position, reply.Receiving, reply.Age = f.position, f.isReceiving(), f.ageLocked()
+	confirmed := f.confirmationLocked()
 	f.mu.Unlock()
-	reply.Waited = f.config.Clock.Since(began)
+	reply.Confirmed, reply.ConfirmedAge, reply.KeepsOrganisations = confirmed.Known, confirmed.Age, true
 	return peer.Wire(reply.describe(d, args.Version))
 }
 
--- a/internal/flow/feed/state.go
+++ b/internal/flow/feed/state.go
@@ -18,6 +18,11 @@
 func (f *Feed) Version() specs.CatalogVersion {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.versionLocked()
+}
+
+// versionLocked is Version for a caller that holds f.mu.
+func (f *Feed) versionLocked() specs.CatalogVersion {
 	if f.document == nil {
 		return 0
 	}
--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/uptime"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/feed"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/owner"
@@ -63,6 +64,11 @@
 		Catalogs feed.Origin
 		// CatalogTimeout is the time within which a new catalog should be in force.
 		CatalogTimeout time.Duration
+		// RevokeTimeout returns the time within which a withdrawn key must be refused; 0 means that the last known catalog stays
+		// in use. It may be nil, which means 0.
+		RevokeTimeout func() time.Duration
+		// Uptime is a clock that counts the time that the VM is suspended.
+		Uptime uptime.Clock
 		// LinkRate is the bandwidth of this VM's network link, in bytes per second.
 		LinkRate float64
 		// TTL is the duration of a daemon's lease in the store; zero means elect.DefaultTTL.
@@ -117,7 +123,7 @@
 	})
 	f.feed = feed.New(feed.Config{
 		Self: c.Self, Origin: c.Catalogs, Peers: c.Peers, Members: f.elector.Roster, Leader: f.elector.Leader,
-		Apply: f.SetCatalog, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics,
+		Apply: f.SetCatalog, Clock: c.Clock, Uptime: c.Uptime, MaxConfirmationAge: f.maxAge, Log: c.Log, Metrics: c.Metrics,
 		ApplyTimeout: c.CatalogTimeout, LinkRate: c.LinkRate,
 	})
 	return f
@@ -146,13 +152,13 @@
 	f.elector.StepDown(ctx)
 }
 
-// Ready reports whether the daemon should get new requests: it is not draining, has a catalog and knows a leader.
+// Ready reports whether the daemon should get new requests: it is not draining, has a catalog that was confirmed if that is
+// required, and knows a leader. It stays ready while its confirmation is too old: it may serve public routes, and is likely to
+// be confirmed again before the platform's next check.
 func (f *Front) Ready() bool {
-	f.mu.Lock()
-	ready := !f.draining && f.catalog != nil
-	f.mu.Unlock()
+	view := f.Access()
 	_, hasLeader := f.elector.Leader()
-	return ready && hasLeader
+	return !f.Draining() && hasLeader && view.IsUsable()
 }
 
 // Draining reports whether Drain was called.
@@ -216,25 +222,26 @@
 
 // Submit submits a job to the leader. A nil error means that the job is durable. The kinds Overloaded, Unavailable and
 // Draining mean that it will never run because of this request; Lost means that it is in doubt.
-func (f *Front) Submit(ctx context.Context, job *specs.Job) error {
+func (f *Front) Submit(ctx context.Context, caller specs.Caller, job *specs.Job) error {
 	began := f.config.Clock.Now()
-	err := f.callLeader(ctx, methodSubmit, &SubmitArgs{Job: *job}, &Empty{})
+	err := f.callLeader(ctx, methodSubmit, &SubmitArgs{Job: *job, Caller: passOn(caller)}, &Empty{})
 	if err == nil {
 		f.callMetrics.submits.UpdateSince(began)
 	}
 	return err
 }
 
-// Cancel cancels a job. The error is of kind NotFound if there is no such job.
-func (f *Front) Cancel(ctx context.Context, id specs.JobID) error {
-	return f.callLeader(ctx, methodCancel, &JobArgs{Job: id}, &Empty{})
+// Cancel cancels a job. The error is of kind NotFound if there is no such job, or if it is another organisation's.
+func (f *Front) Cancel(ctx context.Context, caller specs.Caller, id specs.JobID) error {
+	return f.callLeader(ctx, methodCancel, &JobArgs{Job: id, Caller: passOn(caller)}, &Empty{})
 }
 
-// State returns the state of a job. The error is of kind NotFound if there is no such job.
-func (f *Front) State(ctx context.Context, id specs.JobID) (tasks.JobState, error) {
+// State returns the state of a job. The error is of kind NotFound if there is no such job, or if it is another
+// organisation's.
+func (f *Front) State(ctx context.Context, caller specs.Caller, id specs.JobID) (tasks.JobState, error) {
 	began := f.config.Clock.Now()
 	reply := &StateReply{}
-	if err := f.callLeader(ctx, methodState, &JobArgs{Job: id}, reply); err != nil {
+	if err := f.callLeader(ctx, methodState, &JobArgs{Job: id, Caller: passOn(caller)}, reply); err != nil {
 		return "", err
 	}
 	f.callMetrics.states.UpdateSince(began)
@@ -242,45 +249,10 @@
 }
 
 // Waiting returns the number of jobs of the queue of which no task has started yet.
-func (f *Front) Waiting(ctx context.Context, queue specs.QueueName) (int, error) {
+func (f *Front) Waiting(ctx context.Context, caller specs.Caller, queue specs.QueueName) (int, error) {
 	reply := &WaitingReply{}
-	if err := f.callLeader(ctx, methodWaiting, &QueueArgs{Queue: queue}, reply); err != nil {
+	if err := f.callLeader(ctx, methodWaiting, &QueueArgs{Queue: queue, Caller: passOn(caller)}, reply); err != nil {
 		return 0, err
 	}
 	return reply.Waiting, nil
 }
-
-// queryLoop asks the peers in turn for leader and catalog while the store does not answer this daemon.
-func (f *Front) queryLoop(ctx context.Context) {
-	next := 0
-	for ctx.Err() == nil {
-		f.sleep(ctx, peerQueryInterval)
-		members := f.elector.Members()
-		if f.elector.StoreReachable() || len(members) == 0 {
-			continue
-		}
-		next++
-		f.queryPeer(ctx, members[next%len(members)])
-	}
-}
-
-// queryPeer asks a peer for leader and catalog, and adopts what is newer than this daemon's.
-func (f *Front) queryPeer(ctx context.Context, member peer.Target) {
-	if member.VM == f.config.Self.VM {
-		return
-	}
-	limited, cancel := context.WithTimeout(ctx, peerQueryTimeout)
-	defer cancel()
-	reply := &PeekReply{}
-	if err := f.config.Peers.Call(limited, member, methodPeek, &Empty{}, reply); err != nil {
-		f.config.Log.Debug().Err(err).Str("VM", string(member.VM)).Msg("peer did not answer the query for leader and catalog; asking the next one")
-		return
-	}
-	f.elector.AdoptLeader(reply.Lead)
-	if reply.Catalog <= f.feed.Version() {
-		return
-	}
-	if err := f.feed.FetchNewer(ctx, member); err != nil {
-		f.config.Log.Debug().Err(err).Str("VM", string(member.VM)).Msg("could not fetch the catalog of a peer; asking the next one")
-	}
-}
--- a/internal/flow/front/leader_test.go
+++ b/internal/flow/front/leader_test.go
@@ -51,7 +51,7 @@
 func submit(f *Front, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return f.Submit(ctx, &specs.Job{ID: "j"})
+	return f.Submit(ctx, specs.Caller{}, &specs.Job{ID: "j"})
 }
 
 func TestWhatCallersMayConclude(t *testing.T) {
--- a/internal/flow/front/service.go
+++ b/internal/flow/front/service.go
@@ -35,14 +35,24 @@
 	// Empty is the reply of calls that return nothing but an error.
 	Empty struct{}
 
-	// SubmitArgs carries a job to the leader.
-	SubmitArgs struct{ Job specs.Job }
+	// SubmitArgs carries a job to the leader. Caller is who submits it; nil means the zero Caller, in all arguments, so that
+	// nothing is sent for a catalog without organisations.
+	SubmitArgs struct {
+		Job    specs.Job
+		Caller *specs.Caller
+	}
 
 	// JobArgs names a job.
-	JobArgs struct{ Job specs.JobID }
+	JobArgs struct {
+		Job    specs.JobID
+		Caller *specs.Caller
+	}
 
 	// QueueArgs names a queue.
-	QueueArgs struct{ Queue specs.QueueName }
+	QueueArgs struct {
+		Queue  specs.QueueName
+		Caller *specs.Caller
+	}
 
 	// StateReply is the state of a job.
 	StateReply struct{ State tasks.JobState }
@@ -63,10 +73,12 @@
 	AdviseReply struct{ Permits []agent.Permit }
 
 	// PeekReply is the leader that a daemon knows, with Epoch zero if it knows none, and the version of its catalog, zero if
-	// it has none.
+	// it has none. Confirmed and ConfirmedAge are the confirmation of that catalog, as in feed.PollReply.
 	PeekReply struct {
-		Lead    elect.Leader
-		Catalog specs.CatalogVersion
+		Lead         elect.Leader
+		Catalog      specs.CatalogVersion
+		Confirmed    bool
+		ConfirmedAge time.Duration
 	}
 
 	// RelieveArgs holds the epoch of a leader whose writes the store does not accept. It is also the argument of Probe,
@@ -118,10 +130,11 @@
 	return peer.Wire(err)
 }
 
-// Peek returns the leader that this daemon knows, and the version of its catalog.
+// Peek returns the leader that this daemon knows, and the version of its catalog with its confirmation.
 func (s *Service) Peek(_ *Empty, reply *PeekReply) error {
 	reply.Lead, _ = s.front.elector.Leader()
-	reply.Catalog = s.front.feed.Version()
+	version, confirmation := s.front.feed.Confirmation()
+	reply.Catalog, reply.Confirmed, reply.ConfirmedAge = version, confirmation.Known, confirmation.Age
 	return nil
 }
 
@@ -157,7 +170,8 @@
 	return f.owner, nil
 }
 
-// serveLocally serves a call as the leader. It returns an error of kind Unavailable if this daemon does not lead.
+// serveLocally serves a call as the leader. It returns an error of kind Unavailable if this daemon does not lead, and of kind
+// Denied if its own catalog is newer than the one that held the caller's key, and does not hold it any more.
 func (f *Front) serveLocally(ctx context.Context, args, reply any) error {
 	o, err := f.currentOwner()
 	if err != nil {
@@ -165,25 +179,27 @@
 	}
 	switch a := args.(type) {
 	case *SubmitArgs:
-		return o.Submit(ctx, &a.Job)
+		return f.serveSubmit(ctx, o, a)
 	case *QueueArgs:
-		n, err := o.Waiting(a.Queue)
-		copyReply(reply, &WaitingReply{Waiting: n})
-		return err
+		return f.serveWaiting(o, a, reply)
 	case *JobArgs:
-		return f.serveJob(ctx, o, a.Job, reply)
+		return f.serveJob(ctx, o, a, reply)
 	default:
 		return errs.New(errs.Internal, "no call takes arguments of type %T", args)
 	}
 }
 
 // serveJob serves a call about one job: State if the reply is a StateReply, otherwise Cancel.
-func (f *Front) serveJob(ctx context.Context, o *owner.Owner, id specs.JobID, reply any) error {
+func (f *Front) serveJob(ctx context.Context, o *owner.Owner, args *JobArgs, reply any) error {
+	caller, err := f.recheck(args.Caller)
+	if err != nil {
+		return err
+	}
 	r, ok := reply.(*StateReply)
 	if !ok {
-		return o.Cancel(ctx, id)
+		return o.Cancel(ctx, caller, args.Job)
 	}
-	state, err := o.State(ctx, id)
+	state, err := o.State(ctx, caller, args.Job)
 	r.State = state
 	return err
 }
--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -64,10 +64,10 @@
 }
 
 // Cancel cancels a job. A nil error means that the cancellation is durable, or that the job had ended before; kind
-// Lost that it is in doubt, kind NotFound that there is no such job.
-func (o *Owner) Cancel(ctx context.Context, id specs.JobID) error {
+// Lost that it is in doubt, kind NotFound that there is no such job, or that it is another organisation's.
+func (o *Owner) Cancel(ctx context.Context, caller specs.Caller, id specs.JobID) error {
 	done := make(chan struct{})
-	known, err := o.cancelJob(id, func() { close(done) })
+	known, err := o.cancelJob(caller, id, func() { close(done) })
 	if err != nil {
 		return err
 	}
@@ -77,12 +77,16 @@
 	return o.awaitDurable(ctx, done)
 }
 
-func (o *Owner) cancelJob(id specs.JobID, durable func()) (bool, error) {
+// cancelJob cancels a job and returns whether there is one that the caller may cancel.
+func (o *Owner) cancelJob(caller specs.Caller, id specs.JobID, durable func()) (bool, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.open {
 		return false, errs.New(errs.Unavailable, "the leader has not read the ledger yet")
 	}
+	if !o.isAccessible(caller, id) {
+		return false, nil
+	}
 	if _, ended := o.table.EndedJobs[id]; ended {
 		o.onDurable(durable)
 		return true, nil
@@ -96,9 +100,10 @@
 	return true, nil
 }
 
-// State returns the state of a job. An error of kind NotFound means that there is no such job.
-func (o *Owner) State(ctx context.Context, id specs.JobID) (tasks.JobState, error) {
-	state, err := o.jobState(id)
+// State returns the state of a job. An error of kind NotFound means that there is no such job, or that it is another
+// organisation's.
+func (o *Owner) State(ctx context.Context, caller specs.Caller, id specs.JobID) (tasks.JobState, error) {
+	state, err := o.jobStateFor(caller, id)
 	if errs.Is(err, errs.NotFound) {
 		return "", o.unknownJobError(ctx, id)
 	}
@@ -171,7 +176,9 @@
 	if state != tasks.JobCompleted {
 		runs = o.runsOf(j)
 	}
-	record := tasks.Record{End: &tasks.JobResult{Job: id, Queue: j.Spec.Queue.Name, State: state, At: at}}
+	record := tasks.Record{End: &tasks.JobResult{
+		Job: id, Queue: j.Spec.Queue.Name, State: state, At: at, Organisation: j.Spec.Organisation,
+	}}
 	o.record(record, func() {
 		delete(o.notYetDurable, id)
 		for _, run := range runs {
--- a/internal/flow/owner/fixture_test.go
+++ b/internal/flow/owner/fixture_test.go
@@ -189,7 +189,7 @@
 func (f *fixture) waitForState(o *Owner, id specs.JobID, want tasks.JobState) {
 	f.t.Helper()
 	f.eventually(fmt.Sprintf("job %s is %s", id, want), func() bool {
-		state, err := o.State(context.Background(), id)
+		state, err := o.State(context.Background(), specs.Caller{}, id)
 		return err == nil && state == want
 	})
 }
--- a/internal/flow/owner/health_test.go
+++ b/internal/flow/owner/health_test.go
@@ -180,7 +180,7 @@
 	s.Service = true
 	f.submit(o, job("j", s))
 	f.eventually("its tasks start at least 10 times", func() bool { return f.fleet.StartCount() >= 10 })
-	if err := o.Cancel(context.Background(), "j"); err != nil {
+	if err := o.Cancel(context.Background(), specs.Caller{}, "j"); err != nil {
 		t.Fatal(err)
 	}
 	f.waitForState(o, "j", tasks.JobCancelled)
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -72,7 +72,7 @@
 	o, _ := f.startOwner()
 	f.submit(o, job("j", step(6)))
 	f.eventually("tasks run", func() bool { return f.fleet.StartCount() == 4 })
-	if err := o.Cancel(context.Background(), "j"); err != nil {
+	if err := o.Cancel(context.Background(), specs.Caller{}, "j"); err != nil {
 		t.Fatal(err)
 	}
 	f.waitForState(o, "j", tasks.JobCancelled)
@@ -86,11 +86,11 @@
 	f := newFixture(t, quickWorld())
 	former, _ := f.startOwner()
 	f.eventually("the ledger is read", func() bool { _, err := former.Waiting("q"); return err == nil })
-	if _, err := former.State(context.Background(), "nope"); !errs.Is(err, errs.NotFound) {
+	if _, err := former.State(context.Background(), specs.Caller{}, "nope"); !errs.Is(err, errs.NotFound) {
 		t.Errorf("the leader answers %v, want NotFound", err)
 	}
 	f.beginTerm()
-	if _, err := former.State(context.Background(), "nope"); !errs.Is(err, errs.Unavailable) {
+	if _, err := former.State(context.Background(), specs.Caller{}, "nope"); !errs.Is(err, errs.Unavailable) {
 		t.Errorf("a former leader answers %v, want Unavailable", err)
 	}
 }
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -30,6 +30,8 @@
 		Queue specs.QueueName `json:"Queue"`
 		State JobState        `json:"State"`
 		At    time.Time       `json:"At"`
+		// Organisation is the one whose job it was; empty means none, or that a former version wrote the record.
+		Organisation specs.OrganisationName `json:"Organisation,omitempty"`
 	}
 )
 
@@ -96,7 +98,11 @@
 	}
 	delete(t.Jobs, result.Job)
 	t.RecentResults = append(t.RecentResults, *result)
-	t.EndedJobs[result.Job] = EndedJob{Queue: result.Queue, State: result.State, At: result.At}
+	t.EndedJobs[result.Job] = result.endedJob()
+}
+
+func (r *JobResult) endedJob() EndedJob {
+	return EndedJob{Queue: r.Queue, State: r.State, At: r.At, Organisation: r.Organisation}
 }
 
 // Change returns the task's current durable state, for the caller to alter and apply.
@@ -111,7 +117,7 @@
 func (t *Table) Restore(results []JobResult) {
 	for _, result := range results {
 		delete(t.Jobs, result.Job)
-		t.EndedJobs[result.Job] = EndedJob{Queue: result.Queue, State: result.State, At: result.At}
+		t.EndedJobs[result.Job] = result.endedJob()
 	}
 }
 
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -111,6 +111,8 @@
 		Queue specs.QueueName `json:"Queue"`
 		State JobState        `json:"State"`
 		At    time.Time       `json:"At"`
+		// Organisation is the one whose job it was; empty means none.
+		Organisation specs.OrganisationName `json:"Organisation,omitempty"`
 	}
 
 	// Table holds the jobs, the runners, and the estimates of run times and of allowed runners.
