Start the age of a feed's knowledge when it is made, not when it runs

A source that was polled between the two reported an endless age. The tests of confirmations also ask a peer with old knowledge, and with several peers down.

--- a/internal/flow/feed/feed.go
+++ b/internal/flow/feed/feed.go
@@ -143,8 +143,10 @@
 	maxAge := c.ApplyTimeout / ageDivisor
 	f := &Feed{
 		config: c, maxAge: maxAge, wait: maxAge / waitDivisor,
-		pacer:   pacer{clock: c.Clock, rate: c.LinkRate / linkShareDivisor},
-		changed: make(chan struct{}), unusableUntil: make(map[types.VMID]time.Time),
+		pacer: pacer{clock: c.Clock, rate: c.LinkRate / linkShareDivisor},
+		// A daemon may be polled before it runs, and must not be left as one that has fallen behind.
+		confirmedAt: c.Clock.Now(),
+		changed:     make(chan struct{}), unusableUntil: make(map[types.VMID]time.Time),
 		counters: counters{
 			age:        metrics.GetOrRegisterGauge("Catalog.AgeMs", c.Metrics),
 			fetched:    metrics.GetOrRegisterGauge("Catalog.FetchedBytes", c.Metrics),
--- a/internal/flow/front/confirm_test.go
+++ b/internal/flow/front/confirm_test.go
@@ -265,18 +265,32 @@
 		front.queryPeers(t.Context(), front.otherMembers())
 		checkDecision(t, front, firstKey, "")
 	})
-	t.Run("LoopDoesNotAskInTime", func(t *testing.T) {
-		f := newFleet(t, "e0", "e1", "e2")
+	t.Run("PeerWithOldKnowledgeIsTakenAsFresh", func(t *testing.T) {
+		f := newFleet(t, "e0", "e1")
 		front := f.fronts["e0"]
-		f.eventually("e0 serves the key", func() bool { return serves(front, firstKey) == "" })
-		f.store.setCutOff("e0", true)
-		f.suspend("e0", revokeTimeout/2)
-		ctx, cancel := context.WithTimeout(t.Context(), 3*peerQueryInterval)
+		for vm, other := range f.fronts {
+			f.eventually(string(vm)+" serves the key", func() bool { return serves(other, firstKey) == "" })
+			f.store.setCutOff(vm, true)
+			f.suspend(vm, revokeTimeout)
+		}
+		front.queryPeers(t.Context(), front.otherMembers())
+		checkDecision(t, front, firstKey, errs.Unavailable)
+	})
+	t.Run("OnePeerIsAskedNearTheBound", func(t *testing.T) {
+		f := newFleet(t, "e0", "e1", "e2", "e3", "e4", "e5", "e6")
+		front := f.fronts["e0"]
+		for vm, other := range f.fronts {
+			f.eventually(string(vm)+" serves the key", func() bool { return serves(other, firstKey) == "" })
+			f.store.setCutOff(vm, vm != "e6")
+			f.network.SetDown(types.Address(vm), vm != "e0" && vm != "e6")
+		}
+		f.suspend("e0", revokeTimeout*3/5)
+		// The time is enough for one round.
+		ctx, cancel := context.WithTimeout(t.Context(), peerQueryInterval*3/2)
 		defer cancel()
 		front.queryLoop(ctx)
-		checkDecision(t, front, firstKey, "")
 		if age := front.Access().Confirmation.Age; age > revokeTimeout/2 {
-			t.Errorf("the confirmation is %s old, want a younger one from a peer", age)
+			t.Errorf("the confirmation is %s old, want a younger one from the only peer that is up", age)
 		}
 	})
 }
--- a/internal/flow/owner/access_test.go
+++ b/internal/flow/owner/access_test.go
@@ -26,7 +26,8 @@
 // checkAccess checks that the job is shown to all but callers of other organisations, and that these can't cancel it.
 func checkAccess(t *testing.T, o *Owner, id specs.JobID, isHidden bool) {
 	t.Helper()
-	ctx := context.Background()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
 	for _, c := range []specs.Caller{callerOfA, publicCaller, {}} {
 		if _, err := o.State(ctx, c, id); err != nil {
 			t.Errorf("caller %+v asks for job %s: %v", c, id, err)
