--- a/internal/flow/access/access_test.go
+++ b/internal/flow/access/access_test.go
@@ -106,3 +106,25 @@
 		})
 	}
 }
+
+// A daemon that could only refuse must not get calls from the platform before its first confirmation.
+func TestDaemonIsUsableOnceItsCatalogWasConfirmed(t *testing.T) {
+	cases := []struct {
+		name string
+		view View
+		want bool
+	}{
+		{"WithoutACatalog", View{}, false},
+		{"Unconfirmed", View{Catalog: catalogOf(version), MaxAge: time.Second}, false},
+		{"ConfirmedLongAgo", View{Catalog: catalogOf(version), Confirmation: confirmed(time.Hour), MaxAge: time.Second}, true},
+		{"UnconfirmedWithoutABound", View{Catalog: catalogOf(version)}, true},
+		{"UnconfirmedWithoutOrganisations", View{Catalog: &specs.Catalog{Version: 1}, MaxAge: time.Second}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.view.IsUsable(); got != c.want {
+				t.Errorf("usable: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
