--- a/internal/flow/feed/feed_test.go
+++ b/internal/flow/feed/feed_test.go
@@ -160,7 +160,7 @@
 		Self: self, Origin: &origin{store: f.store, vm: self.VM}, Peers: node,
 		Members: func() []elect.Member { return f.members },
 		Leader:  func() (elect.Leader, bool) { return elect.Leader{Target: f.members[0].Target, Epoch: 1}, true },
-		Apply:   func(*specs.Catalog) {}, Clock: clockwork.NewRealClock(),
+		Apply:   func(*specs.Catalog) {}, Clock: clockwork.NewRealClock(), Uptime: testUptime,
 		Log:     zerolog.New(zerolog.NewTestWriter(f.t)).With().Str("VM", string(self.VM)).Logger(),
 		Metrics: metrics.NewRegistry(), ApplyTimeout: applyTimeout,
 	})
@@ -294,10 +294,27 @@
 	}
 }
 
+// A source whose knowledge is old answers at once. A follower with younger knowledge from elsewhere must not ask it again and
+// again without a pause.
+func TestDaemonsPollSlowlyWhileTheStoreRefusesAHead(t *testing.T) {
+	f := newFixture(t, 4, applyTimeout)
+	f.store.write(1, 1)
+	f.waitForVersion(1)
+	f.store.setCutOff("a1", true)
+	time.Sleep(applyTimeout / ageDivisor)
+	before := f.calls.Get(methodPoll.Kind(), meter.Calls)
+	time.Sleep(applyTimeout)
+	polls := f.calls.Get(methodPoll.Kind(), meter.Calls) - before
+	// Seven daemons have a source.
+	if limit := int64(7 * 20 * applyTimeout / time.Second); polls > limit {
+		t.Errorf("%d polls in %s, want %d at most, 20 a second for each daemon", polls, applyTimeout, limit)
+	}
+}
+
 func TestOlderCatalogIsNotInstalled(t *testing.T) {
 	var applied []specs.CatalogVersion
 	f := New(Config{
-		Apply: func(c *specs.Catalog) { applied = append(applied, c.Version) }, Clock: clockwork.NewRealClock(),
+		Apply: func(c *specs.Catalog) { applied = append(applied, c.Version) }, Clock: clockwork.NewRealClock(), Uptime: testUptime,
 		Metrics: metrics.NewRegistry(), ApplyTimeout: applyTimeout,
 	})
 	for _, version := range []specs.CatalogVersion{3, 9, 4, 9, 10} {
@@ -367,3 +384,8 @@
 		t.Errorf("error %v for a catalog of another digest, want kind Invalid", err)
 	}
 }
+
+var testStart = time.Now()
+
+// testUptime is a clock for tests in which nothing is suspended.
+func testUptime() time.Duration { return time.Since(testStart) }
