Share the arithmetic of limits and dominant shares between teams and organisations

Quotas of organisations need the same comparison as team quotas, with another meaning of zero: a team quota of zero as a whole means none, a quota of an organisation limits each resource that is not zero. Both meanings and the dominant share are now functions of types.Resources; internal/sched behaves as before (its tests pass unchanged).

--- a/internal/sched/plan/pack.go
+++ b/internal/sched/plan/pack.go
@@ -85,8 +85,8 @@
 // their difference. Lower is better.
 func leftoverScore(wc *workerCapacity, need types.Resources) float64 {
 	capacity := wc.worker.VM.Capacity
-	cores := fraction(int64(wc.free.Cores-need.Cores), int64(capacity.Cores))
-	memory := fraction(int64(wc.free.Memory-need.Memory), int64(capacity.Memory))
+	cores := types.Fraction(int64(wc.free.Cores-need.Cores), int64(capacity.Cores))
+	memory := types.Fraction(int64(wc.free.Memory-need.Memory), int64(capacity.Memory))
 	gap := max(cores-memory, memory-cores)
 	return cores + memory + gap
 }
--- a/internal/sched/plan/queues.go
+++ b/internal/sched/plan/queues.go
@@ -155,20 +155,5 @@
 	if quota.IsZero() {
 		quota = t.capacity.total
 	}
-	return max(
-		fraction(int64(used.Cores), int64(quota.Cores)),
-		fraction(int64(used.Memory), int64(quota.Memory)),
-		fraction(int64(used.Accelerators), int64(quota.Accelerators)),
-	)
-}
-
-// fraction returns used/whole; 0 if nothing is used, and 1 if something is used of nothing.
-func fraction(used, whole int64) float64 {
-	if used == 0 {
-		return 0
-	}
-	if whole <= 0 {
-		return 1
-	}
-	return float64(used) / float64(whole)
+	return used.DominantShare(quota)
 }
--- a/internal/sched/table/table.go
+++ b/internal/sched/table/table.go
@@ -255,7 +255,7 @@
 
 // HasQuotaFor reports whether the team's quota allows it to occupy the need in addition.
 func (t *Team) HasQuotaFor(need types.Resources) bool {
-	return t.Quota.IsZero() || t.Used.Add(need).Fits(t.Quota)
+	return t.Used.Add(need).Fits(t.Quota.Limit())
 }
 
 // Team returns the team with the ID, and adds it without a quota if it is missing.
