Count what the runs of an organisation occupy

Organisation.Running follows the runs in the tables: PlaceTask, AddRun and RemoveRun keep it, so starts in doubt, late orders, stops and runs on unreachable runners count until they have surely ended. The cores that a step with Fills requests count, though they occupy none of a runner's.

A job result holds its organisation and, while runs of it remain, those runs and the largest resources of one of its tasks: a new leader would otherwise know neither. The record of a job without an organisation is as before.

--- a/internal/flow/specs/organisation.go
+++ b/internal/flow/specs/organisation.go
@@ -57,3 +57,14 @@
 	copy(d[:], decoded)
 	return nil
 }
+
+// LargestTask returns the most of each resource that one task of the job takes.
+func (j *Job) LargestTask() types.Resources {
+	var out types.Resources
+	for i := range j.Steps {
+		n := j.Steps[i].Resources
+		out.Cores, out.Memory = max(out.Cores, n.Cores), max(out.Memory, n.Memory)
+		out.Accelerators = max(out.Accelerators, n.Accelerators)
+	}
+	return out
+}
--- a/internal/flow/tasks/organisation.go
+++ b/internal/flow/tasks/organisation.go
@@ -42,3 +42,56 @@
 	}
 	return o
 }
+
+// add counts what a run occupies; it does nothing for a run without an organisation.
+func (o *Organisation) add(counted types.Resources) {
+	if o != nil {
+		o.Running = o.Running.Add(counted)
+	}
+}
+
+// subtract ends the count of what a run occupied; it does nothing for a run without an organisation.
+func (o *Organisation) subtract(counted types.Resources) {
+	if o != nil {
+		o.Running = o.Running.Sub(counted)
+	}
+}
+
+// Headroom returns what may still be started for the organisation: nothing before a catalog is known, and everything for
+// an organisation that the catalog does not name. A field is negative if more runs than the quota allows.
+func (t *Table) Headroom(o *Organisation) types.Resources {
+	switch {
+	case !t.LimitsKnown:
+		return types.Resources{Cores: -1, Memory: -1, Accelerators: -1}
+	case !o.Known:
+		return types.Unlimited()
+	default:
+		return o.Quota.LimitEach().Sub(o.Running).Sub(t.Unattributed.Running)
+	}
+}
+
+// CountOrphan sets for whom a run counts whose job is not in the table, and with how much: an upper bound, as its task's
+// resources are not known. A run counts for all organisations if it is not known whose it is.
+func (t *Table) CountOrphan(run *Run) {
+	ended, known := t.EndedJobs[run.Key.Ref.Job]
+	if !known {
+		run.Organisation, run.Counted = t.Unattributed, run.Runner.Info.Capacity
+		return
+	}
+	run.Organisation, run.Counted = t.organisation(ended.Organisation), ended.Largest
+	if ended.Largest.IsZero() {
+		run.Counted = run.Runner.Info.Capacity
+	}
+}
+
+// SetRemaining adds to the result of a job what a new leader needs to count the runs that have not ended. It adds nothing
+// for a job without an organisation.
+func (r *JobResult) SetRemaining(j *Job, runs []*Run) {
+	if j.Organisation == nil || len(runs) == 0 {
+		return
+	}
+	r.Largest = j.Spec.LargestTask()
+	for _, run := range runs {
+		r.Runs = append(r.Runs, RemainingRun{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Runner: run.Runner.Info.ID})
+	}
+}
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
@@ -30,6 +31,19 @@
 		Queue specs.QueueName `json:"Queue"`
 		State JobState        `json:"State"`
 		At    time.Time       `json:"At"`
+		// Organisation is the one whose job it was.
+		Organisation specs.OrganisationName `json:"Organisation,omitempty"`
+		// Largest is the most that one of its tasks takes of each resource, and Runs are the runs that had not ended yet.
+		// A new leader counts them for the organisation. Both are empty when nothing ran any more.
+		Largest types.Resources `json:"Largest,omitzero"`
+		Runs    []RemainingRun  `json:"Runs,omitempty"`
+	}
+
+	// RemainingRun is a run that had not ended when its job ended.
+	RemainingRun struct {
+		Ref     specs.Ref      `json:"Ref"`
+		Attempt specs.Attempt  `json:"Attempt"`
+		Runner  specs.RunnerID `json:"Runner"`
 	}
 )
 
@@ -96,7 +110,15 @@
 	}
 	delete(t.Jobs, result.Job)
 	t.RecentResults = append(t.RecentResults, *result)
-	t.EndedJobs[result.Job] = EndedJob{Queue: result.Queue, State: result.State, At: result.At}
+	t.EndedJobs[result.Job] = result.endedJob()
+}
+
+// endedJob returns the ended job that the result describes.
+func (r *JobResult) endedJob() EndedJob {
+	return EndedJob{
+		Queue: r.Queue, State: r.State, At: r.At,
+		Organisation: r.Organisation, Largest: r.Largest, Runs: r.Runs,
+	}
 }
 
 // Change returns the task's current durable state, for the caller to alter and apply.
@@ -111,7 +133,7 @@
 func (t *Table) Restore(results []JobResult) {
 	for _, result := range results {
 		delete(t.Jobs, result.Job)
-		t.EndedJobs[result.Job] = EndedJob{Queue: result.Queue, State: result.State, At: result.At}
+		t.EndedJobs[result.Job] = result.endedJob()
 	}
 }
 
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -63,6 +63,9 @@
 		Runner *Runner
 		// Resources is what the run occupies.
 		Resources types.Resources
+		// Organisation is the one that the run counts for, or nil; Counted is what it adds to Organisation.Running.
+		Organisation *Organisation
+		Counted      types.Resources
 		// Orphan is set when Resources is not known, for example because the job has ended.
 		Orphan bool
 		// Sent is set once a start was sent; Confirmed once the runner is known to run it, at ConfirmedAt.
@@ -143,16 +146,18 @@
 }
 
 // PlaceTask adds a run of a task to the runner and makes it the task's current run. The cores of a step with Fills
-// are not counted.
+// occupy none of the runner's; they do count for the organisation.
 func (r *Runner) PlaceTask(t *Task, attempt specs.Attempt) *Run {
 	key := RunKey{Ref: t.Ref, Attempt: attempt}
 	resources := t.Step.Spec.Resources
 	if t.Step.Spec.Fills {
 		resources.Cores = 0
 	}
-	run := &Run{Key: key, Task: t, Runner: r, Resources: resources, Checkpoint: t.Checkpoint}
-	r.Runs[key] = run
-	r.Used = r.Used.Add(resources)
+	run := &Run{
+		Key: key, Task: t, Runner: r, Resources: resources, Checkpoint: t.Checkpoint,
+		Organisation: t.Step.Job.Organisation, Counted: t.Step.Spec.Resources,
+	}
+	r.AddRun(run)
 	t.Run = run
 	return run
 }
@@ -173,6 +178,7 @@
 	}
 	delete(r.Runs, run.Key)
 	r.Used = r.Used.Sub(run.Resources)
+	run.Organisation.subtract(run.Counted)
 	if run.Orphan {
 		r.Orphans--
 	}
@@ -192,10 +198,11 @@
 	return r.Now(at) > r.Deadline
 }
 
-// AddRun adds a run that belongs to no task in the tables.
+// AddRun adds a run, which needs not belong to a task in the tables.
 func (r *Runner) AddRun(run *Run) {
 	r.Runs[run.Key] = run
 	r.Used = r.Used.Add(run.Resources)
+	run.Organisation.add(run.Counted)
 	if run.Orphan {
 		r.Orphans++
 	}
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
@@ -111,6 +112,10 @@
 		Queue specs.QueueName `json:"Queue"`
 		State JobState        `json:"State"`
 		At    time.Time       `json:"At"`
+		// Organisation, Largest and Runs are those of the JobResult.
+		Organisation specs.OrganisationName `json:"Organisation,omitempty"`
+		Largest      types.Resources        `json:"Largest,omitzero"`
+		Runs         []RemainingRun         `json:"Runs,omitempty"`
 	}
 
 	// Table holds the jobs, the runners, and the estimates of run times and of allowed runners.
@@ -127,8 +132,10 @@
 		Organisations map[specs.OrganisationName]*Organisation
 		// LimitsKnown is set once SetLimits was called.
 		LimitsKnown bool
-		Times       *Times
-		Shares      *Shares
+		// Unattributed counts the runs whose organisation is not known. Each organisation must take them for its own.
+		Unattributed *Organisation
+		Times        *Times
+		Shares       *Shares
 	}
 )
 
@@ -140,6 +147,7 @@
 		Runners:   make(map[specs.RunnerID]*Runner),
 
 		Organisations: make(map[specs.OrganisationName]*Organisation),
+		Unattributed:  &Organisation{},
 
 		Times:  NewTimes(),
 		Shares: NewShares(),
