--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -44,7 +44,9 @@
 
 // claimAskable takes the cores of the step's waiting tasks from those for which calls for advice may be made.
 func (p *pass) claimAskable(s *tasks.Step) {
-	p.askable[s.Job.Spec.Queue.Service] -= taskResources(s).Times(s.WaitingTasks).Cores
+	wanted := p.wantedTasks(s)
+	p.askable[s.Job.Spec.Queue.Service] -= taskResources(s).Times(wanted).Cores
+	p.addAsked(s, wanted)
 }
 
 // allowedRunners returns the usable runners on which the advice service allows the step to run.
@@ -70,7 +72,7 @@
 	if len(s.Advice.Answers) >= maxKnownRunners && !includeFull {
 		return
 	}
-	c := candidates{pass: p, step: s, wanted: float64(s.WaitingTasks) * askedCapacityFactor, share: p.table.Shares.Of(s.Job.Spec.Queue.Name)}
+	c := candidates{pass: p, step: s, wanted: float64(p.wantedTasks(s)) * askedCapacityFactor, share: p.table.Shares.Of(s.Job.Spec.Queue.Name)}
 	if s.Spec.Gang {
 		c.addEmptiest()
 	} else {
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -208,6 +208,7 @@
 func (p *pass) subtractShares(s *tasks.Step, shares []gangShare) {
 	for _, sh := range shares {
 		sh.runner.free = sh.runner.free.Sub(taskResources(s).Times(sh.count))
+		p.claimHeadroom(s, sh.count)
 	}
 }
 
@@ -222,6 +223,7 @@
 		return
 	}
 	p.reserved[service] += wanted
+	p.claimHeadroom(s, len(s.Tasks))
 	sorted := slices.Clone(runners)
 	slices.SortStableFunc(sorted, func(a, b *runnerCapacity) int { return cmp.Compare(b.free.Cores, a.free.Cores) })
 	left := len(s.Tasks)
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -77,6 +77,8 @@
 		AdviceCalls []AdviceCall
 		// Idle means that no step waits for a start.
 		Idle bool
+		// WaitingForQuota holds the organisations with a step that would start if their quota had room.
+		WaitingForQuota []*tasks.Organisation
 	}
 
 	// pass is the state of one planning pass.
@@ -96,7 +98,12 @@
 		askable map[types.ServiceName]types.MilliCores
 		// stepStarts counts the starts of the step that is being served, by runner.
 		stepStarts map[*tasks.Runner]int
-		out        Plan
+		// capacity is that of all usable runners.
+		capacity  types.Resources
+		headrooms map[*tasks.Organisation]*headroom
+		// stepsLeft is how many more steps the plan serves.
+		stepsLeft int
+		out       Plan
 	}
 
 	// runnerCapacity is a runner with the capacity that is still free in this pass.
@@ -105,6 +112,15 @@
 		free   types.Resources
 	}
 
+	// stepPlacement is the state of placing the tasks of one step, one by one.
+	stepPlacement struct {
+		runners []*runnerCapacity
+		// stale holds the runners on which capacity is kept for tasks that need a new ticket there.
+		stale []*runnerCapacity
+		// lacksCapacity is set once a task fits on none of the runners.
+		lacksCapacity bool
+	}
+
 	// entry is a step with the values by which steps are ranked.
 	entry struct {
 		step *tasks.Step
@@ -124,7 +140,18 @@
 
 // plan is MakePlan with the steps served in the order of the given ranking.
 func plan(t *tasks.Table, now time.Time, limits Limits, compare ranking) Plan {
-	p := &pass{
+	p := newPass(t, now, limits)
+	if p.out.Idle = !hasWaitingStep(t); p.out.Idle {
+		return p.out
+	}
+	p.collectRunners()
+	p.serveAll(p.sortedEntries(compare))
+	p.out.WaitingForQuota = p.waitingForQuota()
+	return p.out
+}
+
+func newPass(t *tasks.Table, now time.Time, limits Limits) *pass {
+	return &pass{
 		table:    t,
 		limits:   limits,
 		now:      now,
@@ -134,19 +161,12 @@
 		askable:  make(map[types.ServiceName]types.MilliCores),
 
 		stepStarts: make(map[*tasks.Runner]int),
+		headrooms:  make(map[*tasks.Organisation]*headroom),
+		stepsLeft:  maxSteps,
 	}
-	if p.out.Idle = !hasWaitingStep(t); p.out.Idle {
-		return p.out
-	}
-	p.collectRunners()
-	entries := p.sortedEntries(compare)
-	for _, e := range entries {
-		p.serve(e.step)
-	}
-	return p.out
 }
 
-// sortedEntries returns the steps whose tasks can start, in the order in which they are served, at most maxSteps.
+// sortedEntries returns the steps whose tasks can start, in the order of the ranking.
 func (p *pass) sortedEntries(compare ranking) []entry {
 	var out []entry
 	for _, j := range p.table.Jobs {
@@ -162,7 +182,7 @@
 		}
 	}
 	slices.SortFunc(out, compare)
-	return out[:min(len(out), maxSteps)]
+	return out
 }
 
 // newEntry returns the step with its tier and rank.
@@ -217,6 +237,7 @@
 		p.capacities[i] = runnerCapacity{runner: r, free: r.Free()}
 		p.runners[name] = append(p.runners[name], &p.capacities[i])
 		p.cores[name] += r.Info.Capacity.Cores
+		p.capacity = p.capacity.Add(r.Info.Capacity)
 		p.addToAskable(r)
 	}
 }
@@ -303,33 +324,49 @@
 
 // serveEach places the waiting tasks of the step one by one, and returns false when free capacity is lacking.
 func (p *pass) serveEach(s *tasks.Step, runners []*runnerCapacity) bool {
-	var stale []*runnerCapacity
-	hasCapacity := true
+	c := stepPlacement{runners: runners}
 	for _, t := range s.Tasks {
-		if t.State != tasks.Waiting || t.Run != nil || p.now.Before(t.NotBefore) {
-			continue
-		}
-		r := p.bestRunner(t, runners)
-		if r == nil {
-			hasCapacity = false
+		if p.isDue(t) && !p.placeTask(t, &c) {
 			break
 		}
-		ticket, ok := p.ticket(s, r)
-		if !ok {
-			// The capacity stays reserved for the task while a new ticket is requested.
-			stale = append(stale, r)
-			r.free = r.free.Sub(taskResources(s))
-			continue
-		}
-		p.startTask(t, r, ticket)
 	}
-	p.renewTickets(s, stale, runners)
-	return hasCapacity
+	p.renewTickets(s, c.stale, runners)
+	return !c.lacksCapacity
+}
+
+// isDue reports whether the task waits and may start now.
+func (p *pass) isDue(t *tasks.Task) bool {
+	return t.State == tasks.Waiting && t.Run == nil && !p.now.Before(t.NotBefore)
+}
+
+// placeTask places one task, and returns false when free capacity or headroom is lacking.
+func (p *pass) placeTask(t *tasks.Task, c *stepPlacement) bool {
+	s := t.Step
+	if !p.hasHeadroom(s, 1) {
+		p.headroomOf(s).waits = true
+		return false
+	}
+	r := p.bestRunner(t, c.runners)
+	if r == nil {
+		c.lacksCapacity = true
+		return false
+	}
+	ticket, ok := p.ticket(s, r)
+	if !ok {
+		// The capacity stays reserved for the task while a new ticket is requested.
+		c.stale = append(c.stale, r)
+		r.free = r.free.Sub(taskResources(s))
+		p.claimHeadroom(s, 1)
+		return true
+	}
+	p.startTask(t, r, ticket)
+	return true
 }
 
 // startTask adds the start of the task to the plan.
 func (p *pass) startTask(t *tasks.Task, r *runnerCapacity, ticket agent.Ticket) {
 	r.free = r.free.Sub(taskResources(t.Step))
+	p.claimHeadroom(t.Step, 1)
 	p.stepStarts[r.runner]++
 	p.askable[r.runner.Info.Service] -= taskResources(t.Step).Cores
 	until := t.Step.Advice.Answers[r.runner.Incarnation()].Until
--- /dev/null
+++ b/internal/flow/order/quota.go
@@ -0,0 +1,140 @@
+package order
+
+import (
+	"slices"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+// headroom is what an organisation may still start in one pass.
+type headroom struct {
+	organisation *tasks.Organisation
+	// left is what its quota leaves besides its runs, the claims of this pass, and what a step that waits for its quota
+	// keeps from the steps behind it. Fields may be negative.
+	left types.Resources
+	// claimed is what the starts that this pass plans, and the tasks for which it keeps capacity, will occupy.
+	claimed types.Resources
+	// asked is what the tasks will occupy for which advice is in flight or requested.
+	asked types.Resources
+	// waits is set once a step waits for the quota.
+	waits bool
+}
+
+// headroomOf returns the headroom of the organisation of a step's job, or nil if it has none.
+func (p *pass) headroomOf(s *tasks.Step) *headroom {
+	o := s.Job.Organisation
+	if o == nil {
+		return nil
+	}
+	h, ok := p.headrooms[o]
+	if !ok {
+		h = &headroom{organisation: o, left: p.table.Headroom(o)}
+		p.headrooms[o] = h
+	}
+	return h
+}
+
+// counted returns what n tasks of a step add to what their organisation occupies. The requested cores of a step with
+// Fills count, although they occupy none of a runner's.
+func counted(s *tasks.Step, n int) types.Resources {
+	return s.Spec.Resources.Times(n)
+}
+
+// hasHeadroom reports whether the quota leaves room for n tasks of the step.
+func (p *pass) hasHeadroom(s *tasks.Step, n int) bool {
+	h := p.headroomOf(s)
+	return h == nil || counted(s, n).Fits(h.left)
+}
+
+// claimHeadroom takes the resources of n tasks of the step from the headroom of its organisation.
+func (p *pass) claimHeadroom(s *tasks.Step, n int) {
+	if h := p.headroomOf(s); h != nil {
+		need := counted(s, n)
+		h.left, h.claimed = h.left.Sub(need), h.claimed.Add(need)
+	}
+}
+
+// addAsked records that advice on n tasks of the step is in flight or requested.
+func (p *pass) addAsked(s *tasks.Step, n int) {
+	if h := p.headroomOf(s); h != nil {
+		h.asked = h.asked.Add(counted(s, n))
+	}
+}
+
+// wantedTasks returns how many more tasks of the step could start if all capacity were free. Gangs are served only when
+// all their tasks have headroom.
+func (p *pass) wantedTasks(s *tasks.Step) int {
+	h := p.headroomOf(s)
+	if h == nil || s.Spec.Gang {
+		return s.WaitingTasks
+	}
+	if !counted(s, 1).Fits(h.left) {
+		return 0
+	}
+	return min(s.WaitingTasks, maxCopies(counted(s, 1), h.left))
+}
+
+// mayServe reports whether the quota allows the step to start: a gang with all of its tasks, another step with one.
+// Otherwise the step waits without reservations and without calls for advice. It then keeps what it needs from the
+// steps of its own organisation behind it, which would otherwise use up the quota before there is enough for a wide gang.
+func (p *pass) mayServe(s *tasks.Step) bool {
+	h := p.headroomOf(s)
+	if h == nil {
+		return true
+	}
+	width := 1
+	if s.Spec.Gang {
+		width = len(s.Tasks)
+	}
+	if p.hasHeadroom(s, width) {
+		return true
+	}
+	isExhausted := h.waits && !types.Resources{}.Fits(h.left)
+	if isExhausted || !p.table.LimitsKnown || !p.hasDueTask(s) {
+		return false
+	}
+	h.waits = true
+	if p.canHoldHeadroom(s, h, width) {
+		h.left = h.left.Sub(counted(s, width))
+	}
+	return false
+}
+
+// hasDueTask reports whether the step would start tasks now if there were room: a gang all, another step some.
+func (p *pass) hasDueTask(s *tasks.Step) bool {
+	if s.Spec.Gang {
+		return p.allTasksWait(s)
+	}
+	return slices.ContainsFunc(s.Tasks, p.isDue)
+}
+
+// canHoldHeadroom reports whether the step may keep headroom from those behind it: the whole quota suffices, and the
+// runners could hold the tasks if they were empty. Otherwise the organisation would wait for something that never comes.
+func (p *pass) canHoldHeadroom(s *tasks.Step, h *headroom, width int) bool {
+	if !counted(s, width).WithinLimit(h.organisation.Quota) {
+		return false
+	}
+	fitting := 0
+	for _, r := range p.runners[s.Job.Spec.Queue.Service] {
+		if !canRun(s, r) {
+			continue
+		}
+		fitting += maxCopies(taskResources(s), r.runner.Info.Capacity)
+		if fitting >= width {
+			return true
+		}
+	}
+	return false
+}
+
+// waitingForQuota returns the organisations with a step that waits for its quota.
+func (p *pass) waitingForQuota() []*tasks.Organisation {
+	var out []*tasks.Organisation
+	for o, h := range p.headrooms {
+		if h.waits {
+			out = append(out, o)
+		}
+	}
+	return out
+}
