Wait for the limits of an organisation that no catalog has named

The entry that accepts a call may have a newer catalog than the leader, in which the organisation is new. Without its quota the leader would have started any number of its tasks.

--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -91,7 +91,7 @@
 		return true
 	}
 	isExhausted := h.waits && !types.Resources{}.Fits(h.left)
-	if isExhausted || !p.table.LimitsKnown || !p.hasDueTask(s) {
+	if isExhausted || !p.table.KnowsLimits(h.organisation) || !p.hasDueTask(s) {
 		return false
 	}
 	h.waits = true
--- a/internal/flow/order/shares_test.go
+++ b/internal/flow/order/shares_test.go
@@ -72,6 +72,7 @@
 		for i, name := range []specs.OrganisationName{"a", "b", "zero", "gone"} {
 			f.addSurplus(name, i, stepOf(100, core))
 		}
+		f.table.Organisations["gone"].Removed = true
 		f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 10, "b": 10, "zero": 10, "gone": 10})
 	})
 	// A step of the organisation with the lowest share that can't start must not keep the others from being served.
--- a/internal/flow/tasks/organisation.go
+++ b/internal/flow/tasks/organisation.go
@@ -12,6 +12,9 @@
 	Known  bool
 	Weight float64
 	Quota  types.Resources
+	// Removed means that an earlier catalog named the organisation, or that so much time has passed that a newer one can't.
+	// An organisation that is neither Known nor Removed may be new, in a catalog that only other daemons have yet.
+	Removed bool
 	// Running is the sum of the resources of its runs on all runners, including starts in doubt, runs that are being stopped
 	// and runs on unreachable runners whose leases may still be valid.
 	Running types.Resources
@@ -21,12 +24,13 @@
 func (t *Table) SetLimits(c *specs.Catalog) {
 	t.LimitsKnown = true
 	for _, o := range t.Organisations {
+		o.Removed = o.Removed || o.Known
 		o.Known, o.Weight, o.Quota = false, 0, types.Resources{}
 	}
 	for i := range c.Organisations {
 		limits := &c.Organisations[i]
 		o := t.organisation(limits.Name)
-		o.Known, o.Weight, o.Quota = true, limits.Weight, limits.Quota
+		o.Known, o.Removed, o.Weight, o.Quota = true, false, limits.Weight, limits.Quota
 	}
 }
 
@@ -57,11 +61,16 @@
 	}
 }
 
-// Headroom returns what may still be started for the organisation: nothing before a catalog is known, and everything for
-// an organisation that the catalog does not name. A field is negative if more runs than the quota allows.
+// KnowsLimits reports whether the limits of the organisation are known: the catalog names it, or no longer does.
+func (t *Table) KnowsLimits(o *Organisation) bool {
+	return t.LimitsKnown && (o.Known || o.Removed)
+}
+
+// Headroom returns what may still be started for the organisation: nothing before its limits are known, and everything for
+// one that was removed from the catalog. A field is negative if more runs than the quota allows.
 func (t *Table) Headroom(o *Organisation) types.Resources {
 	switch {
-	case !t.LimitsKnown:
+	case !t.KnowsLimits(o):
 		return types.Resources{Cores: -1, Memory: -1, Accelerators: -1}
 	case !o.Known:
 		return types.Unlimited()
