Adopt all runs of organisations at a new leader, and show them to operators

A new leader knew of the placed tasks only. Runs of ended jobs, members of gangs that are done, and starts that the next incarnation of a runner may still carry out now count as well, until a report or the end of a lease. A start whose intent was being written while the quota was lowered is discarded. An organisation that no catalog has named counts as removed after 5 s.

Gauges show running against quota for 64 organisations and the sum of the others; a log line tells when work of an organisation begins and stops to wait for its quota.

--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -168,11 +168,16 @@
 	at := o.config.Clock.Now()
 	o.notYetDurable[id] = previous
 	var runs []*tasks.Run
-	if state != tasks.JobCompleted {
+	if state != tasks.JobCompleted || j.Organisation != nil {
 		runs = o.runsOf(j)
 	}
-	record := tasks.Record{End: &tasks.JobResult{Job: id, Queue: j.Spec.Queue.Name, State: state, At: at}}
-	o.record(record, func() {
+	result := &tasks.JobResult{Job: id, Queue: j.Spec.Queue.Name, State: state, At: at, Organisation: j.Spec.Organisation}
+	result.SetRemaining(j, runs)
+	if state == tasks.JobCompleted {
+		// They have done their work and end by themselves.
+		runs = nil
+	}
+	o.record(tasks.Record{End: result}, func() {
 		delete(o.notYetDurable, id)
 		for _, run := range runs {
 			o.stopRun(run)
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -224,8 +224,11 @@
 		return run
 	}
 	run := &tasks.Run{Key: key, Runner: r, Sent: true, Orphan: t == nil}
-	if t != nil {
+	if t == nil {
+		o.table.CountOrphan(run)
+	} else {
 		run.Resources = t.Step.Spec.Resources
+		run.Organisation, run.Counted = t.Step.Job.Organisation, t.Step.Spec.Resources
 	}
 	r.AddRun(run)
 	o.config.Log.Warn().Str("Task", key.Ref.String()).Int("Attempt", int(key.Attempt)).
--- /dev/null
+++ b/internal/flow/owner/organisations_test.go
@@ -0,0 +1,284 @@
+package owner
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
+)
+
+// newQuotaOwner returns an owner that does not run, with a catalog in which the organisation "a" may occupy the given cores.
+func (f *fixture) newQuotaOwner(cores types.MilliCores) *Owner {
+	o := f.newOwner()
+	o.config.Catalog = func() *specs.Catalog {
+		return &specs.Catalog{Version: 1, Organisations: []specs.Organisation{{Name: "a", Weight: 1, Quota: types.Resources{Cores: cores}}}}
+	}
+	// Requests have no answers then.
+	o.cancel()
+	o.applyCatalog()
+	o.directoryAt = f.clock.Now()
+	return o
+}
+
+func jobOfA(steps ...specs.Step) *specs.Job {
+	j := job("j", steps...)
+	j.Organisation = "a"
+	return j
+}
+
+func (o *Owner) runningOfA() types.Resources {
+	if a := o.table.Organisations["a"]; a != nil {
+		return a.Running
+	}
+	return types.Resources{}
+}
+
+func wantRunning(t *testing.T, o *Owner, count int) {
+	t.Helper()
+	if got, want := o.runningOfA(), oneCore().Times(count); got != want {
+		t.Errorf("the organisation counts %s, want %s", got, want)
+	}
+}
+
+// place places the first count tasks of the job's first step on a runner.
+func (o *Owner) place(j *tasks.Job, r *tasks.Runner, count int) {
+	for _, task := range j.Occurrences[0].Steps[0].Tasks[:count] {
+		run := r.PlaceTask(task, 1)
+		run.Sent, run.Tries, run.SentFence = true, 1, r.Fence
+		c := task.Change()
+		c.State, c.Attempt, c.Runner = tasks.Placed, 1, r.Info.ID
+		o.record(tasks.Record{Task: c}, nil)
+	}
+}
+
+// successor returns the owner of the next term with what this one recorded, and no report of any runner yet.
+func (f *fixture) successor(o *Owner, j *specs.Job) *Owner {
+	f.t.Helper()
+	next := f.newQuotaOwner(100 * types.Core)
+	next.table.AddJob(j)
+	for _, r := range o.pending.entry.Records {
+		text, err := json.Marshal(r)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		var stored tasks.Record
+		if err := json.Unmarshal(text, &stored); err != nil {
+			f.t.Fatal(err)
+		}
+		next.table.Apply(stored)
+	}
+	next.adoptPlacedTasks()
+	return next
+}
+
+// emptyReport applies the report of the runner that it runs nothing.
+func (o *Owner) emptyReport(r *tasks.Runner) {
+	o.applyReport(r, agent.RenewRequest{Fence: r.Fence}, agent.Report{}, o.config.Clock.Now())
+}
+
+// A new leader that did not count these would start as much again beside them.
+func TestNewLeaderCountsWhatMayRun(t *testing.T) {
+	t.Run("PlacedTasks", func(t *testing.T) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(100 * types.Core)
+		spec := jobOfA(step(5))
+		o.place(o.table.AddJob(spec), o.addRunner(runner(0)), 3)
+		wantRunning(t, o, 3)
+		wantRunning(t, f.successor(o, spec), 3)
+	})
+	t.Run("RunsOfACancelledJob", func(t *testing.T) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(100 * types.Core)
+		spec := jobOfA(step(5))
+		j := o.table.AddJob(spec)
+		o.place(j, o.addRunner(runner(0)), 3)
+		o.endJob(j, tasks.JobCancelled, "test")
+		next := f.successor(o, spec)
+		wantRunning(t, next, 3)
+		r := next.table.Runners["w00"]
+		next.emptyReport(r)
+		wantRunning(t, next, 0)
+	})
+	// All members of a gang are done as soon as one is, but the others go on until they end.
+	t.Run("MembersOfAGangThatIsDone", func(t *testing.T) {
+		for name, steps := range map[string][]specs.Step{"JobEnds": {gang(4)}, "JobGoesOn": {gang(4), after(step(1))}} {
+			t.Run(name, func(t *testing.T) {
+				f := newFixture(t, quickWorld())
+				o := f.newQuotaOwner(100 * types.Core)
+				spec := jobOfA(steps...)
+				j := o.table.AddJob(spec)
+				r := o.addRunner(runner(0))
+				o.place(j, r, 4)
+				first := specs.Ref{StepRef: specs.StepRef{Job: "j"}}
+				o.applyResult(r, agent.Result{Number: 1, Ref: first, Attempt: 1, Outcome: agent.Done})
+				wantRunning(t, o, 3)
+				next := f.successor(o, spec)
+				if got := next.runningOfA(); !oneCore().Times(3).Fits(got) {
+					t.Errorf("the new leader counts %s, want what three members occupy or more", got)
+				}
+				next.emptyReport(next.table.Runners["w00"])
+				wantRunning(t, next, 0)
+			})
+		}
+	})
+	// A runner that left before the term never reports; its runs end with their leases.
+	t.Run("RunsOnARunnerThatNeverReports", func(t *testing.T) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(100 * types.Core)
+		spec := jobOfA(step(2))
+		j := o.table.AddJob(spec)
+		o.place(j, o.addRunner(runner(0)), 2)
+		o.endJob(j, tasks.JobCancelled, "test")
+		next := f.successor(o, spec)
+		now := f.clock.Now()
+		r := next.table.Runners["w00"]
+		next.expireRuns(r, now.Add(storeContactTimeout))
+		wantRunning(t, next, 2)
+		next.expireRuns(r, now.Add(2*(storeContactTimeout+quickWorld().MaxLeaseTTL)))
+		wantRunning(t, next, 0)
+	})
+}
+
+func after(s specs.Step) specs.Step {
+	s.After = []int{0}
+	return s
+}
+
+// A start that was not answered before its runner restarted may be carried out by the next incarnation, until that has
+// seen a higher fence.
+func TestLateStartsCountForTheNextIncarnation(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newQuotaOwner(100 * types.Core)
+	r := o.addRunner(runner(0))
+	o.place(o.table.AddJob(jobOfA(step(3))), r, 3)
+	confirmed := o.table.Jobs["j"].Occurrences[0].Steps[0].Tasks[0].Run
+	confirmed.Confirm(f.clock.Now())
+	info := runner(0)
+	info.Boot = 2
+	next := o.replaceRunner(r, info)
+	wantRunning(t, o, 2)
+	o.expireRuns(next, f.clock.Now())
+	wantRunning(t, o, 2)
+	o.emptyReport(next)
+	wantRunning(t, o, 0)
+}
+
+// The quota may be lowered while the intent of a start is being written.
+func TestStartIsNotSentOnceTheQuotaIsLowered(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newQuotaOwner(4 * types.Core)
+	r := o.addRunner(runner(0))
+	r.Synced = true
+	o.table.AddJob(jobOfA(step(4)))
+	o.executePlan()
+	wantRunning(t, o, 4)
+	o.table.SetLimits(&specs.Catalog{Organisations: []specs.Organisation{{Name: "a", Quota: types.Resources{Cores: 3 * types.Core}}}})
+	durable := o.pending.onDurable
+	o.pending = pending{}
+	for _, f := range durable {
+		f()
+	}
+	wantRunning(t, o, 3)
+	if got := o.counters.starts.Count(); got != 3 {
+		t.Errorf("%d starts were sent, want 3", got)
+	}
+}
+
+// The gauges go to a system that keeps each name for ever, so their number must be bounded, and organisations that are gone
+// must not keep their last value.
+func TestGaugesOfOrganisationsAreBounded(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newQuotaOwner(0)
+	c := &specs.Catalog{}
+	for i := range 100 {
+		name := specs.OrganisationName(fmt.Sprintf("o.%d", i))
+		c.Organisations = append(c.Organisations, specs.Organisation{Name: name, Weight: float64(i), Quota: types.Resources{Cores: types.Core}})
+	}
+	o.table.SetLimits(c)
+	o.table.Organisations["o.0"].Running = types.Resources{Cores: 5 * types.Core}
+	o.updateOrganisations(f.clock.Now())
+	values := organisationGauges(o)
+	if got, want := len(values), 4*(maxOrganisationGauges+1); got != want {
+		t.Errorf("%d gauges, want %d", got, want)
+	}
+	if got := values["Owner.Organisations.others.CoresRunning"]; got != 5 {
+		t.Errorf("the others run on %d cores, want 5", got)
+	}
+	if got := values["Owner.Organisations.others.CoresQuota"]; got != 100-maxOrganisationGauges {
+		t.Errorf("the others may run on %d cores, want %d", got, 100-maxOrganisationGauges)
+	}
+	o.table.SetLimits(&specs.Catalog{})
+	o.updateOrganisations(f.clock.Now())
+	if got := len(organisationGauges(o)); got != 0 {
+		t.Errorf("%d gauges are left of organisations that are gone", got)
+	}
+}
+
+func organisationGauges(o *Owner) map[string]int64 {
+	out := make(map[string]int64)
+	o.config.Metrics.Each(func(name string, metric any) {
+		if g, ok := metric.(interface{ Value() int64 }); ok && strings.HasPrefix(name, organisationPrefix) {
+			out[name] = g.Value()
+		}
+	})
+	return out
+}
+
+// An organisation at its quota waits with each task that ends and starts. Only a change that lasts may write a log line.
+func TestQuotaWaitsAreLoggedOnce(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newQuotaOwner(types.Core)
+	var lines bytes.Buffer
+	o.config.Log = zerolog.New(&lines)
+	now := f.clock.Now()
+	a := []*tasks.Organisation{o.table.Organisations["a"]}
+	for i := range 50 {
+		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		if i%3 == 0 {
+			o.noteQuotaWaits(a, at)
+		}
+		o.updateOrganisations(at)
+	}
+	if got := strings.Count(lines.String(), "waits for its quota"); got != 1 {
+		t.Errorf("%d log lines while the organisation waits, want 1", got)
+	}
+	o.updateOrganisations(now.Add(5*time.Second + 2*quotaWaitEnd))
+	if got := strings.Count(lines.String(), "no longer waits"); got != 1 {
+		t.Errorf("%d log lines say that the organisation no longer waits, want 1", got)
+	}
+}
+
+// An entry may know a new organisation before the leader does. Its jobs must not start without its quota; those of an
+// organisation that was removed before this term must start at some time.
+func TestOrganisationThatNoCatalogNamesWaits(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newQuotaOwner(types.Core)
+	j := jobOfA(step(1))
+	j.Organisation = "new"
+	o.table.AddJob(j)
+	now := f.clock.Now()
+	organisation := o.table.Organisations["new"]
+	o.updateOrganisations(now)
+	o.updateOrganisations(now.Add(maxCatalogLag - time.Millisecond))
+	if o.table.KnowsLimits(organisation) {
+		t.Error("an organisation that no catalog has named yet counts as removed")
+	}
+	o.updateOrganisations(now.Add(maxCatalogLag))
+	if !o.table.KnowsLimits(organisation) {
+		t.Error("the jobs of a removed organisation wait for ever")
+	}
+	o.table.SetLimits(&specs.Catalog{Organisations: []specs.Organisation{{Name: "new"}}})
+	o.table.SetLimits(&specs.Catalog{})
+	if !o.table.KnowsLimits(organisation) {
+		t.Error("an organisation whose removal was seen does not count as removed")
+	}
+}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -125,6 +125,8 @@
 		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
 		backlog order.Backlog
+		// organisations holds the gauges of the organisations, and which of them wait for their quota.
+		organisations organisationMetrics
 		// notYetDurable holds the ended jobs whose result is not durable yet, with the state that is still reported to
 		// callers.
 		notYetDurable map[specs.JobID]tasks.JobState
@@ -143,6 +145,7 @@
 		planWake:      make(chan struct{}, 1),
 		writeWake:     make(chan struct{}, 1),
 		counters:      newCounters(c.Metrics),
+		organisations: newOrganisationMetrics(c.Metrics),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -39,25 +39,31 @@
 			}
 		}
 	}
+	o.adoptRemainingRuns()
 }
 
-// adoptStep adds a run for each placed task of the step to its runner. A runner that the tables lack is added as not
-// listed. The caller must hold o.mu.
+// adoptStep adds a run for each placed task of the step to its runner. The caller must hold o.mu.
 func (o *Owner) adoptStep(s *tasks.Step) {
 	for _, t := range s.Tasks {
 		if t.State != tasks.Placed {
 			continue
 		}
-		r := o.table.Runners[t.Runner]
-		if r == nil {
-			r = o.addRunner(agent.Runner{ID: t.Runner})
-			r.Listed = false
-		}
-		run := r.PlaceTask(t, t.Attempt)
+		run := o.formerRunner(t.Runner).PlaceTask(t, t.Attempt)
 		run.Sent = true
 	}
 }
 
+// formerRunner returns a runner that the ledger names. If the tables lack it, it is added as not listed. The caller must
+// hold o.mu.
+func (o *Owner) formerRunner(id specs.RunnerID) *tasks.Runner {
+	if r := o.table.Runners[id]; r != nil {
+		return r
+	}
+	r := o.addRunner(agent.Runner{ID: id})
+	r.Listed = false
+	return r
+}
+
 // addRunner adds a runner that has not answered this leader yet. The caller must hold o.mu.
 func (o *Owner) addRunner(info agent.Runner) *tasks.Runner {
 	r := tasks.NewRunner(info, o.nextFence())
@@ -209,6 +215,7 @@
 	o.table.SetRunner(next)
 	for _, run := range r.Runs {
 		o.removeAbsentRun(run, agent.LeaseExpired)
+		o.countLateStart(next, run)
 	}
 	o.startRenewLoop(next)
 	return next
@@ -239,6 +246,7 @@
 	}
 	o.backlog = order.MeasureBacklog(o.table, now)
 	o.updateGauges(now)
+	o.updateOrganisations(now)
 	wake(o.planWake)
 }
 
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -50,6 +50,7 @@
 		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency,
 	})
 	o.counters.planDuration.UpdateSince(began)
+	o.noteQuotaWaits(plan.WaitingForQuota, began)
 	for _, s := range plan.Starts {
 		o.recordStart(s)
 	}
@@ -74,7 +75,8 @@
 }
 
 // dispatchStart sends the start of a durable intent, or discards the run when it is not wanted any more, when its
-// ticket is about to expire, or when its runner is no longer usable or may be draining. The caller must hold o.mu.
+// ticket is about to expire, when its organisation's quota was lowered, or when its runner is no longer usable or may be
+// draining. The caller must hold o.mu.
 func (o *Owner) dispatchStart(run *tasks.Run) {
 	r := run.Runner
 	if r.Runs[run.Key] != run {
@@ -82,7 +84,7 @@
 	}
 	now := o.config.Clock.Now()
 	stale := !run.TicketUntil.IsZero() && run.TicketUntil.Before(now.Add(ticketMargin/2))
-	if run.StartCancelled || stale || o.isUnwanted(run) || !r.Usable(now) || !o.knowsDirectory() {
+	if run.StartCancelled || stale || o.isUnwanted(run) || o.isOverQuota(run) || !r.Usable(now) || !o.knowsDirectory() {
 		o.discardRun(run)
 		return
 	}
