--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -104,7 +104,7 @@
 		o.endJob(j, tasks.JobCancelled, "test")
 		next := f.successor(o, spec)
 		wantRunning(t, next, 3)
-		r := next.table.Runners["w00"]
+		r := next.formerRunner("w00")
 		next.emptyReport(r)
 		wantRunning(t, next, 0)
 	})
@@ -125,7 +125,7 @@
 				if got := next.runningOfA(); !oneCore().Times(3).Fits(got) {
 					t.Errorf("the new leader counts %s, want what three members occupy or more", got)
 				}
-				next.emptyReport(next.table.Runners["w00"])
+				next.emptyReport(next.formerRunner("w00"))
 				wantRunning(t, next, 0)
 			})
 		}
@@ -140,7 +140,7 @@
 		o.endJob(j, tasks.JobCancelled, "test")
 		next := f.successor(o, spec)
 		now := f.clock.Now()
-		r := next.table.Runners["w00"]
+		r := next.formerRunner("w00")
 		next.expireRuns(r, now.Add(storeContactTimeout))
 		wantRunning(t, next, 2)
 		next.expireRuns(r, now.Add(2*(storeContactTimeout+quickWorld().MaxLeaseTTL)))
@@ -282,3 +282,41 @@
 		t.Error("an organisation whose removal was seen does not count as removed")
 	}
 }
+
+// What a runner reports beside what the tables hold runs as well, until a stop has ended it.
+func TestReportedRunsCount(t *testing.T) {
+	report := func(o *Owner, r *tasks.Runner) {
+		ref := specs.Ref{StepRef: specs.StepRef{Job: "j"}}
+		running := []agent.Running{{Ref: ref, Attempt: 7}}
+		o.applyReport(r, agent.RenewRequest{Fence: r.Fence}, agent.Report{Running: running}, o.config.Clock.Now())
+	}
+	t.Run("AttemptThatIsNotTheCurrentOne", func(t *testing.T) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(types.Core)
+		o.table.AddJob(jobOfA(step(2)))
+		report(o, o.addRunner(runner(0)))
+		wantRunning(t, o, 1)
+	})
+	t.Run("RunOfAnEndedJob", func(t *testing.T) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(types.Core)
+		o.table.EndedJobs["j"] = tasks.EndedJob{Organisation: "a", Largest: oneCore()}
+		report(o, o.addRunner(runner(0)))
+		wantRunning(t, o, 1)
+	})
+	// It may be of any organisation.
+	t.Run("RunOfAnUnknownJob", func(t *testing.T) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(types.Core)
+		r := o.addRunner(runner(0))
+		report(o, r)
+		if left := o.table.Headroom(o.table.Organisations["a"]); left.Cores > 0 {
+			t.Errorf("%s may be started beside a run whose organisation is not known", left)
+		}
+		o.emptyReport(r)
+		o.applyResult(r, agent.Result{Number: 1, Ref: specs.Ref{StepRef: specs.StepRef{Job: "j"}}, Attempt: 7, Outcome: agent.Stopped})
+		if left := o.table.Headroom(o.table.Organisations["a"]); left.Cores != types.Core {
+			t.Errorf("%s may be started after the run ended, want one core", left)
+		}
+	})
+}
