--- a/internal/flow/order/quota_test.go
+++ b/internal/flow/order/quota_test.go
@@ -115,7 +115,7 @@
 	// A gang without headroom would otherwise take a reservation, or make calls for advice whose tickets expire unused.
 	t.Run("GangThatWaitsHoldsUpNobodyElse", func(t *testing.T) {
 		f := newTableFixture(t, 10)
-		f.setQuotas(quotas(2 * core))
+		f.setQuotas(quotas(4 * core))
 		for i := range 10 {
 			f.table.Runners[specs.RunnerID(fmt.Sprintf("w%d", i))].Used.Cores = core
 		}
@@ -175,7 +175,8 @@
 				if name == "WithoutRunners" {
 					s.Label = "nowhere"
 				}
-				f.addJobOf("a", 1, s)
+				// Without this, the ranking puts small work before the gang.
+				f.addJobOf("a", 1, s).Occurrences[0].Due = start.Add(-time.Second)
 				f.addJobOf("a", 2, stepOf(3, core))
 				f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 3})
 			})
