--- a/internal/flow/order/quota_test.go
+++ b/internal/flow/order/quota_test.go
@@ -217,13 +217,13 @@
 	// The jobs of a removed organisation were accepted; they must not wait for ever, and not go before others. A new one,
 	// which only a newer catalog names, must wait for its quota to be known.
 	t.Run("RemovedOrganisationGoesOnAfterTheOthers", func(t *testing.T) {
-		f := newTableFixture(t, 1)
+		f := newTableFixture(t, 2)
 		f.setQuotas(quotas(0))
 		f.addJobOf("gone", 1, stepOf(8, core))
 		f.addJobOf("new", 1, stepOf(8, core))
 		f.table.Organisations["gone"].Removed = true
 		f.addJobOf("b", 2, stepOf(3, core))
-		f.wantCounts(f.carryOut(f.plan(start)), starts{"b": 3, "gone": 1})
+		f.wantCounts(f.carryOut(f.plan(start)), starts{"b": 3, "gone": 5})
 	})
 	t.Run("LoweredQuotaWaitsAndRaisedOneStarts", func(t *testing.T) {
 		f := newTableFixture(t, 4)
