--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -101,6 +101,8 @@
 		// capacity is that of all usable runners.
 		capacity  types.Resources
 		headrooms map[*tasks.Organisation]*headroom
+		// lastHeadroom is the one that was looked up last, most often by the same step.
+		lastHeadroom *headroom
 		// stepsLeft is how many more steps the plan serves.
 		stepsLeft int
 		out       Plan
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -27,11 +27,15 @@
 	if o == nil {
 		return nil
 	}
+	if p.lastHeadroom != nil && p.lastHeadroom.organisation == o {
+		return p.lastHeadroom
+	}
 	h, ok := p.headrooms[o]
 	if !ok {
 		h = &headroom{organisation: o, left: p.table.Headroom(o)}
 		p.headrooms[o] = h
 	}
+	p.lastHeadroom = h
 	return h
 }
 
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -28,7 +28,9 @@
 	sharedStep struct {
 		*stepPlacement
 		next int
-		// starts counts the planned starts by runner, as pass.stepStarts does.
+		// hasStarted is set once a start of the step is planned.
+		hasStarted bool
+		// starts counts the planned starts by runner, as pass.stepStarts does; nil if the step has no limit by runner.
 		starts map[*tasks.Runner]int
 	}
 )
@@ -38,7 +40,10 @@
 
 // Less puts the organisation with the smaller share first.
 func (h shareHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].share, h[j].share), cmp.Compare(h[i].headroom.organisation.Name, h[j].headroom.organisation.Name)) < 0
+	if h[i].share != h[j].share {
+		return h[i].share < h[j].share
+	}
+	return h[i].headroom.organisation.Name < h[j].headroom.organisation.Name
 }
 
 // Swap swaps two organisations.
@@ -191,7 +196,7 @@
 		p.serve(s)
 		p.finishStep(q, len(p.out.Starts) > startsBefore)
 	} else if p.serveNextTask(q, s) {
-		p.finishStep(q, len(q.current.starts) > 0)
+		p.finishStep(q, q.current.hasStarted)
 	}
 }
 
@@ -240,22 +245,35 @@
 	}
 }
 
+func (p *pass) newSharedStep(s *tasks.Step) *sharedStep {
+	c := &sharedStep{stepPlacement: &stepPlacement{runners: p.candidateRunners(s)}}
+	if s.Spec.PerRunner > 0 {
+		c.starts = make(map[*tasks.Runner]int)
+	}
+	return c
+}
+
 // serveNextTask places the next task of the organisation's first step, and reports whether the step is finished.
 func (p *pass) serveNextTask(q *shareQueue, s *tasks.Step) bool {
 	if q.current == nil {
-		q.current = &sharedStep{stepPlacement: &stepPlacement{runners: p.candidateRunners(s)}, starts: make(map[*tasks.Runner]int)}
+		q.current = p.newSharedStep(s)
 	}
 	c := q.current
-	shared := p.stepStarts
-	p.stepStarts = c.starts
-	defer func() { p.stepStarts = shared }()
+	if c.starts != nil {
+		shared := p.stepStarts
+		p.stepStarts = c.starts
+		defer func() { p.stepStarts = shared }()
+	}
 	for c.next < len(s.Tasks) {
 		t := s.Tasks[c.next]
 		c.next++
 		if !p.isDue(t) {
 			continue
 		}
-		if p.placeTask(t, c.stepPlacement) {
+		planned := len(p.out.Starts)
+		isPlaced := p.placeTask(t, c.stepPlacement)
+		c.hasStarted = c.hasStarted || len(p.out.Starts) > planned
+		if isPlaced {
 			return false
 		}
 		break
