--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -320,3 +320,47 @@
 		}
 	})
 }
+
+// The limits must be applied before the first plan of a term, and what runs must be known by then: a leader that starts with
+// an empty count starts as much again as its predecessor left running.
+func TestQuotaHoldsOverLeaderChanges(t *testing.T) {
+	const cores, count, runTime = 3, 18, 250 * time.Millisecond
+	w := quickWorld()
+	w.RunTime = func(specs.Ref) time.Duration { return runTime }
+	f := newFixture(t, w)
+	f.addRunners(3)
+	catalog := &specs.Catalog{Version: 1, Organisations: []specs.Organisation{{Name: "a", Weight: 1, Quota: types.Resources{Cores: cores * types.Core}}}}
+	lead := func() (*Owner, func()) {
+		o := f.newOwner()
+		knownAt := f.clock.Now().Add(tickInterval)
+		o.config.Catalog = func() *specs.Catalog {
+			if f.clock.Now().Before(knownAt) {
+				return nil
+			}
+			return catalog
+		}
+		return o, f.runOwner(o)
+	}
+	o, stop := lead()
+	f.submit(o, jobOfA(step(count)))
+	for range 3 {
+		started := f.fleet.StartCount()
+		f.eventually("more tasks start", func() bool { return f.fleet.StartCount() > started })
+		stop()
+		o, stop = lead()
+	}
+	f.waitForState(o, "j", tasks.JobCompleted)
+	f.checkNoViolations()
+	attempts := f.fleet.StartedAttempts()
+	for i, a := range attempts {
+		running := 0
+		for _, earlier := range attempts[:i+1] {
+			if a.At.Sub(earlier.At) < runTime {
+				running++
+			}
+		}
+		if running > cores {
+			t.Errorf("%d tasks of one core run after the start of %s, the quota is %d cores", running, a.Ref, cores)
+		}
+	}
+}
