--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -321,8 +321,7 @@
 	})
 }
 
-// The limits must be applied before the first plan of a term, and what runs must be known by then: a leader that starts with
-// an empty count starts as much again as its predecessor left running.
+// A new leader whose catalog comes late must start nothing before it, and count what its predecessor left running.
 func TestQuotaHoldsOverLeaderChanges(t *testing.T) {
 	const cores, count, runTime = 3, 18, 250 * time.Millisecond
 	w := quickWorld()
--- a/internal/flow/owner/quota_property_test.go
+++ b/internal/flow/owner/quota_property_test.go
@@ -277,6 +277,8 @@
 
 // isLatest reports whether the start of the run has not been collected yet, so that it was sent in this commit.
 func (m *quotaModel) isLatest(run *tasks.Run) bool {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
 	return !slices.ContainsFunc(m.network.starts, func(s modelStart) bool { return s.run == run })
 }
 
@@ -455,6 +457,7 @@
 			break
 		}
 	}
+	m.collect()
 	m.checkCounts()
 	return m.failure
 }
