--- a/internal/flow/tasks/organisation.go
+++ b/internal/flow/tasks/organisation.go
@@ -12,6 +12,9 @@
 	Known  bool
 	Weight float64
 	Quota  types.Resources
+	// Removed means that an earlier catalog named the organisation, or that so much time has passed that a newer one can't.
+	// An organisation that is neither Known nor Removed may be new, in a catalog that only other daemons have yet.
+	Removed bool
 	// Running is the sum of the resources of its runs on all runners, including starts in doubt, runs that are being stopped
 	// and runs on unreachable runners whose leases may still be valid.
 	Running types.Resources
@@ -21,12 +24,13 @@
 func (t *Table) SetLimits(c *specs.Catalog) {
 	t.LimitsKnown = true
 	for _, o := range t.Organisations {
+		o.Removed = o.Removed || o.Known
 		o.Known, o.Weight, o.Quota = false, 0, types.Resources{}
 	}
 	for i := range c.Organisations {
 		limits := &c.Organisations[i]
 		o := t.organisation(limits.Name)
-		o.Known, o.Weight, o.Quota = true, limits.Weight, limits.Quota
+		o.Known, o.Removed, o.Weight, o.Quota = true, false, limits.Weight, limits.Quota
 	}
 }
 
@@ -42,3 +46,61 @@
 	}
 	return o
 }
+
+// add counts what a run occupies; it does nothing for a run without an organisation.
+func (o *Organisation) add(counted types.Resources) {
+	if o != nil {
+		o.Running = o.Running.Add(counted)
+	}
+}
+
+// subtract ends the count of what a run occupied; it does nothing for a run without an organisation.
+func (o *Organisation) subtract(counted types.Resources) {
+	if o != nil {
+		o.Running = o.Running.Sub(counted)
+	}
+}
+
+// KnowsLimits reports whether the limits of the organisation are known: the catalog names it, or no longer does.
+func (t *Table) KnowsLimits(o *Organisation) bool {
+	return t.LimitsKnown && (o.Known || o.Removed)
+}
+
+// Headroom returns what may still be started for the organisation: nothing before its limits are known, and everything for
+// one that was removed from the catalog. A field is negative if more runs than the quota allows.
+func (t *Table) Headroom(o *Organisation) types.Resources {
+	switch {
+	case !t.KnowsLimits(o):
+		return types.Resources{Cores: -1, Memory: -1, Accelerators: -1}
+	case !o.Known:
+		return types.Unlimited()
+	default:
+		return o.Quota.LimitEach().Sub(o.Running).Sub(t.Unattributed.Running)
+	}
+}
+
+// CountOrphan sets for whom a run counts whose job is not in the table, and with how much: an upper bound, as its task's
+// resources are not known. A run counts for all organisations if it is not known whose it is.
+func (t *Table) CountOrphan(run *Run) {
+	ended, known := t.EndedJobs[run.Key.Ref.Job]
+	if !known {
+		run.Organisation, run.Counted = t.Unattributed, run.Runner.Info.Capacity
+		return
+	}
+	run.Organisation, run.Counted = t.organisation(ended.Organisation), ended.Largest
+	if ended.Largest.IsZero() {
+		run.Counted = run.Runner.Info.Capacity
+	}
+}
+
+// SetRemaining adds to the result of a job what a new leader needs to count the runs that have not ended. It adds nothing
+// for a job without an organisation.
+func (r *JobResult) SetRemaining(j *Job, runs []*Run) {
+	if j.Organisation == nil || len(runs) == 0 {
+		return
+	}
+	r.Largest = j.Spec.LargestTask()
+	for _, run := range runs {
+		r.Runs = append(r.Runs, RemainingRun{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Runner: run.Runner.Info.ID})
+	}
+}
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
@@ -32,6 +33,17 @@
 		At    time.Time       `json:"At"`
 		// Organisation is the one whose job it was; empty means none, or that a former version wrote the record.
 		Organisation specs.OrganisationName `json:"Organisation,omitempty"`
+		// Largest is the most that one of its tasks takes of each resource, and Runs are the runs that had not ended yet.
+		// A new leader counts them for the organisation. Both are empty when nothing ran any more.
+		Largest types.Resources `json:"Largest,omitzero"`
+		Runs    []RemainingRun  `json:"Runs,omitempty"`
+	}
+
+	// RemainingRun is a run that had not ended when its job ended.
+	RemainingRun struct {
+		Ref     specs.Ref      `json:"Ref"`
+		Attempt specs.Attempt  `json:"Attempt"`
+		Runner  specs.RunnerID `json:"Runner"`
 	}
 )
 
@@ -101,8 +113,12 @@
 	t.EndedJobs[result.Job] = result.endedJob()
 }
 
+// endedJob returns the ended job that the result describes.
 func (r *JobResult) endedJob() EndedJob {
-	return EndedJob{Queue: r.Queue, State: r.State, At: r.At, Organisation: r.Organisation}
+	return EndedJob{
+		Queue: r.Queue, State: r.State, At: r.At,
+		Organisation: r.Organisation, Largest: r.Largest, Runs: r.Runs,
+	}
 }
 
 // Change returns the task's current durable state, for the caller to alter and apply.
