Admit the jobs of organisations by weight

An organisation that submits more than its weight is served from what the others leave, and refused first under overload: the leader marks its further jobs as surplus, stores that with them, and names each refused caller the next slot of the organisation after the backlog. A job of which a task or gang needs more than the whole quota is refused without a time to retry. Metrics and log lines name the organisation. Jobs without an organisation are decided as before.

--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -22,27 +22,61 @@
 	maxBacklogDelay = 30 * time.Second
 	// maxJobs limits the jobs that wait or run, so that they fit the memory of a small VM.
 	maxJobs = 20_000
+	// maxJobsForSurplus is the number of jobs from which on surplus jobs are rejected. It leaves memory for those within
+	// the weights.
+	maxJobsForSurplus = maxJobs / 4 * 3
 
 	epochKey = ledger.EpochKey
 )
 
-// admit returns nil when a new job may be accepted. Otherwise the error is of kind Overloaded (too many jobs) or
-// Unavailable (writes are stalled). The caller must hold o.mu.
+// admit returns nil when a new job may be accepted, and marks it when it is surplus. Otherwise the error is of kind
+// QuotaExceeded (the job can never run), Overloaded (too many jobs) or Unavailable (writes are stalled). The caller must
+// hold o.mu.
 func (o *Owner) admit(job *specs.Job) error {
 	o.applyCatalog()
-	if len(o.table.Jobs) >= maxJobs {
-		return errs.After(errs.Overloaded, fullRetryDelay, "%d accepted jobs wait or run, which is the maximum", len(o.table.Jobs))
+	o.applyWeights()
+	if err := checkQuota(job, o.table.Organisations[job.Organisation]); err != nil {
+		o.reportRefusal(job, refusedByQuota, 0, err)
+		return err
+	}
+	now := o.config.Clock.Now()
+	job.Surplus = o.isSurplus(job, now)
+	if err := o.admitByCount(job, now); err != nil {
+		return err
 	}
 	if age := o.oldestWriteAge(); age > admitWriteTimeout {
 		return errs.After(errs.Unavailable, takeoverRetryDelay, "the store has not confirmed a write for %s", age)
 	}
-	return o.admitByBacklog(job)
+	if err := o.admitByBacklog(job, now); err != nil {
+		return err
+	}
+	o.takeToken(job, now)
+	o.organisationCounters.accepted(job)
+	return nil
+}
+
+// admitByCount rejects a job while so many wait or run that a further one might not fit the memory. The caller must hold
+// o.mu.
+func (o *Owner) admitByCount(job *specs.Job, now time.Time) error {
+	limit, delay := maxJobs, fullRetryDelay
+	if job.Surplus {
+		limit = maxJobsForSurplus
+	}
+	if len(o.table.Jobs) < limit {
+		return nil
+	}
+	if slot, ok := o.slotDelay(job, delay, now); ok {
+		delay = slot
+	}
+	err := errs.After(errs.Overloaded, delay, "%d accepted jobs wait or run, which is the maximum", len(o.table.Jobs))
+	o.reportRefusal(job, refusedByOverload, 0, err)
+	return err
 }
 
 // admitByBacklog rejects a job that would be overdue before it could be done, since its caller is better off knowing that
 // at once. The callers are told to come back at different times, once the excess should be worked off. The caller must
 // hold o.mu.
-func (o *Owner) admitByBacklog(job *specs.Job) error {
+func (o *Owner) admitByBacklog(job *specs.Job, now time.Time) error {
 	if job.Schedule != nil || job.IsService() {
 		return nil
 	}
@@ -51,8 +85,14 @@
 		return nil
 	}
 	delay := min(max(excess, minBacklogDelay), maxBacklogDelay)
-	delay += rand.N(delay)
-	return errs.After(errs.Overloaded, delay, "the work ahead of the job takes %s longer than it can wait", excess.Round(time.Millisecond))
+	if slot, ok := o.slotDelay(job, delay, now); ok {
+		delay = slot
+	} else {
+		delay += rand.N(delay)
+	}
+	err := errs.After(errs.Overloaded, delay, "the work ahead of the job takes %s longer than it can wait", excess.Round(time.Millisecond))
+	o.reportRefusal(job, refusedByOverload, excess, err)
+	return err
 }
 
 // oldestWriteAge returns how long the oldest ledger write has been in flight, or 0 when there is none. The caller
--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -9,8 +9,8 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
-// Submit accepts a job and waits until that is durable. A nil error means that the job is durable; kind Overloaded or
-// Unavailable that it will not run; kind Lost that it is in doubt.
+// Submit accepts a job and waits until that is durable. A nil error means that the job is durable; kind QuotaExceeded,
+// Overloaded or Unavailable that it will not run; kind Lost that it is in doubt.
 func (o *Owner) Submit(ctx context.Context, job *specs.Job) error {
 	began := o.config.Clock.Now()
 	done := make(chan struct{})
@@ -44,7 +44,7 @@
 	o.table.AddJob(job)
 	o.pending.entry.Jobs = append(o.pending.entry.Jobs, job)
 	o.counters.jobsAccepted.Inc(1)
-	o.config.Log.Info().Str("Job", string(job.ID)).Str("Queue", string(job.Queue.Name)).
+	o.config.Log.Info().Str("Job", string(job.ID)).Str("Queue", string(job.Queue.Name)).Func(organisationFields(job)).
 		Int("Steps", len(job.Steps)).Int("Waiting", len(o.table.Jobs)).Msg("job accepted")
 	o.onDurable(durable)
 	wake(o.planWake)
--- /dev/null
+++ b/internal/flow/owner/organisation_counters.go
@@ -0,0 +1,166 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+)
+
+// Reasons for which a job of an organisation is refused.
+const (
+	refusedByQuota    refusalReason = "Quota"
+	refusedByOverload refusalReason = "Overload"
+
+	// maxCountedOrganisations limits the organisations that have metrics of their own, so that a large catalog does not
+	// make the list of metrics long.
+	maxCountedOrganisations = 64
+	organisationPrefix      = "Owner.Organisation."
+	otherOrganisationPrefix = "Owner.OtherOrganisations."
+
+	acceptedMetric      = "JobsAccepted"
+	surplusMetric       = "JobsSurplus"
+	refusedMetric       = "JobsRefused."
+	acceptToStartMetric = "AcceptToStart"
+)
+
+// admissionMetrics lists the names of an organisation's metrics without their prefix.
+var admissionMetrics = []string{
+	acceptedMetric, surplusMetric, refusedMetric + string(refusedByQuota), refusedMetric + string(refusedByOverload), acceptToStartMetric,
+}
+
+type (
+	refusalReason string
+
+	// organisationCounters holds the metrics of the organisations with the largest weights; those of all others are
+	// summed.
+	organisationCounters struct {
+		registry metrics.Registry
+		counted  map[specs.OrganisationName]*admissionCounters
+		others   *admissionCounters
+	}
+
+	// admissionCounters holds the metrics of one organisation.
+	admissionCounters struct {
+		accepted metrics.Counter
+		surplus  metrics.Counter
+		refused  map[refusalReason]metrics.Counter
+		// acceptToStart is the time from acceptance to the first start.
+		acceptToStart metrics.Timer
+	}
+)
+
+func newOrganisationCounters(r metrics.Registry) organisationCounters {
+	return organisationCounters{registry: r, counted: make(map[specs.OrganisationName]*admissionCounters)}
+}
+
+// setWeights chooses the organisations that have metrics of their own, and removes the metrics of all others, also those
+// of earlier terms.
+func (c *organisationCounters) setWeights(weights map[specs.OrganisationName]float64) {
+	chosen := make(map[specs.OrganisationName]*admissionCounters)
+	prefixes := make(map[string]bool)
+	for _, name := range heaviest(weights) {
+		prefix := organisationPrefix + metricName(name) + "."
+		prefixes[prefix] = true
+		chosen[name] = c.counted[name]
+	}
+	c.removeExcept(prefixes)
+	for name, m := range chosen {
+		if m == nil {
+			chosen[name] = newAdmissionCounters(c.registry, organisationPrefix+metricName(name)+".")
+		}
+	}
+	c.counted = chosen
+}
+
+// removeExcept removes the metrics of organisations whose prefix is not listed.
+func (c *organisationCounters) removeExcept(prefixes map[string]bool) {
+	var removed []string
+	c.registry.Each(func(name string, _ any) {
+		rest, ok := strings.CutPrefix(name, organisationPrefix)
+		if !ok {
+			return
+		}
+		organisation, metric, _ := strings.Cut(rest, ".")
+		if !prefixes[organisationPrefix+organisation+"."] && slices.Contains(admissionMetrics, metric) {
+			removed = append(removed, name)
+		}
+	})
+	for _, name := range removed {
+		c.registry.Unregister(name)
+	}
+}
+
+// heaviest returns the maxCountedOrganisations organisations with the largest weights.
+func heaviest(weights map[specs.OrganisationName]float64) []specs.OrganisationName {
+	out := make([]specs.OrganisationName, 0, len(weights))
+	for name := range weights {
+		out = append(out, name)
+	}
+	slices.SortFunc(out, func(a, b specs.OrganisationName) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return out[:min(len(out), maxCountedOrganisations)]
+}
+
+// accepted counts an accepted job if it belongs to an organisation.
+func (c *organisationCounters) accepted(job *specs.Job) {
+	if job.Organisation == "" {
+		return
+	}
+	m := c.of(job.Organisation)
+	m.accepted.Inc(1)
+	if job.Surplus {
+		m.surplus.Inc(1)
+	}
+}
+
+// refused counts a refused job.
+func (c *organisationCounters) refused(job *specs.Job, reason refusalReason) {
+	c.of(job.Organisation).refused[reason].Inc(1)
+}
+
+// started records the first start of a job if it belongs to an organisation.
+func (c *organisationCounters) started(job *specs.Job, at time.Time) {
+	if job.Organisation != "" {
+		c.of(job.Organisation).acceptToStart.Update(at.Sub(job.Accepted))
+	}
+}
+
+// of returns the metrics in which an organisation is counted.
+func (c *organisationCounters) of(name specs.OrganisationName) *admissionCounters {
+	if m := c.counted[name]; m != nil {
+		return m
+	}
+	if c.others == nil {
+		c.others = newAdmissionCounters(c.registry, otherOrganisationPrefix)
+	}
+	return c.others
+}
+
+func newAdmissionCounters(r metrics.Registry, prefix string) *admissionCounters {
+	count := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(prefix+name, r) }
+	return &admissionCounters{
+		accepted: count(acceptedMetric), surplus: count(surplusMetric),
+		refused: map[refusalReason]metrics.Counter{
+			refusedByQuota: count(refusedMetric + string(refusedByQuota)), refusedByOverload: count(refusedMetric + string(refusedByOverload)),
+		},
+		acceptToStart: metrics.GetOrRegisterTimer(prefix+acceptToStartMetric, r),
+	}
+}
+
+// metricName returns the name of an organisation with the characters that may not be part of a metric's name replaced.
+func metricName(name specs.OrganisationName) string {
+	return strings.Map(func(c rune) rune {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '-':
+			return c
+		default:
+			return '_'
+		}
+	}, string(name))
+}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/rates"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
@@ -101,6 +102,8 @@
 		planWake  chan struct{}
 		writeWake chan struct{}
 		counters  counters
+		// organisationCounters is guarded by mu.
+		organisationCounters organisationCounters
 		// ledgerMu guards the ledger; running its writes does not require it.
 		ledgerMu sync.Mutex
 
@@ -125,6 +128,10 @@
 		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
 		backlog order.Backlog
+		// rates tells which jobs are within the weights of the catalog with the version ratesVersion; it is nil until a
+		// catalog is known.
+		rates        *rates.Rates
+		ratesVersion specs.CatalogVersion
 		// notYetDurable holds the ended jobs whose result is not durable yet, with the state that is still reported to
 		// callers.
 		notYetDurable map[specs.JobID]tasks.JobState
@@ -137,12 +144,15 @@
 func New(c Config) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
-		config:        c,
-		ctx:           ctx,
-		cancel:        cancel,
-		planWake:      make(chan struct{}, 1),
-		writeWake:     make(chan struct{}, 1),
-		counters:      newCounters(c.Metrics),
+		config:    c,
+		ctx:       ctx,
+		cancel:    cancel,
+		planWake:  make(chan struct{}, 1),
+		writeWake: make(chan struct{}, 1),
+		counters:  newCounters(c.Metrics),
+
+		organisationCounters: newOrganisationCounters(c.Metrics),
+
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
--- /dev/null
+++ b/internal/flow/owner/quota.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+// checkQuota returns an error of kind QuotaExceeded for a job of which a task, or a whole gang, needs more than the whole
+// quota of its organisation, which may be nil. Such a job could never start, so no time to retry is given.
+func checkQuota(job *specs.Job, organisation *tasks.Organisation) error {
+	if organisation == nil {
+		return nil
+	}
+	for i := range job.Steps {
+		unit, need := neededAtOnce(&job.Steps[i])
+		if !isWithinQuota(need, organisation.Quota) {
+			return errs.New(errs.QuotaExceeded, "%s of Steps[%d] needs %s, the quota of organisation %s is %s (0: no limit)",
+				unit, i, need, organisation.Name, organisation.Quota)
+		}
+	}
+	return nil
+}
+
+// neededAtOnce returns what must be free for any task of the step to start, and for whom: a task, or the whole gang.
+func neededAtOnce(s *specs.Step) (string, types.Resources) {
+	each := s.Resources
+	if s.Fills {
+		each.Cores = 0
+	}
+	if s.Gang {
+		return "the gang", each.Times(s.Count)
+	}
+	return "a task", each
+}
+
+// isWithinQuota reports whether an amount is within a quota, in which 0 means no limit.
+func isWithinQuota(need, quota types.Resources) bool {
+	return (quota.Cores == 0 || need.Cores <= quota.Cores) && (quota.Memory == 0 || need.Memory <= quota.Memory) &&
+		(quota.Accelerators == 0 || need.Accelerators <= quota.Accelerators)
+}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -108,6 +108,7 @@
 		o.config.Log.Info().Str("Job", string(j.Spec.ID)).Str("Runner", string(r.Info.ID)).Int("Tasks", len(run.Task.Step.Tasks)).
 			Dur("After", now.Sub(j.Spec.Accepted)).Dur("TicketLeft", elapsed(run.TicketUntil, now)).Msg("sending the first start of the job")
 		o.counters.dueToStart.Update(now.Sub(run.Task.Step.Occurrence.Due))
+		o.organisationCounters.started(&j.Spec, now)
 	}
 	run.Sent, run.InFlight = true, true
 	run.SentFence = r.Fence
