--- a/internal/flow/order/ahead.go
+++ b/internal/flow/order/ahead.go
@@ -62,15 +62,15 @@
 }
 
 // addSurplusOfOthers adds the surplus work of other organisations that is served while the given surplus work of the
-// job's own organisation is: the organisations are served in proportion to their weights.
+// job's own organisation is: the organisations are served in proportion to their weights, and those without one last.
 func (b *Backlog) addSurplusOfOthers(a *workAhead, ownWeight, ownWork float64) {
 	for name, work := range a.surplus {
 		weight := b.limits[name].weight
 		switch {
-		case weight == ownWeight:
-			work = min(work, ownWork)
 		case ownWeight > 0:
 			work = min(work, ownWork*weight/ownWeight)
+		case weight == 0:
+			work = min(work, ownWork)
 		}
 		a.byOrganisation[name] += work
 	}
--- a/internal/flow/order/ahead_test.go
+++ b/internal/flow/order/ahead_test.go
@@ -78,6 +78,11 @@
 		f.addClaimed("other", otherSurplus, 0, stepOf(400, types.Core))
 		wantWait(t, f.waitOf(surplus, 1, 8), 2*time.Second)
 	})
+	t.Run("SurplusOfOthersCountsUpToTheOwnAlsoWithoutWeights", func(t *testing.T) {
+		f := fixture(t)
+		f.addClaimed("other", otherSurplus, 0, stepOf(400, types.Core))
+		wantWait(t, f.waitOf(surplus, 1, 8), time.Second)
+	})
 	// An organisation without a weight comes after those that have one.
 	t.Run("SurplusWithoutAWeightWaitsForAllOther", func(t *testing.T) {
 		f := fixture(t, organisation("b", 1, 0))
--- a/internal/flow/owner/organisation_counters.go
+++ b/internal/flow/owner/organisation_counters.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -19,20 +20,14 @@
 	// maxCountedOrganisations limits the organisations that have metrics of their own, so that a large catalog does not
 	// make the list of metrics long.
 	maxCountedOrganisations = 64
-	organisationPrefix      = "Owner.Organisation."
-	otherOrganisationPrefix = "Owner.OtherOrganisations."
+	admissionPrefix         = "Owner.Admission."
+	// countedPart and othersPart follow the prefix in the names of metrics.
+	countedPart = "organisation."
+	othersPart  = "others."
 
-	acceptedMetric      = "JobsAccepted"
-	surplusMetric       = "JobsSurplus"
-	refusedMetric       = "JobsRefused."
 	acceptToStartMetric = "AcceptToStart"
 )
 
-// admissionMetrics lists the names of an organisation's metrics without their prefix.
-var admissionMetrics = []string{
-	acceptedMetric, surplusMetric, refusedMetric + string(refusedByQuota), refusedMetric + string(refusedByOverload), acceptToStartMetric,
-}
-
 type (
 	refusalReason string
 
@@ -64,14 +59,13 @@
 	chosen := make(map[specs.OrganisationName]*admissionCounters)
 	prefixes := make(map[string]bool)
 	for _, name := range heaviest(weights) {
-		prefix := organisationPrefix + metricName(name) + "."
-		prefixes[prefix] = true
+		prefixes[metricsOf(name)] = true
 		chosen[name] = c.counted[name]
 	}
 	c.removeExcept(prefixes)
 	for name, m := range chosen {
 		if m == nil {
-			chosen[name] = newAdmissionCounters(c.registry, organisationPrefix+metricName(name)+".")
+			chosen[name] = newAdmissionCounters(c.registry, metricsOf(name))
 		}
 	}
 	c.counted = chosen
@@ -81,12 +75,12 @@
 func (c *organisationCounters) removeExcept(prefixes map[string]bool) {
 	var removed []string
 	c.registry.Each(func(name string, _ any) {
-		rest, ok := strings.CutPrefix(name, organisationPrefix)
+		rest, ok := strings.CutPrefix(name, admissionPrefix+countedPart)
 		if !ok {
 			return
 		}
-		organisation, metric, _ := strings.Cut(rest, ".")
-		if !prefixes[organisationPrefix+organisation+"."] && slices.Contains(admissionMetrics, metric) {
+		organisation, _, _ := strings.Cut(rest, ".")
+		if !prefixes[admissionPrefix+countedPart+organisation+"."] {
 			removed = append(removed, name)
 		}
 	})
@@ -137,7 +131,7 @@
 		return m
 	}
 	if c.others == nil {
-		c.others = newAdmissionCounters(c.registry, otherOrganisationPrefix)
+		c.others = newAdmissionCounters(c.registry, admissionPrefix+othersPart)
 	}
 	return c.others
 }
@@ -145,22 +139,26 @@
 func newAdmissionCounters(r metrics.Registry, prefix string) *admissionCounters {
 	count := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(prefix+name, r) }
 	return &admissionCounters{
-		accepted: count(acceptedMetric), surplus: count(surplusMetric),
+		accepted: count("JobsAccepted"), surplus: count("JobsSurplus"),
 		refused: map[refusalReason]metrics.Counter{
-			refusedByQuota: count(refusedMetric + string(refusedByQuota)), refusedByOverload: count(refusedMetric + string(refusedByOverload)),
+			refusedByQuota: count("JobsRefused." + string(refusedByQuota)), refusedByOverload: count("JobsRefused." + string(refusedByOverload)),
 		},
 		acceptToStart: metrics.GetOrRegisterTimer(prefix+acceptToStartMetric, r),
 	}
 }
 
-// metricName returns the name of an organisation with the characters that may not be part of a metric's name replaced.
-func metricName(name specs.OrganisationName) string {
-	return strings.Map(func(c rune) rune {
-		switch {
-		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '-':
-			return c
-		default:
-			return '_'
+// metricsOf returns the prefix of the metrics of an organisation that has some of its own.
+func metricsOf(name specs.OrganisationName) string {
+	return admissionPrefix + countedPart + admissionName(name) + "."
+}
+
+// admissionName returns the name of an organisation with all but letters and digits replaced, as the lines of metrics
+// require.
+func admissionName(name specs.OrganisationName) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsLetter(r) || unicode.IsDigit(r) {
+			return r
 		}
+		return '_'
 	}, string(name))
 }
--- a/internal/flow/owner/weights_test.go
+++ b/internal/flow/owner/weights_test.go
@@ -22,6 +22,8 @@
 	testWeight                              = 10.0
 	// testBucket is the number of jobs that a full bucket of testWeight allows.
 	testBucket = 20
+	// metricsEach is the number of metrics of an organisation.
+	metricsEach = 5
 )
 
 func organisationJob(id string, steps ...specs.Step) *specs.Job {
@@ -204,6 +206,17 @@
 	}
 }
 
+// Surplus jobs took no tokens when they were accepted, for example under a lower weight.
+func TestSurplusJobsTakeNoTokensOfANewLeader(t *testing.T) {
+	f := newWeightFixture(t)
+	for i := range testBucket {
+		j := organisationJob(fmt.Sprint("former", i), step(1))
+		j.Accepted, j.Surplus = f.clock.Now(), true
+		f.table.AddJob(j)
+	}
+	f.wantWithin(f.submitMany("j", 100), testBucket)
+}
+
 func TestRefusalsOfSurplusJobs(t *testing.T) {
 	// exhaust takes all tokens.
 	exhaust := func(f *weightFixture) {
@@ -350,7 +363,7 @@
 		f.overload()
 		f.submitMany("refused", 3)
 		for name, want := range map[string]int64{"JobsAccepted": testBucket + 5, "JobsSurplus": 5, "JobsRefused.Quota": 1, "JobsRefused.Overload": 3} {
-			if got := f.count(organisationPrefix + "org." + name); got != want {
+			if got := f.count(admissionPrefix + "organisation.org." + name); got != want {
 				t.Errorf("%s is %d, want %d", name, got, want)
 			}
 		}
@@ -360,7 +373,7 @@
 		f.catalog = &specs.Catalog{Version: 1}
 		f.submit(job("j", step(1)), func() {})
 		f.config.Metrics.Each(func(name string, _ any) {
-			if strings.Contains(name, "Organisation") {
+			if strings.HasPrefix(name, admissionPrefix) {
 				t.Errorf("metric %s exists", name)
 			}
 		})
@@ -373,10 +386,10 @@
 			j.Organisation = specs.OrganisationName(fmt.Sprint("a", i))
 			f.submit(j, func() {})
 		}
-		if got := f.count(otherOrganisationPrefix + "JobsAccepted"); got != 6 {
+		if got := f.count(admissionPrefix + "others.JobsAccepted"); got != 6 {
 			t.Errorf("%d jobs of other organisations are counted, want 6", got)
 		}
-		if light, heavy := f.count(organisationPrefix+"a5.JobsAccepted"), f.count(organisationPrefix+"a6.JobsAccepted"); light != -1 || heavy != 1 {
+		if light, heavy := f.count(admissionPrefix+"organisation.a5.JobsAccepted"), f.count(admissionPrefix+"organisation.a6.JobsAccepted"); light != -1 || heavy != 1 {
 			t.Errorf("the 6th lightest has count %d, the 7th %d, want none and 1", light, heavy)
 		}
 	})
@@ -390,19 +403,19 @@
 		f.submit(job("k", step(1)), func() {})
 		n := 0
 		f.config.Metrics.Each(func(name string, _ any) {
-			if strings.HasPrefix(name, organisationPrefix) {
+			if strings.HasPrefix(name, admissionPrefix) {
 				n++
 			}
 		})
-		if want := maxCountedOrganisations * len(admissionMetrics); n != want {
+		if want := maxCountedOrganisations * metricsEach; n != want {
 			t.Errorf("%d metrics of organisations, want %d", n, want)
 		}
-		if f.count(organisationPrefix+"a69.JobsAccepted") != -1 {
+		if f.count(admissionPrefix+"organisation.a69.JobsAccepted") != -1 {
 			t.Error("an organisation that the catalog does not name has metrics")
 		}
 	})
 	t.Run("NamesFitIntoALine", func(t *testing.T) {
-		if got := metricName("a b.c\n{é}-9"); got != "a_b_c____-9" {
+		if got := admissionName("a b.c\n{é}-9"); got != "a_b_c__é__9" {
 			t.Errorf("got %q", got)
 		}
 	})
@@ -414,7 +427,7 @@
 		f.runOwner(o)
 		f.submit(o, organisationJob("j", step(1)))
 		f.waitForState(o, "j", tasks.JobCompleted)
-		timer, ok := o.config.Metrics.Get(organisationPrefix + "org." + acceptToStartMetric).(metrics.Timer)
+		timer, ok := o.config.Metrics.Get(admissionPrefix + "organisation.org." + acceptToStartMetric).(metrics.Timer)
 		if !ok || timer.Count() != 1 {
 			t.Error("the first start is not timed")
 		}
--- a/internal/flow/rates/rates_test.go
+++ b/internal/flow/rates/rates_test.go
@@ -249,10 +249,10 @@
 		r.Replay(acceptances(5000, at(0)), at(10))
 		wantWithin(t, r.submit(1000, at(10)), 20)
 	})
-	// The clock of the former leader may be ahead: a bucket that lives in the future would be filled twice.
+	// The clock of the former leader may be ahead: a bucket that was filled up to then would be filled for that time again.
 	t.Run("JobsOfTheFutureCountAsNow", func(t *testing.T) {
 		r := newRates(10)
-		r.Replay(acceptances(20, at(15)), at(10))
+		r.Replay(append(acceptances(20, at(15)), acceptances(10, at(17))...), at(10))
 		wantWithin(t, r.submit(1000, at(10)), 0)
 		wantWithin(t, r.submit(1000, at(11)), 10)
 	})
