--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -128,15 +128,15 @@
 		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
 		backlog order.Backlog
-		// rates tells which jobs are within the weights of the catalog with the version ratesVersion; it is nil until a
-		// catalog is known.
-		rates        *rates.Rates
-		ratesVersion specs.CatalogVersion
 		// notYetDurable holds the ended jobs whose result is not durable yet, with the state that is still reported to
 		// callers.
 		notYetDurable map[specs.JobID]tasks.JobState
 		// renewLoops holds the runners that have a lease renewal loop.
 		renewLoops map[*tasks.Runner]struct{}
+		// rates tells which jobs are within the weights of the catalog with the version ratesVersion; it is nil until a
+		// catalog is known.
+		rates        *rates.Rates
+		ratesVersion specs.CatalogVersion
 	}
 )
 
@@ -144,18 +144,17 @@
 func New(c Config) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
-		config:    c,
-		ctx:       ctx,
-		cancel:    cancel,
-		planWake:  make(chan struct{}, 1),
-		writeWake: make(chan struct{}, 1),
-		counters:  newCounters(c.Metrics),
-
-		organisationCounters: newOrganisationCounters(c.Metrics),
-
+		config:        c,
+		ctx:           ctx,
+		cancel:        cancel,
+		planWake:      make(chan struct{}, 1),
+		writeWake:     make(chan struct{}, 1),
+		counters:      newCounters(c.Metrics),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
+
+		organisationCounters: newOrganisationCounters(c.Metrics),
 	}
 }
 
