--- a/internal/flow/owner/organisation_counters.go
+++ b/internal/flow/owner/organisation_counters.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
 // Reasons for which a job of an organisation is refused.
@@ -44,6 +45,8 @@
 		accepted metrics.Counter
 		surplus  metrics.Counter
 		refused  map[refusalReason]metrics.Counter
+		// waiting is the number of jobs of which no runner is known to have begun a task.
+		waiting metrics.Gauge
 		// acceptToStart is the time from acceptance to the first start.
 		acceptToStart metrics.Timer
 	}
@@ -125,6 +128,22 @@
 	}
 }
 
+// updateWaiting updates the numbers of waiting jobs.
+func (c *organisationCounters) updateWaiting(jobs map[specs.JobID]*tasks.Job) {
+	waiting := make(map[*admissionCounters]int64)
+	for _, j := range jobs {
+		if j.Spec.Organisation != "" && !j.Ran {
+			waiting[c.of(j.Spec.Organisation)]++
+		}
+	}
+	for _, m := range c.counted {
+		m.waiting.Update(waiting[m])
+	}
+	if c.others != nil {
+		c.others.waiting.Update(waiting[c.others])
+	}
+}
+
 // of returns the metrics in which an organisation is counted.
 func (c *organisationCounters) of(name specs.OrganisationName) *admissionCounters {
 	if m := c.counted[name]; m != nil {
@@ -143,6 +162,7 @@
 		refused: map[refusalReason]metrics.Counter{
 			refusedByQuota: count("JobsRefused." + string(refusedByQuota)), refusedByOverload: count("JobsRefused." + string(refusedByOverload)),
 		},
+		waiting:       metrics.GetOrRegisterGauge(prefix+"JobsWaiting", r),
 		acceptToStart: metrics.GetOrRegisterTimer(prefix+acceptToStartMetric, r),
 	}
 }
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -239,6 +239,8 @@
 	}
 	o.backlog = order.MeasureBacklog(o.table, now)
 	o.updateGauges(now)
+	o.applyWeights()
+	o.organisationCounters.updateWaiting(o.table.Jobs)
 	wake(o.planWake)
 }
 
--- a/internal/flow/owner/weights_test.go
+++ b/internal/flow/owner/weights_test.go
@@ -23,7 +23,7 @@
 	// testBucket is the number of jobs that a full bucket of testWeight allows.
 	testBucket = 20
 	// metricsEach is the number of metrics of an organisation.
-	metricsEach = 5
+	metricsEach = 6
 )
 
 func organisationJob(id string, steps ...specs.Step) *specs.Job {
@@ -414,6 +414,26 @@
 			t.Error("an organisation that the catalog does not name has metrics")
 		}
 	})
+	t.Run("JobsWaiting", func(t *testing.T) {
+		f := newWeightFixture(t)
+		other := job("other", step(1))
+		other.Organisation = "other"
+		f.submit(other, func() {})
+		f.submitMany("j", 3)
+		f.table.Jobs["j0"].Ran = true
+		for name, want := range map[string]int64{"organisation.org.": 2, "others.": 1} {
+			f.tick()
+			gauge, ok := f.config.Metrics.Get(admissionPrefix + name + "JobsWaiting").(metrics.Gauge)
+			if !ok || gauge.Value() != want {
+				t.Errorf("%s: want %d waiting jobs", name, want)
+			}
+		}
+		f.table.Jobs = make(map[specs.JobID]*tasks.Job)
+		f.tick()
+		if gauge, ok := f.config.Metrics.Get(admissionPrefix + "others.JobsWaiting").(metrics.Gauge); !ok || gauge.Value() != 0 {
+			t.Error("jobs that have ended count as waiting")
+		}
+	})
 	t.Run("NamesFitIntoALine", func(t *testing.T) {
 		if got := admissionName("a b.c\n{é}-9"); got != "a_b_c__é__9" {
 			t.Errorf("got %q", got)
