--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/rates"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
@@ -101,6 +102,8 @@
 		planWake  chan struct{}
 		writeWake chan struct{}
 		counters  counters
+		// organisationCounters is guarded by mu.
+		organisationCounters organisationCounters
 		// ledgerMu guards the ledger; running its writes does not require it.
 		ledgerMu sync.Mutex
 
@@ -132,6 +135,10 @@
 		notYetDurable map[specs.JobID]tasks.JobState
 		// renewLoops holds the runners that have a lease renewal loop.
 		renewLoops map[*tasks.Runner]struct{}
+		// rates tells which jobs are within the weights of the catalog with the version ratesVersion; it is nil until a
+		// catalog is known.
+		rates        *rates.Rates
+		ratesVersion specs.CatalogVersion
 	}
 )
 
@@ -149,6 +156,8 @@
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
+
+		organisationCounters: newOrganisationCounters(c.Metrics),
 	}
 }
 
