Start all members of a gang's attempt from one checkpoint

Each member started with its own checkpoint: after a break, members that had saved at different times, or not at all, were started with different states, though all must have the same, and any member's is valid for all. The former code fails TestBrokenGangResumes: the stand-in of the runners, which now knows the checkpoints of gangs, sees one attempt started with up to four states.

The step holds the newest state that any member reported, with the attempt that made it. A state of an older attempt never replaces one of a newer attempt, and the state with which a member was started does not replace what another has saved since. The records of starts and of ends carry it (SavedIn, absent in older records, counts as the oldest), so a new leader finds it in the ledger of any member, and a start that is sent again has the state of its attempt.

--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -192,12 +192,7 @@
 	if running.Percent != run.Percent {
 		run.Percent, run.ProgressAt = running.Percent, now
 	}
-	if running.Checkpoint != "" {
-		run.Checkpoint = running.Checkpoint
-		if run.Task != nil && run.Task.Run == run {
-			run.Task.Checkpoint = running.Checkpoint
-		}
-	}
+	run.ObserveCheckpoint(running.Checkpoint)
 	if o.isUnwanted(run) {
 		o.stopRun(run)
 	}
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -30,10 +30,16 @@
 	key := tasks.RunKey{Ref: result.Ref, Attempt: result.Attempt}
 	run := r.Runs[key]
 	if run != nil {
+		run.ObserveCheckpoint(result.Checkpoint)
 		r.RemoveRun(run)
 	}
 	o.updateHealth(r, run, result)
 	if t := o.table.Task(result.Ref); t != nil {
+		if run == nil && t.Step.Spec.Gang && result.Attempt > t.Step.Saved.Attempt {
+			// Without a run it is not known whether the attempt made the state or was started with it, so it does not
+			// replace another state of the same attempt.
+			t.Step.Saved.Observe(result.Checkpoint, result.Attempt)
+		}
 		o.applyOutcome(r, t, result)
 	}
 	o.onDurable(func() { r.DurableResult = max(r.DurableResult, result.Number) })
@@ -108,8 +114,7 @@
 // recordFailure records an attempt that failed. The failures of a gang's members count once for each attempt, and the
 // task starts again after retryBackoff at the earliest. The caller must hold o.mu.
 func (o *Owner) recordFailure(t *tasks.Task, result agent.Result) {
-	c := t.Change()
-	c.State = tasks.Waiting
+	c := t.WaitingChange()
 	if !t.Step.Spec.Gang {
 		c.Failures++
 	} else if t.Step.Faulted() < result.Attempt {
@@ -124,9 +129,8 @@
 
 // requeue records that a task waits again, with the checkpoint of the attempt if it has one. The caller must hold o.mu.
 func (o *Owner) requeue(t *tasks.Task, result agent.Result) {
-	c := t.Change()
-	c.State = tasks.Waiting
-	if result.Checkpoint != "" {
+	c := t.WaitingChange()
+	if !t.Step.Spec.Gang && result.Checkpoint != "" {
 		c.Saved = result.Checkpoint
 	}
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Str("How", string(result.Outcome)).
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -59,7 +59,8 @@
 	return o.config.Clock.Since(began)
 }
 
-// recordStart records the intent of a start; the start is sent once the intent is durable. The caller must hold o.mu.
+// recordStart records the intent of a start; the start is sent once the intent is durable. All starts of a gang's attempt
+// are recorded under one lock, so all have the same checkpoint, which stays that of the attempt. The caller must hold o.mu.
 func (o *Owner) recordStart(s order.Start) {
 	t := s.Task
 	attempt := t.Attempt + 1
@@ -70,6 +71,7 @@
 	run.Ticket, run.TicketUntil = s.Ticket, s.TicketUntil
 	c := t.Change()
 	c.State, c.Attempt, c.Runner = tasks.Placed, attempt, s.Runner.Info.ID
+	run.StartCheckpoint, run.Checkpoint = c.Saved, c.Saved
 	o.record(tasks.Record{Task: c}, func() { o.dispatchStart(run) })
 }
 
@@ -101,7 +103,7 @@
 	now := o.config.Clock.Now()
 	request := agent.StartRequest{
 		Ref: run.Key.Ref, Attempt: run.Key.Attempt, Payload: run.Task.Step.Job.Spec.Payload,
-		Deadline: r.ExtendLease(now, leaseTTL), Fence: r.Fence, Checkpoint: run.Task.Checkpoint, Ticket: run.Ticket,
+		Deadline: r.ExtendLease(now, leaseTTL), Fence: r.Fence, Checkpoint: run.StartCheckpoint, Ticket: run.Ticket,
 	}
 	if j := run.Task.Step.Job; j.Started.IsZero() {
 		j.Started = now
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -22,6 +22,8 @@
 		Faulted  specs.Attempt    `json:"Faulted,omitempty"`
 		Runner   specs.RunnerID   `json:"Runner,omitempty"`
 		Saved    specs.Checkpoint `json:"Saved,omitempty"`
+		// SavedIn is the attempt of the gang that made Saved; 0 when it is not known, or the task is in no gang.
+		SavedIn specs.Attempt `json:"SavedIn,omitempty"`
 	}
 
 	// JobResult records that a job has ended, and how.
@@ -51,7 +53,10 @@
 	step := task.Step
 	step.adjustCounts(task.State, -1)
 	task.State, task.Attempt, task.Failures = c.State, c.Attempt, c.Failures
-	task.Faulted, task.Runner, task.Checkpoint = c.Faulted, c.Runner, c.Saved
+	task.Faulted, task.Runner, task.Checkpoint, task.SavedIn = c.Faulted, c.Runner, c.Saved, c.SavedIn
+	if step.Spec.Gang {
+		step.Saved.Observe(c.Saved, c.SavedIn)
+	}
 	step.adjustCounts(task.State, 1)
 	step.Job.Attempted = step.Job.Attempted || c.Attempt > 0
 	step.Job.Ran = step.Job.Ran || c.State == Done || c.Failures > 0 || c.Saved != ""
@@ -101,10 +106,14 @@
 
 // Change returns the task's current durable state, for the caller to alter and apply.
 func (t *Task) Change() *TaskChange {
-	return &TaskChange{
+	c := &TaskChange{
 		Ref: t.Ref, State: t.State, Attempt: t.Attempt, Failures: t.Failures,
-		Faulted: t.Faulted, Runner: t.Runner, Saved: t.Checkpoint,
+		Faulted: t.Faulted, Runner: t.Runner, Saved: t.Checkpoint, SavedIn: t.SavedIn,
+	}
+	if t.State == Waiting {
+		c.setNewestCheckpoint(t)
 	}
+	return c
 }
 
 // Restore adds the results of jobs that are stored apart from the snapshot.
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -88,9 +88,12 @@
 		// ProgressAt is when Percent last changed.
 		ProgressAt time.Time
 		// First is the first reported progress in percent, at FirstAt.
-		First      int
-		FirstAt    time.Time
-		Checkpoint specs.Checkpoint
+		First   int
+		FirstAt time.Time
+		// StartCheckpoint is the state with which the run is started, also when its start is sent again; Checkpoint is the
+		// latest that it has reported, or StartCheckpoint before.
+		StartCheckpoint specs.Checkpoint
+		Checkpoint      specs.Checkpoint
 	}
 
 	// Health rates a runner by the latest results and the progress of its tasks.
@@ -150,7 +153,7 @@
 	if t.Step.Spec.Fills {
 		resources.Cores = 0
 	}
-	run := &Run{Key: key, Task: t, Runner: r, Resources: resources, Checkpoint: t.Checkpoint}
+	run := &Run{Key: key, Task: t, Runner: r, Resources: resources, StartCheckpoint: t.Checkpoint, Checkpoint: t.Checkpoint}
 	r.Runs[key] = run
 	r.Used = r.Used.Add(resources)
 	t.Run = run
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -49,8 +49,12 @@
 		// Faulted is the latest attempt of the gang whose failure was counted in this member.
 		Faulted specs.Attempt
 		// Runner is the runner on which the latest attempt was placed.
-		Runner     specs.RunnerID
+		Runner specs.RunnerID
+		// Checkpoint is the state from which the next attempt continues. For a member of a gang it is the one with which its
+		// latest attempt was started; the next continues from that of the Step.
 		Checkpoint specs.Checkpoint
+		// SavedIn is the attempt of the gang that made Checkpoint; 0 when it is not known, or the task is in no gang.
+		SavedIn specs.Attempt
 		// Run is the attempt that occupies a runner, or nil.
 		Run *Run
 		// NotBefore is the earliest time of the next start.
@@ -70,6 +74,8 @@
 		WaitingTasks int
 		// ReadyAt is when the step was first found ready; zero before.
 		ReadyAt time.Time
+		// Saved is the latest known state of any member of a gang, from which all members of the next attempt continue.
+		Saved GangCheckpoint
 		// Advice holds the answers of the advice service on the step.
 		Advice Advice
 	}
--- a/internal/plat/agent/gang.go
+++ b/internal/plat/agent/gang.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -16,8 +17,14 @@
 	// gang is one attempt of a step whose tasks can only run all at once.
 	gang struct {
 		members map[specs.Ref]*runnerState
-		// working is set once every member has started.
-		working bool
+		// working is set once every member has started, at workingAt.
+		working   bool
+		workingAt time.Time
+		// from is the state with which the first member was started, and done the work that it holds.
+		from specs.Checkpoint
+		done time.Duration
+		// interval is the work after which a member saves its state; zero means never.
+		interval time.Duration
 	}
 )
 
@@ -27,9 +34,12 @@
 	key := gangKey{step: ref.StepRef, attempt: run.attempt}
 	g := f.gangs[key]
 	if g == nil {
-		g = &gang{members: make(map[specs.Ref]*runnerState)}
+		g = &gang{members: make(map[specs.Ref]*runnerState), from: run.from, done: savedWork(run.from), interval: f.world.GangCheckpoint}
 		f.gangs[key] = g
 	}
+	if run.from != g.from {
+		f.violations = append(f.violations, fmt.Sprintf("attempt %d of %s is started with %q and with %q", run.attempt, ref.StepRef, g.from, run.from))
+	}
 	g.members[ref] = s
 	run.gang = g
 	now := f.clock.Now()
@@ -37,8 +47,8 @@
 	if len(g.members) < width {
 		return
 	}
-	g.working = true
-	end := now.Add(f.world.RunTime(specs.Ref{StepRef: ref.StepRef}))
+	g.working, g.workingAt = true, now
+	end := now.Add(f.world.RunTime(specs.Ref{StepRef: ref.StepRef}) - g.done)
 	for member, runner := range g.members {
 		if r := runner.runs[member]; r != nil {
 			r.endAt = end
@@ -47,8 +57,8 @@
 	}
 }
 
-// endDueGang ends the gang of a run that is due: as Done when every member ran to the end under its lease, else as
-// GangBroken. A member that waited too long for the others ends as GangIncomplete, and they as GangBroken. The caller
+// endDueGang ends the gang of a run that is due: as Done when every member ran to the end under its lease and none fails,
+// else as GangBroken. A member that waited too long for the others ends as GangIncomplete, and they as GangBroken. The caller
 // must hold f.mu.
 func (f *Fleet) endDueGang(s *runnerState, ref specs.Ref, run *runState) {
 	if !run.gang.working {
@@ -59,6 +69,12 @@
 		f.endRun(s, ref, GangBroken)
 		return
 	}
+	for member, runner := range run.gang.members {
+		if runner.runs[member].willFail {
+			f.endRun(runner, member, Failed)
+			return
+		}
+	}
 	for member, runner := range run.gang.members {
 		f.doneAt[member] = run.endAt
 		runner.addResult(member, Done)
@@ -90,11 +106,40 @@
 // addResult replaces a run by its result. The caller must hold the fleet's lock.
 func (s *runnerState) addResult(ref specs.Ref, outcome Outcome) {
 	s.lastResult++
-	s.results = append(s.results, Result{Number: s.lastResult, Ref: ref, Attempt: s.runs[ref].attempt, Outcome: outcome})
+	run := s.runs[ref]
+	result := Result{Number: s.lastResult, Ref: ref, Attempt: run.attempt, Outcome: outcome}
+	if outcome != Done {
+		result.Checkpoint = run.checkpoint(ref, run.endAt)
+	}
+	s.results = append(s.results, result)
 	delete(s.runs, ref)
 	s.notifyWaiters()
 }
 
+// checkpoint returns the latest state that a member of a gang has saved at a time, or the one with which it was started.
+// The members save theirs one after the other, so that they differ.
+func (r *runState) checkpoint(ref specs.Ref, at time.Time) specs.Checkpoint {
+	g := r.gang
+	if g == nil || g.interval == 0 || !g.working {
+		return r.from
+	}
+	offset := time.Duration(ref.Index) * g.interval / time.Duration(len(g.members))
+	worked := at.Sub(g.workingAt) - offset
+	if worked < g.interval {
+		return r.from
+	}
+	return specs.Checkpoint((g.done + offset + worked.Truncate(g.interval)).String())
+}
+
+// savedWork returns the work that a saved state of a gang holds.
+func savedWork(c specs.Checkpoint) time.Duration {
+	work, err := time.ParseDuration(string(c))
+	if err != nil {
+		return 0
+	}
+	return work
+}
+
 // notifyWaiters wakes the calls that wait for a change on the runner. The caller must hold the fleet's lock.
 func (s *runnerState) notifyWaiters() {
 	close(s.changed)
--- a/internal/plat/agent/memory.go
+++ b/internal/plat/agent/memory.go
@@ -43,6 +43,8 @@
 		Attempt specs.Attempt
 		Runner  specs.RunnerID
 		At      time.Time
+		// Checkpoint is the state with which it was started.
+		Checkpoint specs.Checkpoint
 	}
 
 	// FleetConfig defines how tasks behave, and the limits of the runners.
@@ -58,6 +60,9 @@
 		GangSize func(step specs.StepRef) int
 		// GangTimeout is how long a member of a gang waits for the others.
 		GangTimeout time.Duration
+		// GangCheckpoint is the work after which each member of a gang saves its state; the members save one after the
+		// other. Zero means that they save none.
+		GangCheckpoint time.Duration
 		// MaxLeaseTTL is the longest lease that a runner grants.
 		MaxLeaseTTL time.Duration
 		// StopTimeout is how long a stop takes.
@@ -87,6 +92,8 @@
 		willFail bool
 		stopped  bool
 		gang     *gang
+		// from is the state with which the attempt was started.
+		from specs.Checkpoint
 	}
 )
 
--- a/internal/plat/agent/requests.go
+++ b/internal/plat/agent/requests.go
@@ -79,7 +79,7 @@
 func (s *runnerState) report(now time.Time) Report {
 	out := Report{Boot: s.info.Boot, Clock: Clock(now.Sub(s.startedAt)), Results: slices.Clone(s.results)}
 	for ref, run := range s.runs {
-		out.Running = append(out.Running, Running{Ref: ref, Attempt: run.attempt, Percent: 1})
+		out.Running = append(out.Running, Running{Ref: ref, Attempt: run.attempt, Percent: 1, Checkpoint: run.checkpoint(ref, now)})
 	}
 	return out
 }
@@ -169,8 +169,8 @@
 	}
 	s.highestAttempt[r.Ref] = r.Attempt
 	f.checkStart(s, r)
-	f.begun = append(f.begun, StartedAttempt{Ref: r.Ref, Attempt: r.Attempt, Runner: s.info.ID, At: f.clock.Now()})
-	run := &runState{attempt: r.Attempt, endAt: f.clock.Now().Add(f.world.RunTime(r.Ref))}
+	f.begun = append(f.begun, StartedAttempt{Ref: r.Ref, Attempt: r.Attempt, Runner: s.info.ID, At: f.clock.Now(), Checkpoint: r.Checkpoint})
+	run := &runState{attempt: r.Attempt, from: r.Checkpoint, endAt: f.clock.Now().Add(f.world.RunTime(r.Ref))}
 	run.willFail = f.world.Fails != nil && f.world.Fails(s.info.ID, r.Ref, r.Attempt)
 	s.runs[r.Ref] = run
 	if f.world.GangSize != nil && f.world.GangSize(r.Ref.StepRef) > 0 {
