Prepare the next place of a gang while its last members end

A gang that broke asked for tickets only after all of its members had ended and the backoff had passed, and then waited 0.35 to 0.6 s for the answer, while others took the capacity that it had freed.

The plan now makes the call as soon as one member has ended early and the others are being stopped: for the runners that the gang is on, and spare ones. It keeps what the ended members have freed against the work behind the gang, while a call is in flight or tickets are valid, within the reserved share, for one second from the first end at most, and not for a gang without attempts left or with a member on a runner that does not answer. More urgent work is served before and still gets that capacity.

--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -20,9 +20,10 @@
 }
 
 // serveGang starts all tasks of the step or none, and returns false when free capacity is lacking. For a gang that does
-// not fit, it reserves capacity.
+// not fit, it reserves capacity; for one whose members are ending, it prepares the next attempt.
 func (p *pass) serveGang(s *tasks.Step, runners []*runnerCapacity) bool {
 	if !p.allTasksWait(s) {
+		p.prepareRestart(s, runners)
 		return true
 	}
 	if shares := p.fitGang(s, p.withTickets(s, runners)); shares != nil {
--- a/internal/flow/owner/gang_test.go
+++ b/internal/flow/owner/gang_test.go
@@ -234,6 +234,46 @@
 	f.wantStarts("c")
 }
 
+// The plan asks for the tickets of the next attempt while the other members are being stopped, in each attempt.
+func TestTicketsAreRequestedOnceAGangBreaks(t *testing.T) {
+	f := newGangFixture(t, 2)
+	f.step.Job.Spec.Queue.Advice = &specs.AdvicePolicy{Validity: time.Second}
+	f.step.Job.Spec.Queue.MaxAttempts = 0
+	var named []tasks.Incarnation
+	var permits []agent.Permit
+	for _, r := range f.runners {
+		named = append(named, r.Incarnation())
+		permits = append(permits, agent.Permit{Runner: r.Info.ID, Ticket: "T"})
+	}
+	for attempt := range 2 {
+		f.mu.Lock()
+		f.step.Advice.RecordAnswer(named, permits, time.Time{})
+		f.directoryAt = f.config.Clock.Now()
+		f.mu.Unlock()
+		calls := f.counters.adviceCalls.Count()
+		f.executePlan()
+		if got := f.counters.adviceCalls.Count(); got != calls {
+			t.Errorf("attempt %d: %d calls for advice while the gang runs, want none", attempt+1, got-calls)
+		}
+		f.mu.Lock()
+		f.end(0, agent.Failed, "")
+		f.mu.Unlock()
+		f.executePlan()
+		if got := f.counters.adviceCalls.Count(); got != calls+1 {
+			t.Errorf("attempt %d: %d calls for advice while the other member is being stopped, want one", attempt+1, got-calls)
+		}
+		f.base.eventually("the call is answered", func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.step.Advice.Pending == 0
+		})
+		f.mu.Lock()
+		f.end(1, agent.Stopped, "")
+		f.begin()
+		f.mu.Unlock()
+	}
+}
+
 // A whole gang over the stand-in of the runners, whose members save their states one after the other: it breaks at the end
 // of its first attempt and resumes, with one state for all, after most of its work.
 func TestBrokenGangResumes(t *testing.T) {
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -89,6 +89,7 @@
 		o.requeue(t, result)
 	}
 	if result.Outcome != agent.Done && t.Step.Spec.Gang {
+		t.Step.Break(result.Attempt, o.config.Clock.Now())
 		o.stopOtherMembers(t, result.Attempt)
 	}
 	o.endJobIfFinished(t.Step.Job, t)
@@ -157,17 +158,7 @@
 	switch {
 	case j.Finished():
 		o.endJob(j, tasks.JobCompleted, "all tasks are done")
-	case t.State == tasks.Waiting && !t.Step.Spec.Service && o.isOutOfAttempts(t):
+	case t.State == tasks.Waiting && !t.Step.Spec.Service && t.OutOfAttempts():
 		o.endJob(j, tasks.JobFailed, "task "+t.Ref.String()+" has no attempts left")
 	}
 }
-
-// isOutOfAttempts reports whether a task, or its gang, has failed as often as its queue allows.
-func (o *Owner) isOutOfAttempts(t *tasks.Task) bool {
-	failures := t.Failures
-	if t.Step.Spec.Gang {
-		failures = t.Step.Failures()
-	}
-	limit := t.Step.Job.Spec.Queue.MaxAttempts
-	return limit > 0 && failures >= limit
-}
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -76,6 +76,10 @@
 		ReadyAt time.Time
 		// Saved is the latest known state of any member of a gang, from which all members of the next attempt continue.
 		Saved GangCheckpoint
+		// BrokenIn is the latest attempt of a gang of which a member ended early, the first one at BrokenAt; zero when there
+		// was none in this term.
+		BrokenIn specs.Attempt
+		BrokenAt time.Time
 		// Advice holds the answers of the advice service on the step.
 		Advice Advice
 	}
@@ -290,6 +294,23 @@
 	return latest
 }
 
+// Break records that a member of a gang's attempt has ended early.
+func (s *Step) Break(attempt specs.Attempt, at time.Time) {
+	if attempt > s.BrokenIn {
+		s.BrokenIn, s.BrokenAt = attempt, at
+	}
+}
+
+// OutOfAttempts reports whether the task, or its gang, has failed as often as its queue allows.
+func (t *Task) OutOfAttempts() bool {
+	failures := t.Failures
+	if t.Step.Spec.Gang {
+		failures = t.Step.Failures()
+	}
+	limit := t.Step.Job.Spec.Queue.MaxAttempts
+	return limit > 0 && failures >= limit
+}
+
 // Finished reports whether every occurrence of the job is done.
 func (j *Job) Finished() bool {
 	return j.Completed == j.Spec.Occurrences()
