Predict run times from their distribution in each queue

A moving mean of 16 run times rises to 1.4 times the usual time after each task of a long tail, so all other jobs of the queue looked longer, and later, than they were.

The mean of the middle half is expected of one task; the mean of all is the work of many. Quantiles and the remaining time of a task that has run for some time can be asked for.

--- a/internal/flow/order/load_test.go
+++ b/internal/flow/order/load_test.go
@@ -77,6 +77,8 @@
 	// admit, if set, decides whether a job is accepted; rejected counts those that are not.
 	admit    func(table *tasks.Table, spec *specs.Job, now time.Time) bool
 	rejected int
+	// tailShare of the tasks take tailFactor times the usual time.
+	tailShare float64
 	// gainedJobs counts the jobs whose callers gained something.
 	gainedJobs int
 }
@@ -159,6 +161,9 @@
 	var criticalPath time.Duration
 	for _, t := range j.Occurrences[0].Steps[0].Tasks {
 		runTime := time.Duration(runSeconds * sim.logNormal(1, 0.15) * float64(time.Second))
+		if sim.tailShare > 0 && !k.gang && sim.rand.Float64() < sim.tailShare {
+			runTime *= tailFactor
+		}
 		sim.runTimes[t.Ref] = runTime
 		criticalPath = max(criticalPath, runTime)
 	}
--- a/internal/flow/tasks/times.go
+++ b/internal/flow/tasks/times.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// runTimeWeight is the weight of one new run in a queue's mean run time, as one in so many.
-	runTimeWeight = 16
 	// defaultRunTime is expected of a task without an estimate in a queue without observations.
 	defaultRunTime = time.Second
 	// maxWork caps the remaining work of an occurrence, so that it does not overflow a Duration.
@@ -17,52 +15,77 @@
 )
 
 type (
-	// Times predicts how long tasks run, from the run times observed in their queue and the task's own estimate.
+	// Times predicts how long tasks and jobs run, from the run times observed in their queue and the tasks' own estimates.
 	Times struct {
-		queues map[specs.QueueName]*queueMeans
+		predictor Predictor
 	}
 
-	// queueMeans holds the mean run time and the mean estimate of a queue, in seconds.
-	queueMeans struct {
-		runs     int
-		runTime  float64
-		estimate float64
+	// Predictor learns the run times of the tasks of each queue. Its predictions are false for a queue without observations.
+	Predictor interface {
+		// Observe adds the run time of a task that was done, as it would be at the usual speed of the runners.
+		Observe(q specs.QueueName, estimate, ran time.Duration)
+		// Centre returns the run time of a usual task, Mean the mean of all.
+		Centre(q specs.QueueName, estimate time.Duration) (time.Duration, bool)
+		Mean(q specs.QueueName, estimate time.Duration) (time.Duration, bool)
+		// Quantile returns the time within which the given part of the tasks is done, and from how many runs that is known.
+		Quantile(q specs.QueueName, estimate time.Duration, part float64) (time.Duration, int)
+		// Remaining returns how much longer a task is expected to run that has already run for the given time.
+		Remaining(q specs.QueueName, estimate, ran time.Duration) (time.Duration, bool)
 	}
 )
 
-// NewTimes returns a predictor without observations.
+// NewTimes returns times that are predicted from distributions, without observations.
 func NewTimes() *Times {
-	return &Times{queues: make(map[specs.QueueName]*queueMeans)}
+	return NewTimesWith(NewDistributions())
 }
 
-// ObserveRunTime adds the run time of a task that was done, with its estimate.
+// NewTimesWith returns times that a predictor predicts.
+func NewTimesWith(p Predictor) *Times {
+	return &Times{predictor: p}
+}
+
+// ObserveRunTime adds the run time of a task that was done, with its estimate, as it would be at the usual speed of the
+// runners.
 func (t *Times) ObserveRunTime(q specs.QueueName, estimate, ran time.Duration) {
-	m := t.queues[q]
-	if m == nil {
-		m = &queueMeans{}
-		t.queues[q] = m
-	}
-	m.runs++
-	weight := 1 / float64(min(m.runs, runTimeWeight))
-	m.runTime += (ran.Seconds() - m.runTime) * weight
-	m.estimate += (estimate.Seconds() - m.estimate) * weight
+	t.predictor.Observe(q, estimate, ran)
 }
 
-// Expect returns the expected run time of a task. The caller's estimate counts half: the queue's mean run time is
-// scaled by the average of 1 and the ratio of the estimate to the queue's mean estimate.
+// Expect returns the run time of a usual task with the estimate.
 func (t *Times) Expect(q specs.QueueName, estimate time.Duration) time.Duration {
-	m := t.queues[q]
-	if m == nil {
-		if estimate > 0 {
-			return estimate
-		}
-		return defaultRunTime
+	if centre, ok := t.predictor.Centre(q, estimate); ok {
+		return centre
+	}
+	return withoutRuns(estimate)
+}
+
+// ExpectMean returns the mean run time of tasks with the estimate: what many of them together take.
+func (t *Times) ExpectMean(q specs.QueueName, estimate time.Duration) time.Duration {
+	if mean, ok := t.predictor.Mean(q, estimate); ok {
+		return mean
 	}
-	scale := 1.0
-	if m.estimate > 0 && estimate > 0 {
-		scale = (1 + estimate.Seconds()/m.estimate) / 2
+	return withoutRuns(estimate)
+}
+
+// Within returns the time within which the given part of the tasks with the estimate is done, and from how many runs that
+// is known.
+func (t *Times) Within(q specs.QueueName, estimate time.Duration, part float64) (time.Duration, int) {
+	return t.predictor.Quantile(q, estimate, part)
+}
+
+// Remaining returns how much longer a task with the estimate is expected to run that has already run for the given time.
+func (t *Times) Remaining(q specs.QueueName, estimate, ran time.Duration) time.Duration {
+	if left, ok := t.predictor.Remaining(q, estimate, ran); ok {
+		return left
+	}
+	return max(0, t.Expect(q, estimate)-ran)
+}
+
+// withoutRuns returns the run time that is expected of a task in a queue without observations.
+func withoutRuns(estimate time.Duration) time.Duration {
+	if estimate > 0 {
+		return estimate
 	}
-	return time.Duration(m.runTime * scale * float64(time.Second))
+	return defaultRunTime
 }
 
 // CriticalPath returns the longest chain of expected run times through a job's steps.
@@ -107,7 +130,7 @@
 	var work float64
 	for i := range job.Steps {
 		s := &job.Steps[i]
-		work += t.Expect(job.Queue.Name, s.Estimate).Seconds() * float64(s.Resources.Cores) * float64(s.Count)
+		work += t.ExpectMean(job.Queue.Name, s.Estimate).Seconds() * float64(s.Resources.Cores) * float64(s.Count)
 	}
 	return time.Duration(min(work, maxWork.Seconds()) * float64(time.Second))
 }
@@ -117,7 +140,7 @@
 func (t *Times) RemainingWork(o *Occurrence) time.Duration {
 	var work float64
 	for _, s := range o.Steps {
-		each := t.Expect(s.Job.Spec.Queue.Name, s.Spec.Estimate)
+		each := t.ExpectMean(s.Job.Spec.Queue.Name, s.Spec.Estimate)
 		left := len(s.Tasks) - s.DoneTasks
 		work += each.Seconds() * float64(s.Spec.Resources.Cores) * float64(left)
 	}
