Tell long tasks from slow runners, and move gangs whole or not at all

A task that ran seven times as long as usual made its runner look slow when it was alone there; it was stopped and started again elsewhere, where it is as long.

A runner's speed is now the middle of its tasks' speeds (the higher one of two), each relative to the tasks of its step on other runners when those are slower than expected too. A single task does not tell unless it takes longer than the long tasks of its queue, so it stays also on a runner that really is slow, until that runner has a second task. A task that is long here is assumed to be long elsewhere. One percent of a very long task may take longer than the stall timeout.

A gang's member is stopped for being slow or stalled only when a new start of all pays, with the work since the latest save and the wait for the next place, given its slowest member; then all members are stopped at once, so each saves its state.

Run times are observed as at the usual pace of the runners: each runner has a slow mean of how fast its tasks were done. A run that saved a state is observed too, and one that continued from a state, or began in a former term, no longer.

--- a/internal/flow/owner/health.go
+++ b/internal/flow/owner/health.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// stallTimeout is how long a task may make no progress before it is stopped to start elsewhere.
+	// stallTimeout is how long a task may make no progress before it is stopped to start elsewhere; stallLimit extends it.
 	stallTimeout = 1500 * time.Millisecond
 	// stallQuarantine is how long a runner whose tasks make no progress gets no new ones.
 	stallQuarantine = 3 * time.Second
@@ -39,27 +39,19 @@
 		return
 	}
 	r.Health.AssessedAt = now
-	sum, count := 0.0, 0
 	for _, run := range r.Runs {
-		if !canMeasureProgress(run) {
-			continue
-		}
-		if now.Sub(run.ProgressAt) >= stallTimeout && run.Percent < completePercent {
+		if canMeasureProgress(run) && now.Sub(run.ProgressAt) >= o.stallLimit(run, now) && run.Percent < completePercent {
 			o.stopStalledRun(run, now)
-			continue
-		}
-		if projected, ok := o.projectedRunTime(run, now); ok {
-			sum += min(float64(o.expectedRunTime(run))/float64(projected), maxSpeedRatio)
-			count++
 		}
 	}
-	if count == 0 {
+	speed, ok := o.measureSpeed(r, now)
+	if !ok {
 		r.Health.Speed += (1 - r.Health.Speed) * idleSpeedWeight
 		return
 	}
-	r.Health.Speed += (sum/float64(count) - r.Health.Speed) * speedWeight
+	r.Health.Speed += (speed - r.Health.Speed) * speedWeight
 	if r.Health.Slow() {
-		o.moveOffSlowRunner(r, now)
+		o.moveOffSlowRunner(r, speed, now)
 	}
 }
 
@@ -89,7 +81,7 @@
 			Dur("Still", now.Sub(run.ProgressAt)).Msg("task makes no progress; stopping it and quarantining its runner")
 	}
 	r.Health.QuarantinedUntil = now.Add(stallQuarantine)
-	o.stopRun(run)
+	o.stopWithGang(run, tasks.EndedStalled)
 }
 
 // projectedRunTime returns how long the whole task takes at the speed of its progress so far; false means that it is
@@ -109,9 +101,9 @@
 	return o.table.Times.Expect(run.Task.Step.Job.Spec.Queue.Name, run.Task.Step.Spec.Estimate)
 }
 
-// moveOffSlowRunner stops the tasks on a slow runner that would be done much sooner elsewhere. Tasks of a step with
-// MayMiss stay. The caller must hold o.mu.
-func (o *Owner) moveOffSlowRunner(r *tasks.Runner, now time.Time) {
+// moveOffSlowRunner stops the tasks on a slow runner, now working at the given speed, that would be done much sooner
+// elsewhere; a member of a gang only with its whole gang. Tasks of a step with MayMiss stay. The caller must hold o.mu.
+func (o *Owner) moveOffSlowRunner(r *tasks.Runner, speed float64, now time.Time) {
 	for _, run := range r.Runs {
 		if !canMeasureProgress(run) || run.Task.Step.Spec.MayMiss > 0 {
 			continue
@@ -120,15 +112,11 @@
 		if !ok {
 			continue
 		}
-		remaining := total * time.Duration(completePercent-run.Percent) / completePercent
-		elsewhere := moveOverhead + o.expectedRunTime(run)
-		if run.Checkpoint != "" {
-			elsewhere = moveOverhead + o.expectedRunTime(run)*time.Duration(completePercent-run.Percent)/completePercent
-		}
+		remaining, elsewhere := o.remainingHere(run, total, now), o.remainingElsewhere(run, total, speed, now)
 		if remaining > minMoveRatio*elsewhere {
 			o.config.Log.Info().Str("Runner", string(r.Info.ID)).Str("Task", run.Key.Ref.String()).Int("Percent", run.Percent).
 				Dur("Left", remaining).Dur("Elsewhere", elsewhere).Float64("Speed", r.Health.Speed).Msg("moving task off a slow runner")
-			o.stopRun(run)
+			o.stopWithGang(run, tasks.EndedSlow)
 		}
 	}
 }
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -192,7 +192,7 @@
 	if running.Percent != run.Percent {
 		run.Percent, run.ProgressAt = running.Percent, now
 	}
-	run.ObserveCheckpoint(running.Checkpoint)
+	run.ObserveCheckpoint(running.Checkpoint, now)
 	if o.isUnwanted(run) {
 		o.stopRun(run)
 	}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
@@ -130,6 +131,8 @@
 		notYetDurable map[specs.JobID]tasks.JobState
 		// renewLoops holds the runners that have a lease renewal loop.
 		renewLoops map[*tasks.Runner]struct{}
+		// usualPace is the median pace of the runners of each service at the latest tick.
+		usualPace map[types.ServiceName]float64
 	}
 )
 
@@ -146,6 +149,7 @@
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
+		usualPace:     make(map[types.ServiceName]float64),
 	}
 }
 
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -30,7 +31,7 @@
 	key := tasks.RunKey{Ref: result.Ref, Attempt: result.Attempt}
 	run := r.Runs[key]
 	if run != nil {
-		run.ObserveCheckpoint(result.Checkpoint)
+		run.ObserveCheckpoint(result.Checkpoint, o.config.Clock.Now())
 		r.RemoveRun(run)
 	}
 	o.updateHealth(r, run, result)
@@ -38,7 +39,7 @@
 		if run == nil && t.Step.Spec.Gang && result.Attempt > t.Step.Saved.Attempt {
 			// Without a run it is not known whether the attempt made the state or was started with it, so it does not
 			// replace another state of the same attempt.
-			t.Step.Saved.Observe(result.Checkpoint, result.Attempt)
+			t.Step.Saved.Observe(result.Checkpoint, result.Attempt, o.config.Clock.Now())
 		}
 		o.applyOutcome(r, t, result)
 	}
@@ -51,9 +52,8 @@
 	switch result.Outcome {
 	case agent.Done:
 		r.Health.ConsecutiveFailures = 0
-		if run != nil && run.Confirmed && run.Task != nil && run.Task.Checkpoint == "" {
-			spec := run.Task.Step.Spec
-			o.table.Times.ObserveRunTime(run.Task.Step.Job.Spec.Queue.Name, spec.Estimate, now.Sub(run.ConfirmedAt))
+		if run != nil {
+			o.observeRunTime(run, now)
 		}
 	case agent.Failed:
 		o.counters.runsFailed.Inc(1)
@@ -147,6 +147,7 @@
 			continue
 		}
 		if m.Run != nil && m.Run.Key.Attempt == attempt {
+			m.Run.StopCause = cmp.Or(m.Run.StopCause, tasks.EndedGangBroken)
 			o.stopRun(m.Run)
 		}
 	}
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -208,6 +209,7 @@
 	next.ClockAt = o.config.Clock.Now()
 	o.table.SetRunner(next)
 	for _, run := range r.Runs {
+		run.StopCause = cmp.Or(run.StopCause, tasks.EndedRunnerLeft)
 		o.removeAbsentRun(run, agent.LeaseExpired)
 	}
 	o.startRenewLoop(next)
@@ -238,6 +240,7 @@
 		}
 	}
 	o.backlog = order.MeasureBacklog(o.table, now)
+	o.updateUsualPaces()
 	o.updateGauges(now)
 	wake(o.planWake)
 }
--- /dev/null
+++ b/internal/flow/owner/slow.go
@@ -0,0 +1,160 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+const (
+	// minKnownRuns is how many run times of a queue must be known to tell a long task from a slow runner by them.
+	minKnownRuns = 32
+	// longMargin is how many times the longest known run time of its queue a task may take and still count as long by
+	// itself.
+	longMargin = 1.5
+	// minSiblings and maxSiblings bound how many tasks of its step on other runners a task is compared with.
+	minSiblings = 2
+	maxSiblings = 32
+	// stallPercents is how many times the time of one percent a task may make no progress.
+	stallPercents = 3
+	// gangMoveOverhead is the time that moving a gang costs besides the work: the stops take 0.4 s, the next place 0.85 s
+	// in the mean, and resuming up to 0.6 s.
+	gangMoveOverhead = 1900 * time.Millisecond
+)
+
+// measureSpeed returns how fast the runner works, or false when its tasks do not tell: the middle of their speeds, or the
+// higher one of two, since not all tasks of a healthy runner are long at the same time. A single task tells only if it takes
+// longer than its queue's long tasks do. The caller must hold o.mu.
+func (o *Owner) measureSpeed(r *tasks.Runner, now time.Time) (float64, bool) {
+	var speeds []float64
+	isLong := false
+	for _, run := range r.Runs {
+		if !canMeasureProgress(run) {
+			continue
+		}
+		projected, ok := o.projectedRunTime(run, now)
+		if !ok {
+			continue
+		}
+		run.Speed = min(float64(o.expectedRunTime(run))/float64(projected), maxSpeedRatio)
+		speeds = append(speeds, compareWithSiblings(run))
+		isLong = o.mayBeLong(run, projected)
+	}
+	if len(speeds) == 0 || (len(speeds) == 1 && isLong) {
+		return 0, false
+	}
+	slices.Sort(speeds)
+	return speeds[len(speeds)/2], true
+}
+
+// mayBeLong reports whether a run that will take the given time is longer than usual, but not longer than the long tasks of
+// its queue. The caller must hold o.mu.
+func (o *Owner) mayBeLong(run *tasks.Run, projected time.Duration) bool {
+	if projected <= o.expectedRunTime(run) {
+		return false
+	}
+	longest, runs := o.longestRunTime(run)
+	return runs >= minKnownRuns && float64(projected) <= longMargin*float64(longest)
+}
+
+// longestRunTime returns the longest known run time of tasks like the run's, and from how many runs it is known. The caller
+// must hold o.mu.
+func (o *Owner) longestRunTime(run *tasks.Run) (time.Duration, int) {
+	return o.table.Times.Within(run.Task.Step.Job.Spec.Queue.Name, run.Task.Step.Spec.Estimate, 1)
+}
+
+// compareWithSiblings returns the speed of a run relative to that of the tasks of its step on other runners, if those are
+// slower than expected too: then the step is long, or its estimate too short.
+func compareWithSiblings(run *tasks.Run) float64 {
+	var speeds []float64
+	for _, t := range run.Task.Step.Tasks {
+		if len(speeds) == maxSiblings {
+			break
+		}
+		if t.Run != nil && t.Run.Runner != run.Runner && t.Run.Speed > 0 {
+			speeds = append(speeds, t.Run.Speed)
+		}
+	}
+	if len(speeds) < minSiblings {
+		return run.Speed
+	}
+	slices.Sort(speeds)
+	return min(run.Speed/min(speeds[len(speeds)/2], 1), maxSpeedRatio)
+}
+
+// stallLimit returns how long a run may make no progress: longer for a task so long that one percent of it takes a
+// noticeable time, and for a gang at least as long as it would lose by a new start. The caller must hold o.mu.
+func (o *Owner) stallLimit(run *tasks.Run, now time.Time) time.Duration {
+	limit := stallTimeout
+	if gained := run.Percent - run.First; gained > 0 {
+		limit = max(limit, stallPercents*run.ProgressAt.Sub(run.FirstAt)/time.Duration(gained))
+	}
+	longest, runs := o.longestRunTime(run)
+	if runs < minKnownRuns {
+		longest = o.expectedRunTime(run)
+	}
+	limit = max(limit, stallPercents*longest/completePercent)
+	if run.Task.Step.Spec.Gang {
+		lost := now.Sub(run.LatestSave()) - now.Sub(run.ProgressAt)
+		limit = max(limit, gangMoveOverhead+lost)
+	}
+	return limit
+}
+
+// remainingHere returns how long a run, or the slowest member of its gang, still takes where it is, given how long the whole
+// run takes there. The caller must hold o.mu.
+func (o *Owner) remainingHere(run *tasks.Run, total time.Duration, now time.Time) time.Duration {
+	longest := remainingPart(run, total)
+	if !run.Task.Step.Spec.Gang {
+		return longest
+	}
+	for _, t := range run.Task.Step.Tasks {
+		if t.Run == nil || !canMeasureProgress(t.Run) {
+			continue
+		}
+		if memberTotal, ok := o.projectedRunTime(t.Run, now); ok {
+			longest = max(longest, remainingPart(t.Run, memberTotal))
+		}
+	}
+	return longest
+}
+
+// remainingElsewhere returns how long a run would still take if it, or its whole gang, was stopped and started elsewhere, given
+// how long the whole run takes here, at the speed of its runner: a task that is long by itself is long there too. The caller
+// must hold o.mu.
+func (o *Owner) remainingElsewhere(run *tasks.Run, total time.Duration, speed float64, now time.Time) time.Duration {
+	usual := max(o.expectedRunTime(run), time.Duration(float64(total)*speed))
+	overhead := moveOverhead
+	if run.Task.Step.Spec.Gang {
+		overhead = gangMoveOverhead
+		if saved := run.Task.Step.Saved; saved.Attempt == run.Key.Attempt {
+			return overhead + now.Sub(run.LatestSave()) + remainingPart(run, usual)
+		}
+		return overhead + usual
+	}
+	if run.Checkpoint != "" {
+		usual = remainingPart(run, usual)
+	}
+	return overhead + usual
+}
+
+// remainingPart returns the part of a run time that the run has not done yet.
+func remainingPart(run *tasks.Run, total time.Duration) time.Duration {
+	return total * time.Duration(completePercent-run.Percent) / completePercent
+}
+
+// stopWithGang stops a run, and with it all members of its gang, which work only together: each saves its state at a stop,
+// and none waits for the end of another. The caller must hold o.mu.
+func (o *Owner) stopWithGang(run *tasks.Run, cause tasks.EndCause) {
+	stopped := []*tasks.Task{run.Task}
+	if run.Task.Step.Spec.Gang {
+		stopped = run.Task.Step.Tasks
+	}
+	for _, t := range stopped {
+		if t.Run != nil && t.Run.Key.Attempt == run.Key.Attempt {
+			t.Run.StopCause = cause
+			o.stopRun(t.Run)
+		}
+	}
+}
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -55,7 +55,7 @@
 	task.State, task.Attempt, task.Failures = c.State, c.Attempt, c.Failures
 	task.Faulted, task.Runner, task.Checkpoint, task.SavedIn = c.Faulted, c.Runner, c.Saved, c.SavedIn
 	if step.Spec.Gang {
-		step.Saved.Observe(c.Saved, c.SavedIn)
+		step.Saved.Observe(c.Saved, c.SavedIn, time.Time{})
 	}
 	step.adjustCounts(task.State, 1)
 	step.Job.Attempted = step.Job.Attempted || c.Attempt > 0
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -82,11 +82,15 @@
 		// Stopping is set once a stop was sent, the last time at StopSent.
 		Stopping bool
 		StopSent time.Time
+		// StopCause is why the run was stopped; empty when the reason is its job's or its task's state.
+		StopCause EndCause
 		// StartCancelled is set when the start must not be sent any more.
 		StartCancelled bool
 		Percent        int
 		// ProgressAt is when Percent last changed.
 		ProgressAt time.Time
+		// Speed is how fast the run works, from its progress at the latest check; zero before there was any.
+		Speed float64
 		// First is the first reported progress in percent, at FirstAt.
 		First   int
 		FirstAt time.Time
@@ -94,6 +98,8 @@
 		// latest that it has reported, or StartCheckpoint before.
 		StartCheckpoint specs.Checkpoint
 		Checkpoint      specs.Checkpoint
+		// SavedAt is when the run first reported Checkpoint; zero while that is StartCheckpoint.
+		SavedAt time.Time
 	}
 
 	// Health rates a runner by the latest results and the progress of its tasks.
@@ -104,6 +110,9 @@
 		QuarantinedUntil time.Time
 		// Speed is how fast the runner works: 1 is as fast as expected, less is slower.
 		Speed float64
+		// Pace is how fast the runner's tasks were done, relative to what was expected of them: a slow mean, in which a few
+		// long tasks count little.
+		Pace float64
 		// AssessedAt is when the progress of the runner's tasks was last checked.
 		AssessedAt time.Time
 	}
@@ -111,7 +120,7 @@
 
 // NewRunner returns a listed runner without known runs.
 func NewRunner(info agent.Runner, fence agent.Fence) *Runner {
-	return &Runner{Info: info, Fence: fence, Listed: true, Runs: make(map[RunKey]*Run), Health: Health{Speed: 1}}
+	return &Runner{Info: info, Fence: fence, Listed: true, Runs: make(map[RunKey]*Run), Health: Health{Speed: 1, Pace: 1}}
 }
 
 // Position returns the index of the runner in the latest result of Table.OrderedRunners.
--- a/internal/flow/tasks/times_test.go
+++ b/internal/flow/tasks/times_test.go
@@ -113,6 +113,11 @@
 	if len(d.queues) != maxQueues {
 		t.Errorf("%d queues are kept, want %d", len(d.queues), maxQueues)
 	}
+	for i := maxQueues + 1; i < 2*maxQueues; i++ {
+		if d.queues[specs.QueueName(fmt.Sprint(i))] == nil {
+			t.Fatalf("queue %d is dropped, though it ran later than others", i)
+		}
+	}
 	checkTime(t, "a queue in use", times.Expect("used", time.Second), time.Minute, precision)
 	checkTime(t, "a queue that ran long ago", times.Expect("first", time.Second), time.Second, 0)
 }
