Count the runs that end early, and the work that is lost, by cause

Operators could not see where work is thrown away. The leader counts the runs that ended before their task was done, and their work since the latest checkpoint of the run (for a gang, of any member), by cause: failed, broken gang, slow, stalled, lease expired, runner left, cancelled, other. "attempt ended early" has Cause and LostCoreSeconds, "attempt failed" has LostCoreSeconds. Runs that their runner never began are not counted.

--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -249,9 +249,10 @@
 // runsLost counts all of these, also the starts that a runner rejected. The caller must hold o.mu.
 func (o *Owner) removeAbsentRun(run *tasks.Run, outcome agent.Outcome) {
 	o.counters.runsLost.Inc(1)
+	end := o.countEarlyEnd(run, outcome)
 	run.Runner.RemoveRun(run)
 	if run.Task != nil {
-		o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: outcome, Checkpoint: run.Checkpoint})
+		o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: outcome, Checkpoint: run.Checkpoint}, end)
 	}
 }
 
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -102,6 +102,7 @@
 		planWake  chan struct{}
 		writeWake chan struct{}
 		counters  counters
+		waste     wasteCounters
 		// ledgerMu guards the ledger; running its writes does not require it.
 		ledgerMu sync.Mutex
 
@@ -146,6 +147,7 @@
 		planWake:      make(chan struct{}, 1),
 		writeWake:     make(chan struct{}, 1),
 		counters:      newCounters(c.Metrics),
+		waste:         newWasteCounters(c.Metrics),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -30,8 +30,12 @@
 	r.AppliedResult = result.Number
 	key := tasks.RunKey{Ref: result.Ref, Attempt: result.Attempt}
 	run := r.Runs[key]
+	var end earlyEnd
 	if run != nil {
 		run.ObserveCheckpoint(result.Checkpoint, o.config.Clock.Now())
+		if result.Outcome != agent.Done {
+			end = o.countEarlyEnd(run, result.Outcome)
+		}
 		r.RemoveRun(run)
 	}
 	o.updateHealth(r, run, result)
@@ -41,7 +45,7 @@
 			// replace another state of the same attempt.
 			t.Step.Saved.Observe(result.Checkpoint, result.Attempt, o.config.Clock.Now())
 		}
-		o.applyOutcome(r, t, result)
+		o.applyOutcome(r, t, result, end)
 	}
 	o.onDurable(func() { r.DurableResult = max(r.DurableResult, result.Number) })
 }
@@ -71,7 +75,7 @@
 
 // applyOutcome applies the result of an attempt to its task, the other members of its gang and its job. The caller
 // must hold o.mu.
-func (o *Owner) applyOutcome(r *tasks.Runner, t *tasks.Task, result agent.Result) {
+func (o *Owner) applyOutcome(r *tasks.Runner, t *tasks.Task, result agent.Result, end earlyEnd) {
 	if t.State == tasks.Done || t.Step.Job.Ending || result.Attempt > t.Attempt {
 		return
 	}
@@ -84,9 +88,9 @@
 	case result.Outcome == agent.Done && !t.Step.Spec.Service:
 		o.recordDone(t)
 	case result.Outcome == agent.Failed:
-		o.recordFailure(t, result)
+		o.recordFailure(t, result, end)
 	default:
-		o.requeue(t, result)
+		o.requeue(t, result, end)
 	}
 	if result.Outcome != agent.Done && t.Step.Spec.Gang {
 		t.Step.Break(result.Attempt, o.config.Clock.Now())
@@ -114,7 +118,7 @@
 
 // recordFailure records an attempt that failed. The failures of a gang's members count once for each attempt, and the
 // task starts again after retryBackoff at the earliest. The caller must hold o.mu.
-func (o *Owner) recordFailure(t *tasks.Task, result agent.Result) {
+func (o *Owner) recordFailure(t *tasks.Task, result agent.Result, end earlyEnd) {
 	c := t.WaitingChange()
 	if !t.Step.Spec.Gang {
 		c.Failures++
@@ -124,18 +128,18 @@
 	}
 	t.NotBefore = o.config.Clock.Now().Add(retryBackoff)
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Int("Failures", c.Failures).
-		Str("Runner", string(t.Runner)).Msg("attempt failed; requeueing its task")
+		Str("Runner", string(t.Runner)).Float64("LostCoreSeconds", end.lost).Msg("attempt failed; requeueing its task")
 	o.record(tasks.Record{Task: c}, nil)
 }
 
 // requeue records that a task waits again, with the checkpoint of the attempt if it has one. The caller must hold o.mu.
-func (o *Owner) requeue(t *tasks.Task, result agent.Result) {
+func (o *Owner) requeue(t *tasks.Task, result agent.Result, end earlyEnd) {
 	c := t.WaitingChange()
 	if !t.Step.Spec.Gang && result.Checkpoint != "" {
 		c.Saved = result.Checkpoint
 	}
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Str("How", string(result.Outcome)).
-		Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
+		Str("Cause", string(end.cause)).Float64("LostCoreSeconds", end.lost).Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
 	o.record(tasks.Record{Task: c}, nil)
 }
 
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -94,7 +94,7 @@
 // discardRun removes a run whose start was never sent, and requeues its task. The caller must hold o.mu.
 func (o *Owner) discardRun(run *tasks.Run) {
 	run.Runner.RemoveRun(run)
-	o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: agent.Stopped, Checkpoint: run.Checkpoint})
+	o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: agent.Stopped, Checkpoint: run.Checkpoint}, earlyEnd{cause: causeOf(run, agent.Stopped)})
 }
 
 // sendStart sends a start in the background. The caller must hold o.mu.
