Let the soak's gangs save and resume from checkpoints

The stand-in of the platform passed the checkpoints of runners on but not those of starts, so a resumed gang could not be checked end to end.

--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -61,7 +61,9 @@
 	taskMemory  = types.MiB(64)
 	maxLeaseTTL = 6 * time.Second
 	gangTimeout = 4 * time.Second
-	stopTimeout = 100 * time.Millisecond
+	// gangCheckpoint is the work after which each member of a gang saves its state.
+	gangCheckpoint = 100 * time.Millisecond
+	stopTimeout    = 100 * time.Millisecond
 )
 
 type (
@@ -162,7 +164,7 @@
 		RunTime:     runTime,
 		Takes:       func(specs.Ref) types.Resources { return types.Resources{Cores: taskCores, Memory: taskMemory} },
 		GangSize:    h.recorder.gangSize,
-		GangTimeout: gangTimeout, MaxLeaseTTL: maxLeaseTTL, StopTimeout: stopTimeout,
+		GangTimeout: gangTimeout, GangCheckpoint: gangCheckpoint, MaxLeaseTTL: maxLeaseTTL, StopTimeout: stopTimeout,
 	})
 	if err != nil {
 		return nil, err
