Let the runners' stand-in save the state up to a member's end only

A member that ended because another one did reported the state of the end that it would have had. The soak's gangs save their state every 20 ms of work.

--- a/internal/plat/agent/gang.go
+++ b/internal/plat/agent/gang.go
@@ -77,7 +77,7 @@
 	}
 	for member, runner := range run.gang.members {
 		f.doneAt[member] = run.endAt
-		runner.addResult(member, Done)
+		runner.addResult(member, Done, run.endAt)
 	}
 }
 
@@ -98,24 +98,31 @@
 func (f *Fleet) breakGang(g *gang, ended specs.Ref) {
 	for member, runner := range g.members {
 		if r := runner.runs[member]; member != ended && r != nil && r.gang == g {
-			runner.addResult(member, GangBroken)
+			runner.addResult(member, GangBroken, f.clock.Now())
 		}
 	}
 }
 
-// addResult replaces a run by its result. The caller must hold the fleet's lock.
-func (s *runnerState) addResult(ref specs.Ref, outcome Outcome) {
+// addResult replaces a run by its result, with the state that it has saved until the given time. The caller must hold the fleet's lock.
+func (s *runnerState) addResult(ref specs.Ref, outcome Outcome, at time.Time) {
 	s.lastResult++
 	run := s.runs[ref]
 	result := Result{Number: s.lastResult, Ref: ref, Attempt: run.attempt, Outcome: outcome}
 	if outcome != Done {
-		result.Checkpoint = run.checkpoint(ref, run.endAt)
+		result.Checkpoint = run.checkpoint(ref, earlier(at, run.endAt))
 	}
 	s.results = append(s.results, result)
 	delete(s.runs, ref)
 	s.notifyWaiters()
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // checkpoint returns the latest state that a member of a gang has saved at a time, or the one with which it was started.
 // The members save theirs one after the other, so that they differ.
 func (r *runState) checkpoint(ref specs.Ref, at time.Time) specs.Checkpoint {
--- a/internal/plat/agent/requests.go
+++ b/internal/plat/agent/requests.go
@@ -125,7 +125,7 @@
 // endRun ends a run with an outcome, and with it the other members of its gang. The caller must hold f.mu.
 func (f *Fleet) endRun(s *runnerState, ref specs.Ref, outcome Outcome) {
 	run := s.runs[ref]
-	s.addResult(ref, outcome)
+	s.addResult(ref, outcome, f.clock.Now())
 	if run.gang != nil {
 		f.breakGang(run.gang, ref)
 	}
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -62,7 +62,7 @@
 	maxLeaseTTL = 6 * time.Second
 	gangTimeout = 4 * time.Second
 	// gangCheckpoint is the work after which each member of a gang saves its state.
-	gangCheckpoint = 100 * time.Millisecond
+	gangCheckpoint = 20 * time.Millisecond
 	stopTimeout    = 100 * time.Millisecond
 )
 
