--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -192,12 +192,7 @@
 	if running.Percent != run.Percent {
 		run.Percent, run.ProgressAt = running.Percent, now
 	}
-	if running.Checkpoint != "" {
-		run.Checkpoint = running.Checkpoint
-		if run.Task != nil && run.Task.Run == run {
-			run.Task.Checkpoint = running.Checkpoint
-		}
-	}
+	run.ObserveCheckpoint(running.Checkpoint, now)
 	if o.isUnwanted(run) {
 		o.stopRun(run)
 	}
@@ -257,9 +252,10 @@
 // runsLost counts all of these, also the starts that a runner rejected. The caller must hold o.mu.
 func (o *Owner) removeAbsentRun(run *tasks.Run, outcome agent.Outcome) {
 	o.counters.runsLost.Inc(1)
+	end := o.countEarlyEnd(run, outcome)
 	run.Runner.RemoveRun(run)
 	if run.Task != nil {
-		o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: outcome, Checkpoint: run.Checkpoint})
+		o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: outcome, Checkpoint: run.Checkpoint}, end)
 	}
 }
 
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
@@ -104,6 +105,7 @@
 		counters  counters
 		// organisationCounters is guarded by mu.
 		organisationCounters organisationCounters
+		waste     wasteCounters
 		// ledgerMu guards the ledger; running its writes does not require it.
 		ledgerMu sync.Mutex
 
@@ -139,6 +141,8 @@
 		// catalog is known.
 		rates        *rates.Rates
 		ratesVersion specs.CatalogVersion
+		// usualPace is the median pace of the runners of each service at the latest tick.
+		usualPace map[types.ServiceName]float64
 	}
 )
 
@@ -153,9 +157,11 @@
 		writeWake:     make(chan struct{}, 1),
 		counters:      newCounters(c.Metrics),
 		organisations: newOrganisationMetrics(c.Metrics),
+		waste:         newWasteCounters(c.Metrics),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
+		usualPace:     make(map[types.ServiceName]float64),
 
 		organisationCounters: newOrganisationCounters(c.Metrics),
 	}
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -29,12 +30,22 @@
 	r.AppliedResult = result.Number
 	key := tasks.RunKey{Ref: result.Ref, Attempt: result.Attempt}
 	run := r.Runs[key]
+	var end earlyEnd
 	if run != nil {
+		run.ObserveCheckpoint(result.Checkpoint, o.config.Clock.Now())
+		if result.Outcome != agent.Done {
+			end = o.countEarlyEnd(run, result.Outcome)
+		}
 		r.RemoveRun(run)
 	}
 	o.updateHealth(r, run, result)
 	if t := o.table.Task(result.Ref); t != nil {
-		o.applyOutcome(r, t, result)
+		if run == nil && t.Step.Spec.Gang && result.Attempt > t.Step.Saved.Attempt {
+			// Without a run it is not known whether the attempt made the state or was started with it, so it does not
+			// replace another state of the same attempt.
+			t.Step.Saved.Observe(result.Checkpoint, result.Attempt, o.config.Clock.Now())
+		}
+		o.applyOutcome(r, t, result, end)
 	}
 	o.onDurable(func() { r.DurableResult = max(r.DurableResult, result.Number) })
 }
@@ -45,9 +56,8 @@
 	switch result.Outcome {
 	case agent.Done:
 		r.Health.ConsecutiveFailures = 0
-		if run != nil && run.Confirmed && run.Task != nil && run.Task.Checkpoint == "" {
-			spec := run.Task.Step.Spec
-			o.table.Times.ObserveRunTime(run.Task.Step.Job.Spec.Queue.Name, spec.Estimate, now.Sub(run.ConfirmedAt))
+		if run != nil {
+			o.observeRunTime(run, now)
 		}
 	case agent.Failed:
 		o.counters.runsFailed.Inc(1)
@@ -65,7 +75,7 @@
 
 // applyOutcome applies the result of an attempt to its task, the other members of its gang and its job. The caller
 // must hold o.mu.
-func (o *Owner) applyOutcome(r *tasks.Runner, t *tasks.Task, result agent.Result) {
+func (o *Owner) applyOutcome(r *tasks.Runner, t *tasks.Task, result agent.Result, end earlyEnd) {
 	if t.State == tasks.Done || t.Step.Job.Ending || result.Attempt > t.Attempt {
 		return
 	}
@@ -78,11 +88,12 @@
 	case result.Outcome == agent.Done && !t.Step.Spec.Service:
 		o.recordDone(t)
 	case result.Outcome == agent.Failed:
-		o.recordFailure(t, result)
+		o.recordFailure(t, result, end)
 	default:
-		o.requeue(t, result)
+		o.requeue(t, result, end)
 	}
 	if result.Outcome != agent.Done && t.Step.Spec.Gang {
+		t.Step.Break(result.Attempt, o.config.Clock.Now())
 		o.stopOtherMembers(t, result.Attempt)
 	}
 	o.endJobIfFinished(t.Step.Job, t)
@@ -107,9 +118,8 @@
 
 // recordFailure records an attempt that failed. The failures of a gang's members count once for each attempt, and the
 // task starts again after retryBackoff at the earliest. The caller must hold o.mu.
-func (o *Owner) recordFailure(t *tasks.Task, result agent.Result) {
-	c := t.Change()
-	c.State = tasks.Waiting
+func (o *Owner) recordFailure(t *tasks.Task, result agent.Result, end earlyEnd) {
+	c := t.WaitingChange()
 	if !t.Step.Spec.Gang {
 		c.Failures++
 	} else if t.Step.Faulted() < result.Attempt {
@@ -118,19 +128,18 @@
 	}
 	t.NotBefore = o.config.Clock.Now().Add(retryBackoff)
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Int("Failures", c.Failures).
-		Str("Runner", string(t.Runner)).Msg("attempt failed; requeueing its task")
+		Str("Runner", string(t.Runner)).Float64("LostCoreSeconds", end.lost).Msg("attempt failed; requeueing its task")
 	o.record(tasks.Record{Task: c}, nil)
 }
 
 // requeue records that a task waits again, with the checkpoint of the attempt if it has one. The caller must hold o.mu.
-func (o *Owner) requeue(t *tasks.Task, result agent.Result) {
-	c := t.Change()
-	c.State = tasks.Waiting
-	if result.Checkpoint != "" {
+func (o *Owner) requeue(t *tasks.Task, result agent.Result, end earlyEnd) {
+	c := t.WaitingChange()
+	if !t.Step.Spec.Gang && result.Checkpoint != "" {
 		c.Saved = result.Checkpoint
 	}
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Str("How", string(result.Outcome)).
-		Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
+		Str("Cause", string(end.cause)).Float64("LostCoreSeconds", end.lost).Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
 	o.record(tasks.Record{Task: c}, nil)
 }
 
@@ -142,6 +151,7 @@
 			continue
 		}
 		if m.Run != nil && m.Run.Key.Attempt == attempt {
+			m.Run.StopCause = cmp.Or(m.Run.StopCause, tasks.EndedGangBroken)
 			o.stopRun(m.Run)
 		}
 	}
@@ -153,17 +163,7 @@
 	switch {
 	case j.Finished():
 		o.endJob(j, tasks.JobCompleted, "all tasks are done")
-	case t.State == tasks.Waiting && !t.Step.Spec.Service && o.isOutOfAttempts(t):
+	case t.State == tasks.Waiting && !t.Step.Spec.Service && t.OutOfAttempts():
 		o.endJob(j, tasks.JobFailed, "task "+t.Ref.String()+" has no attempts left")
 	}
 }
-
-// isOutOfAttempts reports whether a task, or its gang, has failed as often as its queue allows.
-func (o *Owner) isOutOfAttempts(t *tasks.Task) bool {
-	failures := t.Failures
-	if t.Step.Spec.Gang {
-		failures = t.Step.Failures()
-	}
-	limit := t.Step.Job.Spec.Queue.MaxAttempts
-	return limit > 0 && failures >= limit
-}
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -225,6 +226,7 @@
 	o.table.SetRunner(next)
 	o.noteLeave(next)
 	for _, run := range r.Runs {
+		run.StopCause = cmp.Or(run.StopCause, tasks.EndedRunnerLeft)
 		o.removeAbsentRun(run, agent.LeaseExpired)
 		o.countLateStart(next, run)
 	}
@@ -257,6 +259,7 @@
 		}
 	}
 	o.backlog = order.MeasureBacklog(o.table, now)
+	o.updateUsualPaces()
 	o.updateGauges(now)
 	o.updateOrganisations(now)
 	o.applyWeights()
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -60,7 +60,8 @@
 	return o.config.Clock.Since(began)
 }
 
-// recordStart records the intent of a start; the start is sent once the intent is durable. The caller must hold o.mu.
+// recordStart records the intent of a start; the start is sent once the intent is durable. All starts of a gang's attempt
+// are recorded under one lock, so all have the same checkpoint, which stays that of the attempt. The caller must hold o.mu.
 func (o *Owner) recordStart(s order.Start) {
 	t := s.Task
 	attempt := t.Attempt + 1
@@ -71,6 +72,7 @@
 	run.Ticket, run.TicketUntil = s.Ticket, s.TicketUntil
 	c := t.Change()
 	c.State, c.Attempt, c.Runner = tasks.Placed, attempt, s.Runner.Info.ID
+	run.StartCheckpoint, run.Checkpoint = c.Saved, c.Saved
 	o.record(tasks.Record{Task: c}, func() { o.dispatchStart(run) })
 }
 
@@ -94,7 +96,7 @@
 // discardRun removes a run whose start was never sent, and requeues its task. The caller must hold o.mu.
 func (o *Owner) discardRun(run *tasks.Run) {
 	run.Runner.RemoveRun(run)
-	o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: agent.Stopped, Checkpoint: run.Checkpoint})
+	o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: agent.Stopped, Checkpoint: run.Checkpoint}, earlyEnd{cause: causeOf(run, agent.Stopped)})
 }
 
 // sendStart sends a start in the background. The caller must hold o.mu.
@@ -103,7 +105,7 @@
 	now := o.config.Clock.Now()
 	request := agent.StartRequest{
 		Ref: run.Key.Ref, Attempt: run.Key.Attempt, Payload: run.Task.Step.Job.Spec.Payload,
-		Deadline: r.ExtendLease(now, leaseTTL), Fence: r.Fence, Checkpoint: run.Task.Checkpoint, Ticket: run.Ticket,
+		Deadline: r.ExtendLease(now, leaseTTL), Fence: r.Fence, Checkpoint: run.StartCheckpoint, Ticket: run.Ticket,
 	}
 	if j := run.Task.Step.Job; j.Started.IsZero() {
 		j.Started = now
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -50,8 +50,12 @@
 		// Faulted is the latest attempt of the gang whose failure was counted in this member.
 		Faulted specs.Attempt
 		// Runner is the runner on which the latest attempt was placed.
-		Runner     specs.RunnerID
+		Runner specs.RunnerID
+		// Checkpoint is the state from which the next attempt continues. For a member of a gang it is the one with which its
+		// latest attempt was started; the next continues from that of the Step.
 		Checkpoint specs.Checkpoint
+		// SavedIn is the attempt of the gang that made Checkpoint; 0 when it is not known, or the task is in no gang.
+		SavedIn specs.Attempt
 		// Run is the attempt that occupies a runner, or nil.
 		Run *Run
 		// NotBefore is the earliest time of the next start.
@@ -71,6 +75,12 @@
 		WaitingTasks int
 		// ReadyAt is when the step was first found ready; zero before.
 		ReadyAt time.Time
+		// Saved is the latest known state of any member of a gang, from which all members of the next attempt continue.
+		Saved GangCheckpoint
+		// BrokenIn is the latest attempt of a gang of which a member ended early, the first one at BrokenAt; zero when there
+		// was none in this term.
+		BrokenIn specs.Attempt
+		BrokenAt time.Time
 		// Advice holds the answers of the advice service on the step.
 		Advice Advice
 	}
@@ -292,6 +302,23 @@
 	return latest
 }
 
+// Break records that a member of a gang's attempt has ended early.
+func (s *Step) Break(attempt specs.Attempt, at time.Time) {
+	if attempt > s.BrokenIn {
+		s.BrokenIn, s.BrokenAt = attempt, at
+	}
+}
+
+// OutOfAttempts reports whether the task, or its gang, has failed as often as its queue allows.
+func (t *Task) OutOfAttempts() bool {
+	failures := t.Failures
+	if t.Step.Spec.Gang {
+		failures = t.Step.Failures()
+	}
+	limit := t.Step.Job.Spec.Queue.MaxAttempts
+	return limit > 0 && failures >= limit
+}
+
 // Finished reports whether every occurrence of the job is done.
 func (j *Job) Finished() bool {
 	return j.Completed == j.Spec.Occurrences()
