Do not call the leader for a request that has ended

The first call to the leader was sent even if the request had been cancelled or had run out of time, and was then answered with 504, in doubt, although without the call the answer is a definite 503.

--- a/internal/flow/front/leader.go
+++ b/internal/flow/front/leader.go
@@ -77,6 +77,9 @@
 	if !ok {
 		return errs.New(errs.Unavailable, "no leader is known")
 	}
+	if ctx.Err() != nil {
+		return errs.New(errs.Unavailable, "the request has ended before the leader was called: %v", ctx.Err())
+	}
 	limited, cancel := context.WithTimeout(ctx, leaderCallTimeout)
 	defer cancel()
 	if leader.Target.VM == f.config.Self.VM {
--- a/internal/flow/front/leader_test.go
+++ b/internal/flow/front/leader_test.go
@@ -95,6 +95,15 @@
 			t.Errorf("got %v, want the retry to succeed", err)
 		}
 	})
+	t.Run("NoCallOnceTheRequestHasEnded", func(t *testing.T) {
+		leader := &fakeLeader{}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		err := newFront(leader).Submit(ctx, &specs.Job{ID: "j"})
+		if !errs.Is(err, errs.Unavailable) || errs.Of(err).RetryAfter == 0 || leader.calls != 0 {
+			t.Errorf("got %v after %d calls, want kind Unavailable with a RetryAfter without a call", err, leader.calls)
+		}
+	})
 	t.Run("NoCallWhoseAnswerWouldMissTheDeadline", func(t *testing.T) {
 		leader := &fakeLeader{errors: []error{notLeading, notLeading, notLeading, notLeading}, answerTime: 10 * time.Millisecond}
 		err := submit(newFront(leader), 130*time.Millisecond)
