Answer requests of the API before a shutdown closes their connections

The API's server had both faults of the platform's drain: a request read after Shutdown was called met a closed connection, and requests that outlast the drain timeout were cancelled together with their connections. Shutdown waits for connections that await a request or an answer, and the daemon cancels requests 250 ms before its drain timeout.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
@@ -33,6 +34,10 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/serve/httpd"
 )
 
+// lastAnswerTime is the time between the cancellation of the requests that outlast a drain and the closing of their
+// connections, in which their answers are written.
+const lastAnswerTime = 250 * time.Millisecond
+
 type (
 	// Config configures a Daemon.
 	Config struct {
@@ -202,6 +207,8 @@
 func (d *Daemon) drain(killCtx context.Context) error {
 	ctx, cancel := clockwork.WithTimeout(killCtx, d.config.Clock, d.config.Settings.DrainTimeout)
 	defer cancel()
+	cancellation := d.config.Clock.AfterFunc(d.config.Settings.DrainTimeout-lastAnswerTime, d.http.CancelRequests)
+	defer cancellation.Stop()
 	d.log.Info().Msg("draining")
 	d.http.SetDraining()
 	d.members.SetDraining()
--- a/internal/serve/httpd/httpd.go
+++ b/internal/serve/httpd/httpd.go
@@ -4,18 +4,22 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/alexedwards/flow"
+	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/guard"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rest"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 )
 
@@ -63,20 +67,32 @@
 		Guard   *guard.Guard
 		Metrics metrics.Registry
 		Now     func() time.Time
+		// Clock paces the wait for answers in Shutdown.
+		Clock clockwork.Clock
 	}
 
 	// Server serves the HTTP API.
 	Server struct {
 		config   Config
 		http     *http.Server
+		busy     *rest.BusyConns
 		draining atomic.Bool
+		// stopping is set before Shutdown closes the listener.
+		stopping atomic.Bool
+
+		cancelRequests context.CancelFunc
+		mu             sync.Mutex
+		listener       net.Listener
 	}
 )
 
 // New returns a server that is not yet listening.
 func New(c Config) *Server {
-	s := &Server{config: c}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{config: c, busy: rest.NewBusyConns(c.Clock), cancelRequests: cancel}
 	s.http = &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnState:         s.busy.Observe,
 		Handler:           s.closeWhileDraining(s.routes()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
@@ -91,10 +107,18 @@
 // serves TLS.
 func (s *Server) Serve(listener net.Listener, certFile, keyFile string) error {
 	limitedListener := netutil.LimitListener(listener, maxConnections)
+	s.mu.Lock()
+	s.listener = limitedListener
+	s.mu.Unlock()
+	serve := s.http.Serve
 	if certFile != "" {
-		return s.http.ServeTLS(limitedListener, certFile, keyFile)
+		serve = func(l net.Listener) error { return s.http.ServeTLS(l, certFile, keyFile) }
+	}
+	err := serve(limitedListener)
+	if s.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return http.ErrServerClosed
 	}
-	return s.http.Serve(limitedListener)
+	return err
 }
 
 // SetDraining makes /health answer 503 Service Unavailable, so that no new work is sent here, and has each connection
@@ -103,15 +127,31 @@
 	s.draining.Store(true)
 }
 
-// Shutdown stops accepting connections and waits for the calls in flight or the end of ctx.
+// Shutdown stops accepting connections and waits for the calls in flight or the end of ctx. Connections that were accepted
+// but sent no request yet are waited for as well.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	s.stopping.Store(true)
+	if listener != nil {
+		_ = listener.Close()
+	}
+	s.busy.Await(ctx)
 	return s.http.Shutdown(ctx)
 }
 
+// CancelRequests cancels the calls in flight, so that they are answered with what is known of their outcome. It must
+// precede Close by the time that the answers take.
+func (s *Server) CancelRequests() {
+	s.cancelRequests()
+}
+
 // Close closes the listener and all connections at once.
 func (s *Server) Close() {
 	// Nothing can be done about an error of closing the listener, such as that it is closed already.
 	_ = s.http.Close()
+	s.cancelRequests()
 }
 
 // closeWhileDraining wraps a handler so that connections are closed after their answer while the daemon drains.
