--- a/internal/serve/httpd/drain_test.go
+++ b/internal/serve/httpd/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -61,7 +62,7 @@
 	go func() { served <- s.Serve(l, "", "") }()
 	t.Cleanup(func() {
 		s.Close()
-		if err := <-served; err != http.ErrServerClosed {
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
 			t.Errorf("Serve ended with %v, want %v", err, http.ErrServerClosed)
 		}
 	})
