Order runners only while the epoch is confirmed

A leader took any answer of the store, at the time at which it read it, for a sign that it still leads: a watch that had missed the change of the leader record, or an answer that a paused process read seconds later, let it go on renewing leases, and nothing limited starts but the age of the directory. Its successor gives up the runs on a runner that it has not reached after 14 s, and that runner does not know the successor's fence; so the former leader could keep a task running, or start one, that was started elsewhere. Starts, their retries and renewals require now that a request sent within 8 s was answered with this term's epoch: a ledger write, or a read of the epoch once a second while there are no writes. A leader that reads another epoch ends its term.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -196,13 +196,6 @@
 	return e.listed && e.config.Clock.Since(e.lastContact) < e.config.TTL
 }
 
-// LastContact returns when the store last answered a watch or a renewal.
-func (e *Elector) LastContact() time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.lastContact
-}
-
 // SuspectLeader marks the leader of the epoch as suspected for suspectTimeout, so that this daemon may take over before
 // the leader's lease expires. It does nothing if another leader is known. The reason is for the log.
 func (e *Elector) SuspectLeader(epoch types.Epoch, reason string) {
--- /dev/null
+++ b/internal/flow/owner/confirm.go
@@ -0,0 +1,65 @@
+package owner
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// confirmInterval is the age of the last confirmation of leadership at which the epoch is read from the store. Ledger
+	// writes confirm it as well, so that a leader with work reads nothing.
+	confirmInterval = time.Second
+	// confirmTimeout limits one read of the epoch.
+	confirmTimeout = 900 * time.Millisecond
+	// storeContactTimeout is how long a leader goes on starting tasks and renewing leases without a confirmation. A new
+	// leader counts on it: it takes the leases on a runner that has not answered it for valid for this time plus MaxLeaseTTL.
+	storeContactTimeout = 8 * time.Second
+)
+
+// confirmLoop keeps the confirmation of leadership recent while no ledger write does, and ends the term when another daemon
+// leads.
+func (o *Owner) confirmLoop() {
+	for o.ctx.Err() == nil {
+		o.mu.Lock()
+		age := o.config.Clock.Since(o.confirmedAt)
+		o.mu.Unlock()
+		if age >= confirmInterval {
+			o.confirmLeadership()
+		}
+		o.sleep(renewBackoff)
+	}
+}
+
+// confirmLeadership reads the epoch from the store once.
+func (o *Owner) confirmLeadership() {
+	ctx, cancel := context.WithTimeout(o.ctx, confirmTimeout)
+	defer cancel()
+	sentAt := o.config.Clock.Now()
+	leading, err := o.isLeader(ctx)
+	switch {
+	case o.ctx.Err() != nil:
+	case err != nil:
+		o.config.Log.Debug().Err(err).Msg("leadership is not confirmed; reading the epoch again")
+	case !leading:
+		o.endTerm("the store holds the epoch of another leader")
+	default:
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.noteConfirmed(sentAt)
+	}
+}
+
+// noteConfirmed records that the store has confirmed this leader's epoch in the answer to a request that was sent at the
+// given time. The time of the answer proves nothing: the process may have been paused before it read the answer. The caller
+// must hold o.mu.
+func (o *Owner) noteConfirmed(sentAt time.Time) {
+	if sentAt.After(o.confirmedAt) {
+		o.confirmedAt = sentAt
+	}
+}
+
+// mayOrder reports whether leadership was confirmed recently enough to start tasks and renew leases. The caller must hold
+// o.mu.
+func (o *Owner) mayOrder() bool {
+	return o.config.Clock.Since(o.confirmedAt) <= storeContactTimeout
+}
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -25,9 +25,6 @@
 	// acknowledgeDelay gives the write of results time to finish, so that the next renewal can acknowledge them; only
 	// durable results are acknowledged.
 	acknowledgeDelay = 40 * time.Millisecond
-	// storeContactTimeout is how long a leader goes on renewing leases without an answer from the store. A new leader
-	// counts on it: it takes the leases on a runner that has not answered it for valid for this time plus MaxLeaseTTL.
-	storeContactTimeout = 8 * time.Second
 )
 
 // startRenewLoop starts the lease renewal loop of a runner, unless it has one or its address is not known. The caller
@@ -48,14 +45,14 @@
 }
 
 // renewLoop renews the leases on a runner until the term ends, or the runner is replaced, or has left the directory and
-// runs nothing. It renews none while the store has not answered for longer than storeContactTimeout.
+// runs nothing. It renews none while leadership has not been confirmed for longer than storeContactTimeout.
 func (o *Owner) renewLoop(r *tasks.Runner) {
 	for o.ctx.Err() == nil {
-		next, ok := o.nextRenewal(r)
+		next, confirmed, ok := o.nextRenewal(r)
 		if !ok {
 			return
 		}
-		if o.config.Clock.Since(o.config.LastContact()) > storeContactTimeout {
+		if !confirmed {
 			o.sleep(renewBackoff)
 			continue
 		}
@@ -66,17 +63,20 @@
 	}
 }
 
-// nextRenewal returns the next renewal for the runner, or false when its loop ends.
-func (o *Owner) nextRenewal(r *tasks.Runner) (renewal, bool) {
+// nextRenewal returns the next renewal for the runner, and whether leadership is confirmed; ok is false when its loop ends.
+func (o *Owner) nextRenewal(r *tasks.Runner) (next renewal, confirmed, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Clock.Now()
 	current := o.table.Runners[r.Info.ID] == r
 	if !current || (!r.Listed && len(r.Runs) == 0) {
 		delete(o.renewLoops, r)
-		return renewal{}, false
+		return renewal{}, false, false
 	}
-	next := renewal{to: r.Info, request: agent.RenewRequest{Fence: r.Fence, Acknowledged: r.DurableResult}, sentAt: now}
+	if !o.mayOrder() {
+		return renewal{}, false, true
+	}
+	next = renewal{to: r.Info, request: agent.RenewRequest{Fence: r.Fence, Acknowledged: r.DurableResult}, sentAt: now}
 	switch {
 	case !r.Synced:
 		// Until the runner answers, it is not known whether its attempts should go on, so their leases are not
@@ -91,7 +91,7 @@
 			next.request.Wait = longPollTimeout
 		}
 	}
-	return next, true
+	return next, true, true
 }
 
 // renewLeases sends one renewal and returns the delay before the next.
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -70,8 +70,6 @@
 		CollectCachedAdvice CollectCachedAdvice
 		// Catalog returns the catalog in force, or nil until there is one.
 		Catalog func() *specs.Catalog
-		// LastContact returns when the store last answered this daemon.
-		LastContact func() time.Time
 		// OnFenced is called when the term ends because a runner or the ledger shows that another daemon leads.
 		OnFenced func(reason string)
 		// OnWritesStalled, when set, is called in a goroutine of its own while the store does not accept this leader's
@@ -121,6 +119,8 @@
 		// by a part.
 		writeLatency   time.Duration
 		catalogVersion specs.CatalogVersion
+		// confirmedAt is when the latest request was sent whose answer showed that the epoch is still that of this term.
+		confirmedAt time.Time
 		// directoryAt is the time to which the tables contain the changes of the directory.
 		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
@@ -153,6 +153,8 @@
 func (o *Owner) Run(ctx context.Context) {
 	unlink := context.AfterFunc(ctx, o.cancel)
 	defer unlink()
+	o.loops.Go(o.confirmLoop)
+	defer o.loops.Wait()
 	defer o.cancel()
 	jobLedger := o.openLedger()
 	if jobLedger == nil {
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -82,7 +82,7 @@
 	}
 	now := o.config.Clock.Now()
 	stale := !run.TicketUntil.IsZero() && run.TicketUntil.Before(now.Add(ticketMargin/2))
-	if run.StartCancelled || stale || o.isUnwanted(run) || !r.Usable(now) || !o.knowsDirectory() {
+	if run.StartCancelled || stale || o.isUnwanted(run) || !r.Usable(now) || !o.knowsDirectory() || !o.mayOrder() {
 		o.discardRun(run)
 		return
 	}
@@ -164,7 +164,7 @@
 	}
 	o.config.Log.Info().Str("Task", run.Key.Ref.String()).Int("Attempt", int(run.Key.Attempt)).
 		Str("Runner", string(run.Runner.Info.ID)).Int("Tries", run.Tries).Msg("start was not answered; it is in doubt whether the attempt runs")
-	if run.Tries < maxStartTries && !run.StartCancelled && !o.isUnwanted(run) && run.Runner.UnreachableSince.IsZero() {
+	if run.Tries < maxStartTries && !run.StartCancelled && !o.isUnwanted(run) && run.Runner.UnreachableSince.IsZero() && o.mayOrder() {
 		o.sendStart(run)
 		return
 	}
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -229,6 +229,7 @@
 func (o *Owner) commitWrite(w *inFlightWrite) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.noteConfirmed(w.beganAt)
 	took := o.config.Clock.Since(w.beganAt)
 	o.counters.ledgerWrite.Update(took)
 	o.writeLatency = max(took, o.writeLatency-o.writeLatency/writeLatencyDecay)
