Bound what one submission can make the leader allocate

A job of 256 steps of 10,000 tasks, 4 KB of JSON, took 394 MB on the leader, and a schedule took any number of occurrences, all at once if its interval was 0; the leader's process ended, and then that of each successor that read the job. A job may have 50,000 tasks in all its steps and occurrences now, and is refused with 413 above that.

--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -19,6 +19,16 @@
 	MaxWidth   = 10_000
 	maxIDBytes = 64
 
+	// MaxTasks limits the tasks of a job in all its steps and occurrences. The leader holds all of them, at 161 bytes each;
+	// without the limit one submission of 4 KB makes 2.56 million tasks, 394 MB, and a schedule makes any number.
+	MaxTasks = 50_000
+	// MaxScheduleSpan limits the time from the first occurrence of a schedule to the last, so that no due time overflows.
+	MaxScheduleSpan = 10 * 365 * 24 * time.Hour
+	// maxTaskAmount limits each resource of a task, so that sums over tasks do not overflow.
+	maxTaskAmount = 1 << 32
+	// maxTaskTime limits the estimate and the tail latency of a task, so that sums over steps do not overflow.
+	maxTaskTime = 365 * 24 * time.Hour
+
 	// longCallWork is the work above which a call for advice counts as long; short calls must not wait behind long
 	// ones.
 	longCallWork = 40 * time.Millisecond
@@ -253,13 +263,30 @@
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return errs.New(errs.Invalid, "Steps must have 1 to %d entries, has %d", MaxSteps, len(j.Steps))
 	}
-	if j.Schedule != nil && (j.Schedule.Count < 1 || j.Schedule.Interval < 0) {
-		return errs.New(errs.Invalid, "Schedule must have a Count of at least 1 and an Interval of at least 0")
+	if j.Schedule != nil {
+		if err := j.Schedule.check(); err != nil {
+			return err
+		}
 	}
+	tasks := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].check(i); err != nil {
 			return err
 		}
+		tasks += j.Steps[i].Count
+	}
+	if tasks > MaxTasks/j.Occurrences() {
+		return errs.New(errs.TooLarge, "job has %d tasks in each of %d occurrences, more than %d in all", tasks, j.Occurrences(), MaxTasks)
+	}
+	return nil
+}
+
+func (s *Schedule) check() error {
+	if s.Count < 1 || s.Interval < 0 {
+		return errs.New(errs.Invalid, "Schedule must have a Count of at least 1 and an Interval of at least 0")
+	}
+	if s.Interval > MaxScheduleSpan/time.Duration(s.Count) {
+		return errs.New(errs.Invalid, "Schedule of %d occurrences every %s is longer than %s", s.Count, s.Interval, MaxScheduleSpan)
 	}
 	return nil
 }
@@ -271,9 +298,15 @@
 	if err := s.Resources.Check(); err != nil {
 		return err
 	}
+	if max(int64(s.Resources.Cores), int64(s.Resources.Memory), int64(s.Resources.Accelerators)) > maxTaskAmount {
+		return errs.New(errs.Invalid, "Steps[%d].Resources must be at most %d of each", index, int64(maxTaskAmount))
+	}
 	if s.Estimate < 0 || s.PerRunner < 0 || s.MayMiss < 0 {
 		return errs.New(errs.Invalid, "Steps[%d]: Estimate, PerRunner and MayMiss must not be negative", index)
 	}
+	if s.Estimate > maxTaskTime || s.TailLatency < 0 || s.TailLatency > maxTaskTime {
+		return errs.New(errs.Invalid, "Steps[%d]: Estimate and TailLatency must be within 0 and %s", index, maxTaskTime)
+	}
 	for _, a := range s.After {
 		if a < 0 || a >= index {
 			return errs.New(errs.Invalid, "Steps[%d].After %d must be the index of an earlier step", index, a)
