--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -75,6 +75,8 @@
 		// OnFailure, if set, is called after each failed try of a write, with the number of failed tries of that
 		// write, the time since its start, and the error.
 		OnFailure func(tries int, after time.Duration, err error)
+		// OnMalformed, if set, is called for each stored job that cannot be read; the ledger goes on without it.
+		OnMalformed func(key store.Key, err error)
 	}
 
 	// Ledger is the leader's log in the store. It has one writer. Only the Run methods of its writes and of one
--- a/internal/flow/ledger/load.go
+++ b/internal/flow/ledger/load.go
@@ -37,6 +37,12 @@
 	if err != nil {
 		return nil, err
 	}
+	l.fill(table, stored)
+	return l, nil
+}
+
+// fill builds the tables from the decoded values.
+func (l *Ledger) fill(table *tasks.Table, stored contents) {
 	for _, j := range stored.jobs {
 		table.AddJob(j)
 	}
@@ -51,14 +57,18 @@
 			l.jobsToDelete = append(l.jobsToDelete, j.ID)
 		}
 	}
-	return l, nil
 }
 
 func (l *Ledger) decode(page store.Page) (contents, error) {
 	out := contents{parts: make(map[int][]part), results: make(map[store.Key][]tasks.JobResult)}
 	for _, e := range page.Entries {
 		l.versions[e.Key], l.partVersions[e.Key] = e.Version, e.Version
-		if err := out.addEntry(e); err != nil {
+		err := out.addEntry(e)
+		if err != nil && strings.HasPrefix(string(e.Key), string(jobPrefix)) {
+			l.reportMalformed(e.Key, err)
+			continue
+		}
+		if err != nil {
 			return contents{}, errs.New(errs.Internal, "%s in the store is malformed: %v", e.Key, err)
 		}
 	}
@@ -66,6 +76,14 @@
 	return out, nil
 }
 
+// reportMalformed reports a job that cannot be read. The other jobs go on without it; a malformed segment or snapshot is an
+// error instead, since without its changes tasks that are done would run again.
+func (l *Ledger) reportMalformed(key store.Key, err error) {
+	if l.config.OnMalformed != nil {
+		l.config.OnMalformed(key, err)
+	}
+}
+
 func (c *contents) addEntry(e store.Entry) error {
 	key := string(e.Key)
 	switch {
@@ -74,6 +92,9 @@
 		if err := json.Unmarshal(e.Value, j); err != nil {
 			return err
 		}
+		if err := j.CheckForm(); err != nil {
+			return err
+		}
 		c.jobs = append(c.jobs, j)
 	case strings.HasPrefix(key, string(logPrefix)):
 		var s segment
@@ -92,12 +113,24 @@
 		if err := json.Unmarshal(e.Value, &p); err != nil {
 			return err
 		}
-		set := int(strings.TrimPrefix(key, string(snapshotPrefix))[0] - '0')
+		set, err := snapshotSetOf(e.Key)
+		if err != nil {
+			return err
+		}
 		c.parts[set] = append(c.parts[set], p)
 	}
 	return nil
 }
 
+// snapshotSetOf returns the key set of a snapshot's key, whose first character after the prefix names it.
+func snapshotSetOf(key store.Key) (int, error) {
+	name := strings.TrimPrefix(string(key), string(snapshotPrefix))
+	if name == "" || name[0] < '0' || int(name[0]-'0') >= snapshotSets {
+		return 0, errs.New(errs.Invalid, "%s names no set of snapshots", key)
+	}
+	return int(name[0] - '0'), nil
+}
+
 // restoreSnapshot applies the newest complete snapshot and returns the number of the last segment that it covers, or
 // 0 without one.
 func (l *Ledger) restoreSnapshot(c contents, table *tasks.Table) uint64 {
@@ -125,7 +158,7 @@
 	}
 	slices.SortFunc(parts, func(a, b part) int { return cmp.Compare(a.Index, b.Index) })
 	first := parts[0]
-	if first.Index != 0 || len(parts) < first.Total {
+	if first.Index != 0 || first.Total < 1 || len(parts) < first.Total {
 		return nil
 	}
 	for i, p := range parts[:first.Total] {
--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -281,6 +281,23 @@
 	return nil
 }
 
+// CheckForm returns an error of kind Invalid unless the tables can hold the job: its steps have tasks and follow earlier
+// ones. It allows jobs above the limits of Check, which earlier versions may have accepted.
+func (j *Job) CheckForm() error {
+	if j.ID == "" || j.Occurrences() < 1 {
+		return errs.New(errs.Invalid, "job has the id %q and %d occurrences", j.ID, j.Occurrences())
+	}
+	for i := range j.Steps {
+		if count := j.Steps[i].Count; count < 1 || count > MaxWidth {
+			return errs.New(errs.Invalid, "Steps[%d].Count %d must be within 1 and %d", i, count, MaxWidth)
+		}
+		if err := j.Steps[i].checkAfter(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Schedule) check() error {
 	if s.Count < 1 || s.Interval < 0 {
 		return errs.New(errs.Invalid, "Schedule must have a Count of at least 1 and an Interval of at least 0")
@@ -307,6 +324,10 @@
 	if s.Estimate > maxTaskTime || s.TailLatency < 0 || s.TailLatency > maxTaskTime {
 		return errs.New(errs.Invalid, "Steps[%d]: Estimate and TailLatency must be within 0 and %s", index, maxTaskTime)
 	}
+	return s.checkAfter(index)
+}
+
+func (s *Step) checkAfter(index int) error {
 	for _, a := range s.After {
 		if a < 0 || a >= index {
 			return errs.New(errs.Invalid, "Steps[%d].After %d must be the index of an earlier step", index, a)
