Recover panics in calls, orders and the leader's loops, and count them

A panic in a handler of net/rpc, in an order that a relay carries out, or in one of the leader's loops ended the whole process, with its duties as entry and relay; net/http recovered one in the handler of a client's request, but broke the connection and counted nothing. Each is logged with its stack and counted in Process.Panics. Loops of the elector and the catalog feed still end the process, as before.

--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/feed"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/owner"
@@ -78,6 +79,7 @@
 		adviceCache adviceCache
 		relays      *relay.Server
 		feed        *feed.Feed
+		rescuer     *rescue.Rescuer
 
 		mu       sync.Mutex
 		ctx      context.Context
@@ -100,7 +102,7 @@
 
 // New returns a Front that takes part in the election and serves requests once Run is called.
 func New(c Config) *Front {
-	f := &Front{config: c}
+	f := &Front{config: c, rescuer: rescue.New(c.Log, c.Metrics)}
 	f.callMetrics = callMetrics{
 		submits: metrics.GetOrRegisterTimer("Front.Submit", c.Metrics),
 		states:  metrics.GetOrRegisterTimer("Front.State", c.Metrics),
@@ -110,7 +112,7 @@
 	}
 	f.balancer = newAdviceBalancer()
 	f.adviceCache = newAdviceCache()
-	f.relays = relay.NewServer(relay.ServerConfig{Agents: c.Agents, Clock: c.Clock, Log: c.Log})
+	f.relays = relay.NewServer(relay.ServerConfig{Agents: c.Agents, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics})
 	f.elector = elect.New(elect.Config{
 		Self: c.Self, Strength: c.Strength, Store: c.Store, Clock: c.Clock, Log: c.Log, TTL: c.TTL,
 		OnStartedLeading: f.startLeading, OnStoppedLeading: f.stopLeading,
--- a/internal/flow/front/service.go
+++ b/internal/flow/front/service.go
@@ -113,9 +113,11 @@
 func (s *Service) Advise(args *AdviseArgs, reply *AdviseReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Limit)
 	defer cancel()
-	permits, err := s.front.adviseLocally(ctx, args.Step, args.Lives, args.Validity)
-	reply.Permits = permits
-	return peer.Wire(err)
+	return peer.Wire(s.front.rescuer.Call("call for advice", func() error {
+		permits, err := s.front.adviseLocally(ctx, args.Step, args.Lives, args.Validity)
+		reply.Permits = permits
+		return err
+	}))
 }
 
 // Peek returns the leader that this daemon knows, and the version of its catalog.
@@ -157,8 +159,13 @@
 	return f.owner, nil
 }
 
-// serveLocally serves a call as the leader. It returns an error of kind Unavailable if this daemon does not lead.
+// serveLocally serves a call as the leader. It returns an error of kind Unavailable if this daemon does not lead, and one of
+// kind Internal, which leaves the call in doubt, after a panic: net/rpc would end the process.
 func (f *Front) serveLocally(ctx context.Context, args, reply any) error {
+	return f.rescuer.Call("call to the leader", func() error { return f.serveAsLeader(ctx, args, reply) })
+}
+
+func (f *Front) serveAsLeader(ctx context.Context, args, reply any) error {
 	o, err := f.currentOwner()
 	if err != nil {
 		return err
--- a/internal/flow/owner/advice.go
+++ b/internal/flow/owner/advice.go
@@ -35,7 +35,7 @@
 	firstAnswer := !answered
 	began := o.config.Clock.Now()
 	timeout := policy.CallDuration(len(incarnations)) + adviceMargin
-	go func() {
+	go o.guarded("advice", func() {
 		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		defer cancel()
 		permits, err := o.config.Advise(ctx, s.Ref, *policy, incarnations)
@@ -57,7 +57,7 @@
 		}
 		s.Advice.RecordAnswer(incarnations, permits, now.Add(policy.Validity-answerMargin))
 		wake(o.planWake)
-	}()
+	})()
 }
 
 // adviceBudget returns how much more work may be given to the advice service now: none while cached advice is being
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -34,7 +34,7 @@
 		return
 	}
 	o.renewLoops[r] = struct{}{}
-	o.loops.Go(func() { o.renewLoop(r) })
+	o.loops.Go(o.guarded("lease renewal", func() { o.renewLoop(r) }))
 }
 
 // renewal is a lease renewal that is about to be sent.
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
@@ -99,6 +100,7 @@
 		planWake  chan struct{}
 		writeWake chan struct{}
 		counters  counters
+		rescuer   *rescue.Rescuer
 		// ledgerMu guards the ledger; running its writes does not require it.
 		ledgerMu sync.Mutex
 
@@ -143,6 +145,7 @@
 		planWake:      make(chan struct{}, 1),
 		writeWake:     make(chan struct{}, 1),
 		counters:      newCounters(c.Metrics),
+		rescuer:       rescue.New(c.Log, c.Metrics),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
@@ -153,17 +156,19 @@
 func (o *Owner) Run(ctx context.Context) {
 	unlink := context.AfterFunc(ctx, o.cancel)
 	defer unlink()
-	o.loops.Go(o.confirmLoop)
+	o.loops.Go(o.guarded("leadership confirmation", o.confirmLoop))
 	defer o.loops.Wait()
 	defer o.cancel()
 	jobLedger := o.openLedger()
 	if jobLedger == nil {
 		return
 	}
-	o.adoptPlacedTasks()
-	o.collectCachedAdvice()
+	o.guarded("adoption of placed tasks", func() {
+		o.adoptPlacedTasks()
+		o.collectCachedAdvice()
+	})()
 	for _, loop := range []func(){func() { o.writeLoop(jobLedger) }, o.planLoop, o.tickLoop, o.directoryLoop} {
-		o.loops.Go(loop)
+		o.loops.Go(o.guarded("loop of the leader", loop))
 	}
 	o.loops.Wait()
 }
@@ -177,6 +182,9 @@
 			Store: o.config.Store, Clock: o.config.Clock,
 			Epoch: o.config.Term.Epoch, EpochVersion: o.config.Term.Version,
 			Retention: o.config.Bounds.StatusRetention, OnFailure: o.handleWriteFailure,
+			OnMalformed: func(key store.Key, err error) {
+				o.config.Log.Error().Err(err).Str("Key", string(key)).Msg("stored job is malformed; going on without it")
+			},
 		}, table)
 		if err == nil {
 			o.mu.Lock()
@@ -213,6 +221,14 @@
 	o.cancel()
 }
 
+// guarded returns a function that runs f and ends the term if it panics: the tables may be inconsistent then, and a leader
+// without one of its loops would neither serve nor be replaced. The caller of f must not hold o.mu.
+func (o *Owner) guarded(what string, f func()) func() {
+	return func() {
+		o.rescuer.Go(what, f, func() { o.endTerm(what + " panicked") })
+	}
+}
+
 // Stop ends the term, even one that has not begun.
 func (o *Owner) Stop() {
 	o.cancel()
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -118,7 +118,7 @@
 	if run.Tries > 1 {
 		timeout = requestTimeout
 	}
-	go func() {
+	go o.guarded("answer of a runner", func() {
 		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		defer cancel()
 		err := o.config.Agents.Start(ctx, info, request)
@@ -128,7 +128,7 @@
 			o.counters.startLatency.Update(o.config.Clock.Since(now))
 			o.applyStartAnswer(run, request, err)
 		}
-	}()
+	})()
 }
 
 // applyStartAnswer applies the answer to a start. The caller must hold o.mu.
@@ -227,11 +227,11 @@
 	run.Stopping, run.StopSent = true, now
 	o.counters.stops.Inc(1)
 	info, request := r.Info, agent.StopRequest{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Fence: r.Fence}
-	go func() {
+	go o.guarded("answer of a runner", func() {
 		ctx, cancel := context.WithTimeout(o.ctx, requestTimeout)
 		defer cancel()
 		if err := o.config.Agents.Stop(ctx, info, request); err != nil && o.ctx.Err() == nil {
 			o.config.Log.Info().Err(err).Str("Task", request.Ref.String()).Str("Runner", string(info.ID)).Msg("stop was not confirmed by the runner; it is sent again if the attempt goes on")
 		}
-	}()
+	})()
 }
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -67,7 +67,7 @@
 // in the order in which the writes began.
 func (o *Owner) writeLoop(jobLedger *ledger.Ledger) {
 	toCommit := make(chan *inFlightWrite, maxInFlight)
-	o.loops.Go(func() { o.commitLoop(jobLedger, toCommit) })
+	o.loops.Go(o.guarded("ledger commit", func() { o.commitLoop(jobLedger, toCommit) }))
 	defer close(toCommit)
 	for {
 		select {
@@ -99,16 +99,7 @@
 	o.ledgerMu.Lock()
 	snapshotDue := jobLedger.SnapshotDue()
 	o.ledgerMu.Unlock()
-	o.mu.Lock()
-	w := &inFlightWrite{pending: o.pending, beganAt: o.config.Clock.Now(), done: make(chan error, 1)}
-	o.pending = pending{}
-	var records []tasks.Record
-	var results []tasks.JobResult
-	if snapshotDue {
-		records, results = o.table.SnapshotRecords(), slices.Clone(o.table.RecentResults)
-	}
-	o.inFlight = append(o.inFlight, w)
-	o.mu.Unlock()
+	w, records, results := o.takePending(snapshotDue)
 	if err := w.beginWrites(o, jobLedger, snapshotDue, records, results); err != nil {
 		return err
 	}
@@ -120,6 +111,19 @@
 	return nil
 }
 
+// takePending returns a write of the pending changes, and what a snapshot holds when one is due.
+func (o *Owner) takePending(snapshotDue bool) (*inFlightWrite, []tasks.Record, []tasks.JobResult) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w := &inFlightWrite{pending: o.pending, beganAt: o.config.Clock.Now(), done: make(chan error, 1)}
+	o.pending = pending{}
+	o.inFlight = append(o.inFlight, w)
+	if !snapshotDue {
+		return w, nil, nil
+	}
+	return w, o.table.SnapshotRecords(), slices.Clone(o.table.RecentResults)
+}
+
 // beginWrites begins the writes in the ledger, which gives them their segments, and the snapshot when one is due.
 func (w *inFlightWrite) beginWrites(
 	o *Owner, jobLedger *ledger.Ledger, snapshotDue bool, records []tasks.Record, results []tasks.JobResult,
@@ -220,7 +224,7 @@
 		o.ledgerMu.Unlock()
 		o.commitWrite(w)
 		if w.snapshot != nil {
-			o.loops.Go(func() { o.writeSnapshot(jobLedger, w.snapshot) })
+			o.loops.Go(o.guarded("snapshot", func() { o.writeSnapshot(jobLedger, w.snapshot) }))
 		}
 	}
 }
--- a/internal/flow/relay/fixture_test.go
+++ b/internal/flow/relay/fixture_test.go
@@ -127,7 +127,7 @@
 		for i := range 3 {
 			member := target(fmt.Sprintf("%s-%d", dc, i), dc)
 			node := f.network.Join(member, meter.Discard())
-			server := NewServer(ServerConfig{Agents: f.fleet, Clock: clock, Log: zerolog.Nop()})
+			server := NewServer(ServerConfig{Agents: f.fleet, Clock: clock, Log: zerolog.Nop(), Metrics: metrics.NewRegistry()})
 			if err := server.Register(node); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/flow/relay/relay_test.go
+++ b/internal/flow/relay/relay_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -204,7 +206,7 @@
 		"NoRequest": {}, "TwoRequests": {Stop: &agent.StopRequest{}, Renew: &agent.RenewRequest{}}, "NoSuchPayload": {Start: &s, Payload: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			service := &Service{server: NewServer(ServerConfig{})}
+			service := &Service{server: NewServer(ServerConfig{Metrics: metrics.NewRegistry()})}
 			err := service.Dispatch(&DispatchArgs{Payloads: []specs.Payload{"p"}, Orders: []Order{o}}, &DispatchReply{})
 			if err == nil {
 				t.Fatal("the batch was accepted")
--- a/internal/flow/relay/server.go
+++ b/internal/flow/relay/server.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
@@ -26,14 +28,16 @@
 type (
 	// ServerConfig holds the dependencies of a Server.
 	ServerConfig struct {
-		Agents agent.Agent
-		Clock  clockwork.Clock
-		Log    zerolog.Logger
+		Agents  agent.Agent
+		Clock   clockwork.Clock
+		Log     zerolog.Logger
+		Metrics metrics.Registry
 	}
 
 	// Server is the relay's side: it carries out the orders of leaders. It is safe for concurrent use.
 	Server struct {
-		config ServerConfig
+		config  ServerConfig
+		rescuer *rescue.Rescuer
 
 		mu       sync.Mutex
 		sessions map[SessionID]*session
@@ -56,7 +60,7 @@
 
 // NewServer returns a server without sessions.
 func NewServer(c ServerConfig) *Server {
-	return &Server{config: c, sessions: make(map[SessionID]*session)}
+	return &Server{config: c, rescuer: rescue.New(c.Log, c.Metrics), sessions: make(map[SessionID]*session)}
 }
 
 // Register registers the RPC service.
@@ -84,11 +88,24 @@
 		if o.Start != nil {
 			o.Start.Payload = args.Payloads[o.Payload]
 		}
-		go func() { s.server.addAnswer(to, o.carryOut(context.Background(), s.server.config.Agents)) }()
+		go func() { s.server.addAnswer(to, s.server.carryOut(o)) }()
 	}
 	return nil
 }
 
+// carryOut carries out an order. One that panics has an answer of kind Lost: its effect is in doubt.
+func (s *Server) carryOut(o *Order) Answer {
+	out := Answer{ID: o.ID}
+	err := s.rescuer.Call("order of a leader", func() error {
+		out = o.carryOut(context.Background(), s.config.Agents)
+		return nil
+	})
+	if err != nil {
+		out.Error = errs.Encode(errs.New(errs.Lost, "%v", err))
+	}
+	return out
+}
+
 // Collect returns the answers since the last call. It waits for the first one.
 func (s *Service) Collect(args *CollectArgs, reply *CollectReply) error {
 	from := s.server.use(args.Session)
