Count leases from a runner's clock that went back

A report with a clock below the expected one was ignored, also when the clock of the runner had really gone back, as after a suspension of its VM on a host whose clock stops meanwhile. The leader then went on to ask for leases counted from the expected clock: they lasted longer on the runner, by what the clock lacks, than the leader waited before it started the tasks elsewhere. An answer whose clock is below the bound for the time at which its request was sent shows this. The clock is taken as it is then, deadlines that were asked for before still count, and it is logged and counted. Answers that were read late stay ignored.

--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -17,6 +17,7 @@
 	adviceFailures   metrics.Counter
 	renewals         metrics.Counter
 	renewFailures    metrics.Counter
+	clocksWentBack   metrics.Counter
 	// Current amounts.
 	jobs        metrics.Gauge
 	jobsWaiting metrics.Gauge
@@ -44,7 +45,8 @@
 		runsLost: count("RunsLost"), stops: count("Stops"), runsFailed: count("RunsFailed"),
 		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
 		renewals: count("Holds"), renewFailures: count("HoldFailures"),
-		ledgerLoad: timer("LedgerLoad"), ledgerWrite: timer("LedgerWrite"), ledgerSnapshot: timer("LedgerImage"), acceptToDurable: timer("AcceptToDurable"),
+		clocksWentBack: count("RunnerClocksWentBack"),
+		ledgerLoad:     timer("LedgerLoad"), ledgerWrite: timer("LedgerWrite"), ledgerSnapshot: timer("LedgerImage"), acceptToDurable: timer("AcceptToDurable"),
 		adviceLatency: timer("Advice"), startLatency: timer("StartAnswer"), dueToStart: timer("HandInToStart"), planDuration: timer("Plan"),
 	}
 }
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -150,7 +150,10 @@
 		o.config.Log.Info().Str("Runner", string(r.Info.ID)).Dur("Silent", now.Sub(r.UnreachableSince)).Msg("runner is reachable again; the leases of its attempts are extended again")
 		r.UnreachableSince = time.Time{}
 	}
-	r.ObserveClock(report.Clock, now)
+	if r.ObserveClock(report.Clock, sentAt, now) {
+		o.counters.clocksWentBack.Inc(1)
+		o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("clock of the runner went back; its leases are counted from the clock as it is")
+	}
 	if !r.Synced {
 		// Another leader may have asked for a lease up to the maximum; from now on the runner refuses its requests.
 		r.Deadline = r.Clock + agent.Clock(o.config.Bounds.MaxLeaseTTL)
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -11,6 +11,9 @@
 const (
 	// ClockDrift is the part by which a runner's clock may be slow, as one in so many.
 	ClockDrift = 40
+	// clockTolerance is how far below its bound a runner's clock may be without counting as gone back. Runners state
+	// whole milliseconds.
+	clockTolerance = agent.Clock(10 * time.Millisecond)
 	// slowSpeed is the speed below which a runner gets no new tasks.
 	slowSpeed = 0.4
 )
@@ -201,11 +204,16 @@
 	}
 }
 
-// ObserveClock records the runner's clock, unless it is below the known lower bound.
-func (r *Runner) ObserveClock(clock agent.Clock, at time.Time) {
-	if clock >= r.Now(at) {
-		r.Clock, r.ClockAt = clock, at
+// ObserveClock records the runner's clock as an answer states it that was received now, to a request that was sent at sentAt.
+// A value below the known lower bound for now was on its way for long, and is ignored. One below the bound for sentAt shows
+// that the clock went back, as after a suspension of the runner's VM: leases last longer there than was assumed, and their
+// deadlines must be counted from the clock as it is. ObserveClock reports whether the clock went back.
+func (r *Runner) ObserveClock(clock agent.Clock, sentAt, now time.Time) bool {
+	wentBack := clock+clockTolerance < r.Now(sentAt)
+	if wentBack || clock >= r.Now(now) {
+		r.Clock, r.ClockAt = clock, now
 	}
+	return wentBack
 }
 
 // ExtendLease returns the deadline of a lease that begins now, on the runner's clock, and raises Deadline to it.
