Go on accepting other daemons after a failed accept

The server for other daemons ended for good at the first accept that failed, for example for want of a file descriptor. The daemon went on to renew its lease in the store, and as the leader could not be called any more. It tries again after 20 ms now. The test failed before with a call that got no answer.

--- a/internal/node/peer/dial_test.go
+++ b/internal/node/peer/dial_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,6 +38,50 @@
 	return &countingListener{Listener: l}
 }
 
+// failingListener fails some accepts before it accepts connections.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestFailedAcceptDoesNotEndTheServer guards against a daemon that no other daemon reaches any more, although it goes on to
+// renew its leases and may lead, because one accept failed for want of a file descriptor.
+func TestFailedAcceptDoesNotEndTheServer(t *testing.T) {
+	inner := newCountingListener(t)
+	l := &failingListener{Listener: inner}
+	l.failures.Store(3)
+	server := NewServer()
+	if err := server.Register("Mirror", Mirror{}); err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		server.Serve(l)
+	}()
+	client := NewClient(meter.Discard())
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	args, reply := "x", ""
+	if err := client.Call(ctx, Target{Address: types.Address(inner.Addr().String())}, "Mirror.Say", &args, &reply); err != nil {
+		t.Errorf("a call after failed accepts: %v", err)
+	}
+	server.Close()
+	select {
+	case <-served:
+	case <-time.After(3 * time.Second):
+		t.Error("the server did not end after Close")
+	}
+}
+
 // Mirror is an RPC service that returns its arguments.
 type Mirror struct{}
 
--- a/internal/node/peer/rpc.go
+++ b/internal/node/peer/rpc.go
@@ -21,6 +21,8 @@
 	dialTimeout = time.Second
 	// silenceTimeout is how long calls on a connection may time out without a byte read from it before it is closed.
 	silenceTimeout = 1200 * time.Millisecond
+	// acceptBackoff is the pause after a failed accept.
+	acceptBackoff = 20 * time.Millisecond
 )
 
 type (
@@ -95,16 +97,21 @@
 	return nil
 }
 
-// Serve accepts connections until the listener fails or is closed.
+// Serve accepts connections until Close. A failed accept is tried again: the process may be short of file descriptors, or
+// the connection was reset before it was accepted.
 func (s *Server) Serve(listener net.Listener) {
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) || s.isClosed() {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptBackoff)
+			continue
+		}
 		if s.track(conn) {
 			go s.serve(conn)
 		}
@@ -124,6 +131,12 @@
 	}
 }
 
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // track records an open connection so that Close can close it. After Close it closes the connection itself and returns
 // false.
 func (s *Server) track(conn net.Conn) bool {
