Judge the progress of tasks by the time of the runner's report

A report that was on its way for 1.5 s, or that a paused leader read that much later, showed the progress of before, and its time on the way counted as time without progress: the leader stopped the task, or the whole gang, and quarantined its runner, although the work went on. Progress is noted for the time at which the runner made the report, by its clock. The test failed for the late report before; a task that really stalls is stopped as before.

--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -158,16 +158,17 @@
 		// Another leader may have asked for a lease up to the maximum; from now on the runner refuses its requests.
 		r.Deadline = r.Clock + agent.Clock(o.config.Bounds.MaxLeaseTTL)
 	}
+	madeAt := r.TimeOf(report.Clock, now)
 	for _, e := range report.Results {
 		o.applyResult(r, e)
 	}
 	listed := make(map[tasks.RunKey]bool, len(report.Running))
 	for _, running := range report.Running {
 		listed[tasks.RunKey{Ref: running.Ref, Attempt: running.Attempt}] = true
-		o.applyRunning(r, running, now)
+		o.applyRunning(r, running, madeAt)
 	}
 	o.removeMissingRuns(r, listed, request.Fence, sentAt)
-	o.checkProgress(r, now)
+	o.checkProgress(r, madeAt)
 	if len(report.Results) > 0 || !r.Synced {
 		wake(o.planWake)
 	}
@@ -178,22 +179,23 @@
 }
 
 // applyRunning applies the report that an attempt is running: it adds its run if the tables do not hold it on this
-// runner, confirms the run, and records its progress and checkpoint. An attempt that is unwanted is stopped. The caller
-// must hold o.mu.
-func (o *Owner) applyRunning(r *tasks.Runner, running agent.Running, now time.Time) {
+// runner, confirms the run, and records its progress and checkpoint. An attempt that is unwanted is stopped. The
+// progress is that of madeAt, when the runner made the report: a report may be on its way, or wait to be read, for seconds. The
+// caller must hold o.mu.
+func (o *Owner) applyRunning(r *tasks.Runner, running agent.Running, madeAt time.Time) {
 	key := tasks.RunKey{Ref: running.Ref, Attempt: running.Attempt}
 	run := r.Runs[key]
 	if run == nil {
 		run = o.addReportedRun(r, key)
 	}
 	if !run.Confirmed {
-		run.Confirm(now)
+		run.Confirm(o.config.Clock.Now())
 	}
 	if run.FirstAt.IsZero() {
-		run.First, run.FirstAt = running.Percent, now
+		run.First, run.FirstAt = running.Percent, madeAt
 	}
 	if running.Percent != run.Percent {
-		run.Percent, run.ProgressAt = running.Percent, now
+		run.Percent, run.ProgressAt = running.Percent, madeAt
 	}
 	if running.Checkpoint != "" {
 		run.Checkpoint = running.Checkpoint
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -216,6 +216,15 @@
 	return wentBack
 }
 
+// TimeOf returns when the runner's clock showed the given value, on this process's clock, but not after now.
+func (r *Runner) TimeOf(clock agent.Clock, now time.Time) time.Time {
+	at := r.ClockAt.Add(time.Duration(clock - r.Clock))
+	if at.After(now) {
+		return now
+	}
+	return at
+}
+
 // ExtendLease returns the deadline of a lease that begins now, on the runner's clock, and raises Deadline to it.
 func (r *Runner) ExtendLease(at time.Time, length time.Duration) agent.Clock {
 	deadline := r.Now(at) + agent.Clock(length)
