--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,6 @@
 # Times that are promised to callers; the race detector multiplies them. The tests have the build constraint !race.
 TIMES := ./platform
 
-# The tests of KNOWN-RED.txt that CI passes over.
-KNOWN_RED := ^TestRegressions$$/^25$$
-
 .PHONY: all build dev check fmt format lint vet test bounds clean
 
 all: build
@@ -38,8 +35,7 @@
 	go vet $(PACKAGES)
 
 test:
-	@echo 'passing over the known red test: $(KNOWN_RED)'
-	go test -skip '$(KNOWN_RED)' -race -count=1 -timeout 9m $$(go list $(PACKAGES) | grep -v -e internal/sched/trial -e internal/flow/order)
+	go test -race -count=1 -timeout 9m $$(go list $(PACKAGES) | grep -v -e internal/sched/trial -e internal/flow/order)
 
 bounds:
 	go test -count=1 -timeout 5m $(BOUNDS)
