--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/uptime"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/feed"
@@ -87,6 +88,7 @@
 		adviceCache adviceCache
 		relays      *relay.Server
 		feed        *feed.Feed
+		rescuer     *rescue.Rescuer
 
 		mu       sync.Mutex
 		ctx      context.Context
@@ -111,7 +113,7 @@
 
 // New returns a Front that takes part in the election and serves requests once Run is called.
 func New(c Config) *Front {
-	f := &Front{config: c, hasCatalog: make(chan struct{})}
+	f := &Front{config: c, rescuer: rescue.New(c.Log, c.Metrics), hasCatalog: make(chan struct{})}
 	f.callMetrics = callMetrics{
 		submits: metrics.GetOrRegisterTimer("Front.Submit", c.Metrics),
 		states:  metrics.GetOrRegisterTimer("Front.State", c.Metrics),
@@ -121,7 +123,7 @@
 	}
 	f.balancer = newAdviceBalancer()
 	f.adviceCache = newAdviceCache()
-	f.relays = relay.NewServer(relay.ServerConfig{Agents: c.Agents, Clock: c.Clock, Log: c.Log})
+	f.relays = relay.NewServer(relay.ServerConfig{Agents: c.Agents, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics})
 	f.elector = elect.New(elect.Config{
 		Self: c.Self, Strength: c.Strength, Store: c.Store, Clock: c.Clock, Log: c.Log, TTL: c.TTL,
 		OnStartedLeading: f.startLeading, OnStoppedLeading: f.stopLeading,
@@ -222,7 +224,7 @@
 		Term: t, Store: f.config.Store, Clock: f.config.Clock, Log: f.config.Log, Metrics: f.config.Metrics,
 		Agents: f.newRelayClient(termCtx, t), Directory: f.config.Directory, Advise: f.advise, AdviceBudget: f.adviceBudget,
 		CollectCachedAdvice: f.collectCachedAdvice, Catalog: f.Catalog,
-		LastContact: f.elector.LastContact, OnFenced: f.elector.EndTerm, Bounds: f.config.Bounds,
+		OnFenced: f.elector.EndTerm, Bounds: f.config.Bounds,
 		OnWritesStalled: func(isStalled func() bool) { f.requestTakeover(ctx, t.Epoch, isStalled) },
 	})
 	f.owner, f.term = o, t
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -25,9 +25,6 @@
 	// acknowledgeDelay gives the write of results time to finish, so that the next renewal can acknowledge them; only
 	// durable results are acknowledged.
 	acknowledgeDelay = 40 * time.Millisecond
-	// storeContactTimeout is how long a leader goes on renewing leases without an answer from the store. A new leader
-	// counts on it: it takes the leases on a runner that has not answered it for valid for this time plus MaxLeaseTTL.
-	storeContactTimeout = 8 * time.Second
 )
 
 // startRenewLoop starts the lease renewal loop of a runner, unless it has one or its address is not known. The caller
@@ -37,7 +34,7 @@
 		return
 	}
 	o.renewLoops[r] = struct{}{}
-	o.loops.Go(func() { o.renewLoop(r) })
+	o.loops.Go(o.guarded("lease renewal", func() { o.renewLoop(r) }))
 }
 
 // renewal is a lease renewal that is about to be sent.
@@ -48,14 +45,14 @@
 }
 
 // renewLoop renews the leases on a runner until the term ends, or the runner is replaced, or has left the directory and
-// runs nothing. It renews none while the store has not answered for longer than storeContactTimeout.
+// runs nothing. It renews none while leadership has not been confirmed for longer than storeContactTimeout.
 func (o *Owner) renewLoop(r *tasks.Runner) {
 	for o.ctx.Err() == nil {
-		next, ok := o.nextRenewal(r)
+		next, confirmed, ok := o.nextRenewal(r)
 		if !ok {
 			return
 		}
-		if o.config.Clock.Since(o.config.LastContact()) > storeContactTimeout {
+		if !confirmed {
 			o.sleep(renewBackoff)
 			continue
 		}
@@ -66,17 +63,20 @@
 	}
 }
 
-// nextRenewal returns the next renewal for the runner, or false when its loop ends.
-func (o *Owner) nextRenewal(r *tasks.Runner) (renewal, bool) {
+// nextRenewal returns the next renewal for the runner, and whether leadership is confirmed; ok is false when its loop ends.
+func (o *Owner) nextRenewal(r *tasks.Runner) (next renewal, confirmed, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Clock.Now()
 	current := o.table.Runners[r.Info.ID] == r
 	if !current || (!r.Listed && len(r.Runs) == 0) {
 		delete(o.renewLoops, r)
-		return renewal{}, false
+		return renewal{}, false, false
 	}
-	next := renewal{to: r.Info, request: agent.RenewRequest{Fence: r.Fence, Acknowledged: r.DurableResult}, sentAt: now}
+	if !o.mayOrder() {
+		return renewal{}, false, true
+	}
+	next = renewal{to: r.Info, request: agent.RenewRequest{Fence: r.Fence, Acknowledged: r.DurableResult}, sentAt: now}
 	switch {
 	case !r.Synced:
 		// Until the runner answers, it is not known whether its attempts should go on, so their leases are not
@@ -91,7 +91,7 @@
 			next.request.Wait = longPollTimeout
 		}
 	}
-	return next, true
+	return next, true, true
 }
 
 // renewLeases sends one renewal and returns the delay before the next.
@@ -150,21 +150,25 @@
 		o.config.Log.Info().Str("Runner", string(r.Info.ID)).Dur("Silent", now.Sub(r.UnreachableSince)).Msg("runner is reachable again; the leases of its attempts are extended again")
 		r.UnreachableSince = time.Time{}
 	}
-	r.ObserveClock(report.Clock, now)
+	if r.ObserveClock(report.Clock, sentAt, now) {
+		o.counters.clocksWentBack.Inc(1)
+		o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("clock of the runner went back; its leases are counted from the clock as it is")
+	}
 	if !r.Synced {
 		// Another leader may have asked for a lease up to the maximum; from now on the runner refuses its requests.
 		r.Deadline = r.Clock + agent.Clock(o.config.Bounds.MaxLeaseTTL)
 	}
+	madeAt := r.TimeOf(report.Clock, now)
 	for _, e := range report.Results {
 		o.applyResult(r, e)
 	}
 	listed := make(map[tasks.RunKey]bool, len(report.Running))
 	for _, running := range report.Running {
 		listed[tasks.RunKey{Ref: running.Ref, Attempt: running.Attempt}] = true
-		o.applyRunning(r, running, now)
+		o.applyRunning(r, running, madeAt)
 	}
 	o.removeMissingRuns(r, listed, request.Fence, sentAt)
-	o.checkProgress(r, now)
+	o.checkProgress(r, madeAt)
 	if len(report.Results) > 0 || !r.Synced {
 		wake(o.planWake)
 	}
@@ -175,24 +179,25 @@
 }
 
 // applyRunning applies the report that an attempt is running: it adds its run if the tables do not hold it on this
-// runner, confirms the run, and records its progress and checkpoint. An attempt that is unwanted is stopped. The caller
-// must hold o.mu.
-func (o *Owner) applyRunning(r *tasks.Runner, running agent.Running, now time.Time) {
+// runner, confirms the run, and records its progress and checkpoint. An attempt that is unwanted is stopped. The
+// progress is that of madeAt, when the runner made the report: a report may be on its way, or wait to be read, for seconds. The
+// caller must hold o.mu.
+func (o *Owner) applyRunning(r *tasks.Runner, running agent.Running, madeAt time.Time) {
 	key := tasks.RunKey{Ref: running.Ref, Attempt: running.Attempt}
 	run := r.Runs[key]
 	if run == nil {
 		run = o.addReportedRun(r, key)
 	}
 	if !run.Confirmed {
-		run.Confirm(now)
+		run.Confirm(o.config.Clock.Now())
 	}
 	if run.FirstAt.IsZero() {
-		run.First, run.FirstAt = running.Percent, now
+		run.First, run.FirstAt = running.Percent, madeAt
 	}
 	if running.Percent != run.Percent {
-		run.Percent, run.ProgressAt = running.Percent, now
+		run.Percent, run.ProgressAt = running.Percent, madeAt
 	}
-	run.ObserveCheckpoint(running.Checkpoint, now)
+	run.ObserveCheckpoint(running.Checkpoint, madeAt)
 	if o.isUnwanted(run) {
 		o.stopRun(run)
 	}
--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -25,7 +25,7 @@
 	// Requests have no answers then.
 	o.cancel()
 	o.applyCatalog()
-	o.directoryAt = f.clock.Now()
+	o.directoryAt, o.confirmedAt = f.clock.Now(), f.clock.Now()
 	return o
 }
 
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
@@ -72,8 +73,6 @@
 		CollectCachedAdvice CollectCachedAdvice
 		// Catalog returns the catalog in force, or nil until there is one.
 		Catalog func() *specs.Catalog
-		// LastContact returns when the store last answered this daemon.
-		LastContact func() time.Time
 		// OnFenced is called when the term ends because a runner or the ledger shows that another daemon leads.
 		OnFenced func(reason string)
 		// OnWritesStalled, when set, is called in a goroutine of its own while the store does not accept this leader's
@@ -105,7 +104,8 @@
 		counters  counters
 		// organisationCounters is guarded by mu.
 		organisationCounters organisationCounters
-		waste     wasteCounters
+		waste                wasteCounters
+		rescuer              *rescue.Rescuer
 		// ledgerMu guards the ledger; running its writes does not require it.
 		ledgerMu sync.Mutex
 
@@ -126,6 +126,8 @@
 		// by a part.
 		writeLatency   time.Duration
 		catalogVersion specs.CatalogVersion
+		// confirmedAt is when the latest request was sent whose answer showed that the epoch is still that of this term.
+		confirmedAt time.Time
 		// directoryAt is the time to which the tables contain the changes of the directory.
 		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
@@ -158,6 +160,7 @@
 		counters:      newCounters(c.Metrics),
 		organisations: newOrganisationMetrics(c.Metrics),
 		waste:         newWasteCounters(c.Metrics),
+		rescuer:       rescue.New(c.Log, c.Metrics),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
@@ -171,15 +174,19 @@
 func (o *Owner) Run(ctx context.Context) {
 	unlink := context.AfterFunc(ctx, o.cancel)
 	defer unlink()
+	o.loops.Go(o.guarded("leadership confirmation", o.confirmLoop))
+	defer o.loops.Wait()
 	defer o.cancel()
 	jobLedger := o.openLedger()
 	if jobLedger == nil {
 		return
 	}
-	o.adoptPlacedTasks()
-	o.collectCachedAdvice()
+	o.guarded("adoption of placed tasks", func() {
+		o.adoptPlacedTasks()
+		o.collectCachedAdvice()
+	})()
 	for _, loop := range []func(){func() { o.writeLoop(jobLedger) }, o.planLoop, o.tickLoop, o.directoryLoop} {
-		o.loops.Go(loop)
+		o.loops.Go(o.guarded("loop of the leader", loop))
 	}
 	o.loops.Wait()
 }
@@ -193,6 +200,9 @@
 			Store: o.config.Store, Clock: o.config.Clock,
 			Epoch: o.config.Term.Epoch, EpochVersion: o.config.Term.Version,
 			Retention: o.config.Bounds.StatusRetention, OnFailure: o.handleWriteFailure,
+			OnMalformed: func(key store.Key, err error) {
+				o.config.Log.Error().Err(err).Str("Key", string(key)).Msg("stored job is malformed; going on without it")
+			},
 		}, table)
 		if err == nil {
 			o.mu.Lock()
@@ -229,6 +239,14 @@
 	o.cancel()
 }
 
+// guarded returns a function that runs f and ends the term if it panics: the tables may be inconsistent then, and a leader
+// without one of its loops would neither serve nor be replaced. The caller of f must not hold o.mu.
+func (o *Owner) guarded(what string, f func()) func() {
+	return func() {
+		o.rescuer.Go(what, f, func() { o.endTerm(what + " panicked") })
+	}
+}
+
 // Stop ends the term, even one that has not begun.
 func (o *Owner) Stop() {
 	o.cancel()
--- a/internal/flow/owner/quota_property_test.go
+++ b/internal/flow/owner/quota_property_test.go
@@ -150,7 +150,7 @@
 	o := New(Config{
 		Term: elect.Term{Epoch: m.epoch}, Clock: m.clock, Log: zerolog.Nop(), Metrics: metrics.NewRegistry(),
 		Agents: &m.network, Directory: fleet, Catalog: func() *specs.Catalog { return m.catalog },
-		AdviceBudget: func() specs.AdviceBudget { return specs.AdviceBudget{} }, LastContact: m.clock.Now, OnFenced: func(string) {},
+		AdviceBudget: func() specs.AdviceBudget { return specs.AdviceBudget{} }, OnFenced: func(string) {},
 		Bounds: Bounds{MaxLeaseTTL: 6 * time.Second, StopTimeout: 20 * time.Millisecond, StatusRetention: time.Minute},
 	})
 	// The answers of requests that are sent in the background are ignored then.
@@ -228,7 +228,7 @@
 }
 
 func (m *quotaModel) plan() {
-	m.owner.directoryAt = m.clock.Now()
+	m.owner.directoryAt, m.owner.confirmedAt = m.clock.Now(), m.clock.Now()
 	m.owner.executePlan()
 }
 
@@ -371,7 +371,8 @@
 	defer o.mu.Unlock()
 	known := o.table.Runners[r.info.ID]
 	o.mu.Unlock()
-	next, _ := o.nextRenewal(known)
+	o.confirmedAt = m.clock.Now()
+	next, _, _ := o.nextRenewal(known)
 	o.mu.Lock()
 	if r.cutOff {
 		o.handleRenewFailure(known, next.request, errs.New(errs.Lost, "unreachable"))
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -86,7 +86,9 @@
 	}
 	now := o.config.Clock.Now()
 	stale := !run.TicketUntil.IsZero() && run.TicketUntil.Before(now.Add(ticketMargin/2))
-	if run.StartCancelled || stale || o.isUnwanted(run) || o.isOverQuota(run) || !r.Usable(now) || !o.knowsDirectory() {
+	isUnwanted := run.StartCancelled || o.isUnwanted(run) || o.isOverQuota(run)
+	mayStart := r.Usable(now) && o.knowsDirectory() && o.mayOrder()
+	if isUnwanted || stale || !mayStart {
 		o.discardRun(run)
 		return
 	}
@@ -123,7 +125,7 @@
 	if run.Tries > 1 {
 		timeout = requestTimeout
 	}
-	go func() {
+	go o.guarded("answer of a runner", func() {
 		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		defer cancel()
 		err := o.config.Agents.Start(ctx, info, request)
@@ -133,7 +135,7 @@
 			o.counters.startLatency.Update(o.config.Clock.Since(now))
 			o.applyStartAnswer(run, request, err)
 		}
-	}()
+	})()
 }
 
 // applyStartAnswer applies the answer to a start. The caller must hold o.mu.
@@ -169,7 +171,8 @@
 	}
 	o.config.Log.Info().Str("Task", run.Key.Ref.String()).Int("Attempt", int(run.Key.Attempt)).
 		Str("Runner", string(run.Runner.Info.ID)).Int("Tries", run.Tries).Msg("start was not answered; it is in doubt whether the attempt runs")
-	if run.Tries < maxStartTries && !run.StartCancelled && !o.isUnwanted(run) && run.Runner.UnreachableSince.IsZero() {
+	isWanted := !run.StartCancelled && !o.isUnwanted(run) && !o.isOverQuota(run)
+	if run.Tries < maxStartTries && isWanted && run.Runner.UnreachableSince.IsZero() && o.mayOrder() {
 		o.sendStart(run)
 		return
 	}
@@ -232,11 +235,11 @@
 	run.Stopping, run.StopSent = true, now
 	o.counters.stops.Inc(1)
 	info, request := r.Info, agent.StopRequest{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Fence: r.Fence}
-	go func() {
+	go o.guarded("answer of a runner", func() {
 		ctx, cancel := context.WithTimeout(o.ctx, requestTimeout)
 		defer cancel()
 		if err := o.config.Agents.Stop(ctx, info, request); err != nil && o.ctx.Err() == nil {
 			o.config.Log.Info().Err(err).Str("Task", request.Ref.String()).Str("Runner", string(info.ID)).Msg("stop was not confirmed by the runner; it is sent again if the attempt goes on")
 		}
-	}()
+	})()
 }
