--- a/internal/flow/owner/gang_test.go
+++ b/internal/flow/owner/gang_test.go
@@ -41,6 +41,7 @@
 func (f *gangFixture) adopt(o *Owner, width int) {
 	f.t.Cleanup(o.cancel)
 	f.Owner, f.runners = o, nil
+	o.confirmedAt = o.config.Clock.Now()
 	for i := range width {
 		r := o.addRunner(runner(i))
 		r.Synced = true
