Fit the tests to the merged parts, and let no resumed gang be done before it starts

Jobs of organisations start only under a known catalog, which one test lacked; another counted work from a confirmation that the runner's report no longer dates.

--- a/internal/flow/owner/access_test.go
+++ b/internal/flow/owner/access_test.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// startOwnerWithCatalog runs the owner of a new term, whose catalog names organisation a: without one, none of its jobs start.
+func (f *fixture) startOwnerWithCatalog() (*Owner, func()) {
+	o := f.newOwner()
+	catalog := &specs.Catalog{Version: 1, Organisations: []specs.Organisation{{Name: "a", Weight: 1}}}
+	o.config.Catalog = func() *specs.Catalog { return catalog }
+	return o, f.runOwner(o)
+}
+
 func TestJobsAreHiddenFromOtherOrganisations(t *testing.T) {
 	w := quickWorld()
 	w.RunTime = func(r specs.Ref) time.Duration {
@@ -58,7 +66,7 @@
 	}
 	f := newFixture(t, w)
 	f.addRunners(2)
-	former, stop := f.startOwner()
+	former, stop := f.startOwnerWithCatalog()
 	f.submit(former, jobOf("a", "running"))
 	f.submit(former, jobOf("a", "ended"))
 	f.submit(former, jobOf("", "open"))
@@ -71,7 +79,7 @@
 	}
 	t.Run("AtTheFirstLeader", func(t *testing.T) { check(t, former) })
 	stop()
-	next, _ := f.startOwner()
+	next, _ := f.startOwnerWithCatalog()
 	f.eventually("the next leader has read the ledger", func() bool {
 		_, err := next.State(context.Background(), specs.Caller{}, "open")
 		return err == nil
--- a/internal/flow/owner/waste_test.go
+++ b/internal/flow/owner/waste_test.go
@@ -35,6 +35,7 @@
 			began := f.config.Clock.Now().Add(-10 * time.Second)
 			for i, task := range f.step.Tasks {
 				f.applyRunning(f.runners[i], agent.Running{Ref: task.Ref, Attempt: 1}, began)
+				task.Run.ConfirmedAt = began
 			}
 			// The state of any member is valid for all, so each loses four seconds.
 			f.applyRunning(f.runners[1], agent.Running{Ref: f.step.Tasks[1].Ref, Attempt: 1, Checkpoint: "a"}, began.Add(6*time.Second))
--- a/internal/plat/agent/gang.go
+++ b/internal/plat/agent/gang.go
@@ -7,6 +7,10 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
+// minResumedRun is the least time that an attempt runs: one that resumes from a state saved at the very end of the work must
+// not be done before it has started.
+const minResumedRun = 5 * time.Millisecond
+
 type (
 	// gangKey identifies one attempt of a gang.
 	gangKey struct {
@@ -48,7 +52,7 @@
 		return
 	}
 	g.working, g.workingAt = true, now
-	end := now.Add(f.world.RunTime(specs.Ref{StepRef: ref.StepRef}) - g.done)
+	end := now.Add(max(f.world.RunTime(specs.Ref{StepRef: ref.StepRef})-g.done, minResumedRun))
 	for member, runner := range g.members {
 		if r := runner.runs[member]; r != nil {
 			r.endAt = end
