Take the tolerance of rates from the platform's settings

Cause: a bucket of two seconds of the weight made jobs surplus that the platform's settings tolerate (bounds.quota-window-s, -overage, -slack), and surplus jobs of an urgent queue came behind the organisation's own patient ones. Change: a bucket holds the weight over the window with its overage, and the slack besides; without these settings two seconds as before.

--- a/internal/flow/order/weights_load_test.go
+++ b/internal/flow/order/weights_load_test.go
@@ -78,7 +78,7 @@
 // newTenantSimulation returns a simulation whose leader knows the organisations if shares is set.
 func newTenantSimulation(seed uint64, burst float64, shares bool) *tenantSimulation {
 	sim := &tenantSimulation{
-		simulation: newSimulation(seed), seed: seed, burst: burst, shares: shares, rates: rates.New(),
+		simulation: newSimulation(seed), seed: seed, burst: burst, shares: shares, rates: rates.New(rates.Tolerance{}),
 		tenants: make([]tenantResult, len(tenantShares)), started: make(map[specs.JobID]time.Time),
 	}
 	usual := 0.0
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -90,6 +90,8 @@
 		StopTimeout time.Duration
 		// StatusRetention is how long the state of an ended job stays available.
 		StatusRetention time.Duration
+		// RateTolerance is by how much an organisation may exceed its weight before its jobs are surplus.
+		RateTolerance rates.Tolerance
 	}
 
 	// Owner manages the accepted jobs during one daemon's term as leader. It is safe for concurrent use.
--- a/internal/flow/owner/weights.go
+++ b/internal/flow/owner/weights.go
@@ -28,7 +28,7 @@
 	now := o.config.Clock.Now()
 	isFirst := o.rates == nil
 	if isFirst {
-		o.rates = rates.New()
+		o.rates = rates.New(o.config.Bounds.RateTolerance)
 	}
 	o.rates.SetWeights(weights, now)
 	if isFirst {
--- a/internal/flow/rates/rates.go
+++ b/internal/flow/rates/rates.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// capacityDuration is the time in which the weight fills an empty bucket.
-	capacityDuration = 2 * time.Second
+	// defaultWindow is the time in which the weight fills an empty bucket unless the platform sets another one.
+	defaultWindow = 2 * time.Second
 	// minCapacity is the least capacity of a bucket, in jobs. Jobs of a small organisation arrive in random clusters. At a
 	// mean rate of 1/1.9 of the weight, 9 in 100,000 of them are surplus with 8 jobs, 300 with 5, and 10,000 with 2.
 	minCapacity = 8
@@ -27,9 +27,20 @@
 )
 
 type (
+	// Tolerance is by how much an organisation may exceed its weight for a short time before its jobs are surplus.
+	Tolerance struct {
+		// Window is the time in which the weight fills an empty bucket; zero means defaultWindow.
+		Window time.Duration
+		// Overage is the part of the weight by which it may be exceeded over the window.
+		Overage float64
+		// Slack is the number of jobs that a bucket holds besides.
+		Slack float64
+	}
+
 	// Rates holds a token bucket for each organisation with a weight.
 	Rates struct {
-		buckets map[specs.OrganisationName]*bucket
+		tolerance Tolerance
+		buckets   map[specs.OrganisationName]*bucket
 	}
 
 	// Acceptance is one job that was accepted within the weight of its organisation.
@@ -47,8 +58,11 @@
 )
 
 // New returns Rates without organisations: every job is surplus.
-func New() *Rates {
-	return &Rates{buckets: make(map[specs.OrganisationName]*bucket)}
+func New(t Tolerance) *Rates {
+	if t.Window <= 0 {
+		t.Window = defaultWindow
+	}
+	return &Rates{tolerance: t, buckets: make(map[specs.OrganisationName]*bucket)}
 }
 
 // SetWeights sets the weights, in jobs per second, of all organisations. One that weights lacks has weight 0. A new
@@ -63,9 +77,9 @@
 		switch b := r.buckets[name]; {
 		case weight <= 0:
 		case b == nil:
-			r.buckets[name] = &bucket{weight: weight, limiter: newLimiter(weight)}
+			r.buckets[name] = &bucket{weight: weight, limiter: r.tolerance.newLimiter(weight)}
 		case b.weight != weight:
-			b.setWeight(weight, now)
+			b.setWeight(weight, r.tolerance.newLimiter(weight), now)
 		}
 	}
 }
@@ -114,9 +128,9 @@
 
 // setWeight changes the weight. The tokens and the time up to the next slot are scaled, so that the change takes effect
 // at once in both directions, and changes back and forth bring no tokens.
-func (b *bucket) setWeight(weight float64, now time.Time) {
+func (b *bucket) setWeight(weight float64, limiter *rate.Limiter, now time.Time) {
 	filled := b.limiter.TokensAt(now) / float64(b.limiter.Burst())
-	b.limiter = newLimiter(weight)
+	b.limiter = limiter
 	capacity := float64(b.limiter.Burst())
 	b.limiter.AllowN(now, int(math.Round(capacity*(1-filled))))
 	if ahead := b.nextSlot.Sub(now); ahead > 0 {
@@ -139,8 +153,9 @@
 }
 
 // newLimiter returns a full bucket.
-func newLimiter(weight float64) *rate.Limiter {
-	capacity := min(max(math.Ceil(weight*capacityDuration.Seconds()), minCapacity), maxCapacity)
+func (t Tolerance) newLimiter(weight float64) *rate.Limiter {
+	wanted := math.Ceil(weight*t.Window.Seconds()*(1+t.Overage) + t.Slack)
+	capacity := min(max(wanted, minCapacity), maxCapacity)
 	return rate.NewLimiter(rate.Limit(weight), int(capacity))
 }
 
--- a/internal/flow/rates/rates_test.go
+++ b/internal/flow/rates/rates_test.go
@@ -19,7 +19,7 @@
 }
 
 func newRates(weight float64) *Rates {
-	r := New()
+	r := New(Tolerance{})
 	r.setWeight(weight, start)
 	return r
 }
@@ -76,7 +76,7 @@
 	})
 	// Jobs of a removed organisation, and of one that the catalog never named, would otherwise keep the full claim.
 	t.Run("NoWeightMakesEveryJobSurplus", func(t *testing.T) {
-		wantWithin(t, New().submit(10, start), 0)
+		wantWithin(t, New(Tolerance{}).submit(10, start), 0)
 		wantWithin(t, newRates(0).submit(10, start), 0)
 		r := newRates(10)
 		r.SetWeights(nil, start)
@@ -84,7 +84,7 @@
 	})
 	// One organisation must not use up the tokens of another.
 	t.Run("OrganisationsAreApart", func(t *testing.T) {
-		r := New()
+		r := New(Tolerance{})
 		r.SetWeights(map[specs.OrganisationName]float64{org: 10, "other": 10}, start)
 		for range 100 {
 			r.Take("other", start)
@@ -257,6 +257,22 @@
 		wantWithin(t, r.submit(1000, at(11)), 10)
 	})
 	t.Run("OrganisationsWithoutWeightAreLeftOut", func(t *testing.T) {
-		New().Replay(acceptances(3, start), start)
+		New(Tolerance{}).Replay(acceptances(3, start), start)
 	})
 }
+
+// The platform says by how much a weight may be exceeded; jobs that it tolerates must not be refused as surplus.
+func TestToleranceOfThePlatform(t *testing.T) {
+	r := New(Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
+	r.SetWeights(map[specs.OrganisationName]float64{"a": 30}, start)
+	within := 0
+	for range 400 {
+		if r.Within("a", start) {
+			within++
+		}
+		r.Take("a", start)
+	}
+	if want := 185; within != want {
+		t.Errorf("%d jobs at once are within the weight, want %d", within, want)
+	}
+}
