Keep the places of gangs while their tickets are on the way, and free idle daemons for long advice

Cause: on the deployment with several regions gangs waited 20 s and more while a quarter of the cores was free: the tickets of a place took half a second, in which more urgent small tasks took it, and the budget for long calls for advice was used up all the time, while a third of the daemons waited for short calls. Change: a gang keeps its place against all other work while the tickets for it are on the way, at most a fifth of the cores in all.

--- a/internal/flow/front/balancer.go
+++ b/internal/flow/front/balancer.go
@@ -32,7 +32,7 @@
 	initialRemoteLatency = 30 * time.Millisecond
 	// latencyDivisor gives one call the weight 1/latencyDivisor in the moving average of a daemon's latency.
 	latencyDivisor = 4
-	// shortOnlyDivisor sets the fraction of the daemons that get no long calls, 1/shortOnlyDivisor.
+	// shortOnlyDivisor limits the fraction of the daemons that get no long calls, 1/shortOnlyDivisor.
 	shortOnlyDivisor = 3
 )
 
@@ -46,6 +46,8 @@
 	backoffUntil map[types.VMID]time.Time
 	// latency is the time that a call through the daemon takes in addition to its work.
 	latency map[types.VMID]time.Duration
+	// demand is that for short calls.
+	demand shortDemand
 }
 
 func newAdviceBalancer() adviceBalancer {
@@ -69,6 +71,9 @@
 		}
 	}
 	b.load[best.VM] += work
+	if !specs.IsLong(work) {
+		b.demand.add(work, now)
+	}
 	return best
 }
 
@@ -87,7 +92,7 @@
 	})
 	shortOnly := 0
 	if long && len(sorted) > 1 {
-		shortOnly = max(1, len(sorted)/shortOnlyDivisor)
+		shortOnly = max(1, b.demand.daemons(now, len(sorted)/shortOnlyDivisor))
 	}
 	var out []peer.Target
 	for _, m := range sorted[shortOnly:] {
--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -81,7 +81,7 @@
 	if includeFull {
 		c.add(func(n int) bool { return n == 0 })
 	}
-	p.addAdviceCall(s, c.named)
+	p.addAdviceCall(s, c.named, nil)
 }
 
 // candidates collects the runners that a call for advice on a step names.
@@ -147,8 +147,9 @@
 	return s.Advice.Pending == 0 && p.limits.AdviceBudget.Allows(s.Job.Spec.Queue.Advice.CallDuration(1))
 }
 
-// addAdviceCall adds calls for advice on the runners to the plan, unless one is in flight or the budget is spent.
-func (p *pass) addAdviceCall(s *tasks.Step, runners []*runnerCapacity) {
+// addAdviceCall adds calls for advice on the runners to the plan, unless one is in flight or the budget is spent. Place is
+// where a gang fits for which the calls get the tickets, or nil.
+func (p *pass) addAdviceCall(s *tasks.Step, runners []*runnerCapacity, place []tasks.PlaceShare) {
 	if s.Advice.Pending > 0 || len(runners) == 0 {
 		return
 	}
@@ -157,7 +158,7 @@
 		if !p.limits.AdviceBudget.Spend(s.Job.Spec.Queue.Advice.CallDuration(len(chunk))) {
 			break
 		}
-		call := AdviceCall{Step: s}
+		call := AdviceCall{Step: s, Place: place}
 		for _, r := range chunk {
 			call.Runners = append(call.Runners, r.runner)
 		}
@@ -213,5 +214,5 @@
 		}
 	}
 	slices.SortFunc(named, func(a, b *runnerCapacity) int { return cmp.Compare(a.runner.Info.ID, b.runner.Info.ID) })
-	p.addAdviceCall(s, slices.Compact(named))
+	p.addAdviceCall(s, slices.Compact(named), nil)
 }
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -97,7 +97,7 @@
 			spare--
 		}
 	}
-	p.addAdviceCall(s, wanted[:min(len(wanted), maxNamed(s))])
+	p.addAdviceCall(s, wanted[:min(len(wanted), maxNamed(s))], placeOf(shares))
 }
 
 // allTasksWait reports whether every task of the gang waits and may start now.
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -68,6 +68,8 @@
 	AdviceCall struct {
 		Step    *tasks.Step
 		Runners []*tasks.Runner
+		// Place is where a gang fits now, for which the call gets the tickets; nil for other calls.
+		Place []tasks.PlaceShare
 	}
 
 	// Plan is the result of one planning pass. It holds the starts of either all tasks of a gang, one after the other,
@@ -103,6 +105,8 @@
 		headrooms map[*tasks.Organisation]*headroom
 		// lastHeadroom is the one that was looked up last, most often by the same step.
 		lastHeadroom *headroom
+		// places holds what gangs keep that wait for tickets, until they are served.
+		places map[*tasks.Step][]keptPlace
 		// stepsLeft is how many more steps the plan serves.
 		stepsLeft int
 		out       Plan
@@ -147,7 +151,9 @@
 		return p.out
 	}
 	p.collectRunners()
-	p.serveAll(p.sortedEntries(compare))
+	entries := p.sortedEntries(compare)
+	p.keepPlaces(entries)
+	p.serveAll(entries)
 	p.out.WaitingForQuota = p.waitingForQuota()
 	return p.out
 }
@@ -164,6 +170,7 @@
 
 		stepStarts: make(map[*tasks.Runner]int),
 		headrooms:  make(map[*tasks.Organisation]*headroom),
+		places:     make(map[*tasks.Step][]keptPlace),
 		stepsLeft:  maxSteps,
 	}
 }
@@ -279,6 +286,7 @@
 // serve starts as many tasks of the step as fit.
 func (p *pass) serve(s *tasks.Step) {
 	clear(p.stepStarts)
+	p.releasePlace(s)
 	if s.Job.Spec.Queue.Advice != nil {
 		p.serveAdvised(s)
 		return
--- /dev/null
+++ b/internal/flow/order/place.go
@@ -0,0 +1,78 @@
+package order
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+// placeShareLimit limits the cores that gangs keep while their tickets are on the way, as a fraction of the cores of their
+// service.
+const placeShareLimit = 0.2
+
+// keptPlace is the capacity that a gang keeps in one pass.
+type keptPlace struct {
+	runner *runnerCapacity
+	count  int
+}
+
+// keepPlaces keeps the places of the gangs that wait for the tickets of runners on which they fit, against all other work.
+// It answers a load of small urgent tasks beside gangs: a call for tickets takes about half a second, and without their
+// places gangs find them taken when the tickets arrive, again and again, though enough capacity is free all the time.
+func (p *pass) keepPlaces(sorted []entry) {
+	cores := make(map[types.ServiceName]types.MilliCores)
+	for _, e := range sorted {
+		s := e.step
+		if e.tier == overdue || len(s.Advice.Place) == 0 || !p.isPlaceNeeded(s) {
+			continue
+		}
+		service := s.Job.Spec.Queue.Service
+		wanted := taskResources(s).Times(len(s.Tasks)).Cores
+		if cores[service]+wanted > types.MilliCores(placeShareLimit*float64(p.cores[service])) {
+			continue
+		}
+		cores[service] += wanted
+		p.keepPlace(s)
+	}
+}
+
+// isPlaceNeeded reports whether the tickets for the gang's place are on the way, or have arrived and are still valid.
+func (p *pass) isPlaceNeeded(s *tasks.Step) bool {
+	if s.Advice.Pending > 0 {
+		return true
+	}
+	for _, share := range s.Advice.Place {
+		if _, ok := s.Advice.Ticket(share.Incarnation, p.now); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// keepPlace takes the gang's place from the free capacity until the gang is served.
+func (p *pass) keepPlace(s *tasks.Step) {
+	for _, share := range s.Advice.Place {
+		r := p.capacityOf(share.Incarnation)
+		if r == nil {
+			continue
+		}
+		r.free = r.free.Sub(taskResources(s).Times(share.Count))
+		p.places[s] = append(p.places[s], keptPlace{runner: r, count: share.Count})
+	}
+}
+
+// releasePlace makes the place that the step keeps free again, so that the step can start there.
+func (p *pass) releasePlace(s *tasks.Step) {
+	for _, kept := range p.places[s] {
+		kept.runner.free = kept.runner.free.Add(taskResources(s).Times(kept.count))
+	}
+	delete(p.places, s)
+}
+
+// placeOf returns the shares as the place that the gang keeps while its tickets are on the way.
+func placeOf(shares []gangShare) []tasks.PlaceShare {
+	out := make([]tasks.PlaceShare, 0, len(shares))
+	for _, sh := range shares {
+		out = append(out, tasks.PlaceShare{Incarnation: sh.runner.runner.Incarnation(), Count: sh.count})
+	}
+	return out
+}
--- a/internal/flow/owner/advice.go
+++ b/internal/flow/owner/advice.go
@@ -29,6 +29,7 @@
 		s.Advice.Asked = nil
 	}
 	s.Advice.Pending++
+	s.Advice.Place = a.Place
 	s.Advice.Asked = append(s.Advice.Asked, incarnations...)
 	// The share of the queue is learned only from calls whose first runner has no answer yet.
 	_, answered := s.Advice.Answers[incarnations[0]]
--- a/internal/flow/tasks/advice.go
+++ b/internal/flow/tasks/advice.go
@@ -20,6 +20,14 @@
 		// Allowed lists the runners that any answer has allowed, in the order of the answers, including those that a
 		// later answer did not allow; RunnerAdvice.Allowed tells of the latest answer.
 		Allowed []Incarnation
+		// Place is where a gang fitted when the latest calls for its tickets were made; nil if they were made to find runners.
+		Place []PlaceShare
+	}
+
+	// PlaceShare is the number of tasks of a gang that fit on one runner.
+	PlaceShare struct {
+		Incarnation Incarnation
+		Count       int
 	}
 
 	// Shares estimates, for each queue, the part of the named runners that its steps are usually allowed, from 0 to 1.
