Apply a newer catalog before a start is sent

A quota that was lowered between the plan and the write of its intents held only from the next plan or tick on. Test also that an unanswered start is not sent again above a lowered quota.

--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -172,25 +173,65 @@
 	wantRunning(t, o, 0)
 }
 
-// The quota may be lowered while the intent of a start is being written.
+// The quota may be lowered while the intent of a start is being written, or while its answer is awaited.
 func TestStartIsNotSentOnceTheQuotaIsLowered(t *testing.T) {
-	f := newFixture(t, quickWorld())
-	o := f.newQuotaOwner(4 * types.Core)
-	r := o.addRunner(runner(0))
-	r.Synced = true
-	o.table.AddJob(jobOfA(step(4)))
-	o.executePlan()
-	wantRunning(t, o, 4)
-	o.table.SetLimits(&specs.Catalog{Organisations: []specs.Organisation{{Name: "a", Quota: types.Resources{Cores: 3 * types.Core}}}})
+	planned := func(t *testing.T) (*Owner, *tasks.Runner) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(4 * types.Core)
+		r := o.addRunner(runner(0))
+		r.Synced = true
+		o.table.AddJob(jobOfA(step(4)))
+		o.executePlan()
+		wantRunning(t, o, 4)
+		return o, r
+	}
+	wantSent := func(t *testing.T, o *Owner, want int64) {
+		t.Helper()
+		if got := o.counters.starts.Count(); got != want {
+			t.Errorf("%d starts were sent, want %d", got, want)
+		}
+	}
+	t.Run("BeforeItIsSent", func(t *testing.T) {
+		o, _ := planned(t)
+		o.changeQuota(3 * types.Core)
+		o.confirmIntents()
+		wantRunning(t, o, 3)
+		wantSent(t, o, 3)
+	})
+	// The first try may never have arrived, so that the next one would bring the organisation above its quota.
+	t.Run("BeforeItIsSentAgain", func(t *testing.T) {
+		o, r := planned(t)
+		o.confirmIntents()
+		wantSent(t, o, 4)
+		fence := r.Fence
+		o.changeQuota(3 * types.Core)
+		o.applyCatalog()
+		for _, run := range r.Runs {
+			o.applyStartAnswer(run, agent.StartRequest{Fence: fence}, errs.New(errs.Lost, "the answer was lost"))
+		}
+		wantSent(t, o, 4)
+		wantRunning(t, o, 4)
+		if r.Fence <= fence || !r.FencePending {
+			t.Errorf("the fence is %d (pending: %t), want one above %d that is pending", r.Fence, r.FencePending, fence)
+		}
+	})
+}
+
+// changeQuota puts a catalog in force in which the organisation "a" may occupy the given cores.
+func (o *Owner) changeQuota(cores types.MilliCores) {
+	version := o.catalogVersion + 1
+	o.config.Catalog = func() *specs.Catalog {
+		return &specs.Catalog{Version: version, Organisations: []specs.Organisation{{Name: "a", Weight: 1, Quota: types.Resources{Cores: cores}}}}
+	}
+}
+
+// confirmIntents handles all pending records as durable.
+func (o *Owner) confirmIntents() {
 	durable := o.pending.onDurable
 	o.pending = pending{}
 	for _, f := range durable {
 		f()
 	}
-	wantRunning(t, o, 3)
-	if got := o.counters.starts.Count(); got != 3 {
-		t.Errorf("%d starts were sent, want 3", got)
-	}
 }
 
 // The gauges go to a system that keeps each name for ever, so their number must be bounded, and organisations that are gone
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -78,8 +78,9 @@
 
 // dispatchStart sends the start of a durable intent, or discards the run when it is not wanted any more, when its
 // ticket is about to expire, when its organisation's quota was lowered, or when its runner is no longer usable or may be
-// draining. The caller must hold o.mu.
+// draining. A newer catalog is applied first, since it may have arrived after the last plan. The caller must hold o.mu.
 func (o *Owner) dispatchStart(run *tasks.Run) {
+	o.applyCatalog()
 	r := run.Runner
 	if r.Runs[run.Key] != run {
 		return
