Request advice for no more than the headroom of all steps together

Each step compared its tasks with the whole headroom of its organisation. With one core of headroom and 300 waiting jobs, the calls for one organisation spent the budget of the others. Tasks whose headroom is claimed do not count again as asked about, or a step that renews its tickets would delay the next one.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -72,7 +72,11 @@
 	if len(s.Advice.Answers) >= maxKnownRunners && !includeFull {
 		return
 	}
-	c := candidates{pass: p, step: s, wanted: float64(p.wantedTasks(s)) * askedCapacityFactor, share: p.table.Shares.Of(s.Job.Spec.Queue.Name)}
+	wanted := p.wantedTasks(s)
+	if wanted == 0 {
+		return
+	}
+	c := candidates{pass: p, step: s, wanted: float64(wanted) * askedCapacityFactor, share: p.table.Shares.Of(s.Job.Spec.Queue.Name)}
 	if s.Spec.Gang {
 		c.addEmptiest()
 	} else {
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -15,6 +15,10 @@
 	left types.Resources
 	// claimed is what the starts that this pass plans, and the tasks for which it keeps capacity, will occupy.
 	claimed types.Resources
+	// holder is the step for which headroom was claimed last, held for how many of its tasks. The steps of an organisation are
+	// served one after the other, so this is complete for the one that is being served.
+	holder *tasks.Step
+	held   int
 	// asked is what the tasks will occupy for which advice is in flight or requested.
 	asked types.Resources
 	// waits is set once a step waits for the quota.
@@ -56,27 +60,50 @@
 	if h := p.headroomOf(s); h != nil {
 		need := counted(s, n)
 		h.left, h.claimed = h.left.Sub(need), h.claimed.Add(need)
+		h.holder, h.held = s, h.heldBy(s)+n
 	}
 }
 
-// addAsked records that advice on n tasks of the step is in flight or requested.
+// heldBy returns for how many tasks of the step that is being served headroom was claimed.
+func (h *headroom) heldBy(s *tasks.Step) int {
+	if h.holder != s {
+		return 0
+	}
+	return h.held
+}
+
+// addAsked records that advice on n tasks of the step is in flight or requested. Those whose headroom is claimed are not
+// counted again.
 func (p *pass) addAsked(s *tasks.Step, n int) {
 	if h := p.headroomOf(s); h != nil {
-		h.asked = h.asked.Add(counted(s, n))
+		h.asked = h.asked.Add(counted(s, max(0, min(n, s.WaitingTasks-h.heldBy(s)))))
 	}
 }
 
-// wantedTasks returns how many more tasks of the step could start if all capacity were free. Gangs are served only when
-// all their tasks have headroom.
+// wantedTasks returns for how many tasks of the step advice may be requested: those that could start if all capacity were
+// free, and that fit the headroom besides the tasks for which advice is in flight or requested already.
 func (p *pass) wantedTasks(s *tasks.Step) int {
 	h := p.headroomOf(s)
-	if h == nil || s.Spec.Gang {
+	if h == nil {
 		return s.WaitingTasks
 	}
-	if !counted(s, 1).Fits(h.left) {
+	available := h.left.Sub(h.asked)
+	if s.Spec.Gang {
+		return p.wantedMembers(s, h, available)
+	}
+	if !counted(s, 1).Fits(available) {
+		return 0
+	}
+	return min(s.WaitingTasks, maxCopies(counted(s, 1), available))
+}
+
+// wantedMembers is wantedTasks for a gang, which needs advice for all of its tasks or for none. One that holds its
+// headroom already needs no more, and neither does one that is ending, since its members still count as running.
+func (p *pass) wantedMembers(s *tasks.Step, h *headroom, available types.Resources) int {
+	if h.heldBy(s) == 0 && p.allTasksWait(s) && !counted(s, len(s.Tasks)).Fits(available) {
 		return 0
 	}
-	return min(s.WaitingTasks, maxCopies(counted(s, 1), h.left))
+	return s.WaitingTasks
 }
 
 // mayServe reports whether the quota allows the step to start: a gang with all of its tasks, another step with one.
--- a/internal/flow/order/quota_test.go
+++ b/internal/flow/order/quota_test.go
@@ -64,7 +64,7 @@
 func (f *tableFixture) wantCounts(got map[specs.OrganisationName]int, want map[specs.OrganisationName]int) {
 	f.t.Helper()
 	if !reflect.DeepEqual(got, want) {
-		f.t.Errorf("starts by organisation: %v, want %v", got, want)
+		f.t.Errorf("counts by organisation: %v, want %v", got, want)
 	}
 }
 
@@ -147,6 +147,40 @@
 			t.Errorf("%d calls for advice, want one that names %d runners", len(p.AdviceCalls), minAskedRunners)
 		}
 	})
+	// Advice for more than the quota leaves room for expires unused, and spends the budget of the jobs behind.
+	t.Run("AsksForNoMoreThanTheHeadroomOfAllSteps", func(t *testing.T) {
+		for name, s := range map[string]specs.Step{"Tasks": stepOf(1, 2*core), "Gangs": gangStepOf(2, core)} {
+			t.Run(name, func(t *testing.T) {
+				f := newTableFixture(t, 200)
+				f.setQuotas(quotas(3 * core))
+				for n := range 300 {
+					f.addJobOf("a", n, s).Spec.Queue.Advice = advicePolicy()
+				}
+				f.addJobOf("b", 300, s).Spec.Queue.Advice = advicePolicy()
+				f.wantCounts(adviceCalls(f.plan(start)), starts{"a": 1, "b": 1})
+			})
+		}
+	})
+	// Calls in flight count as well, or the next plan would make the same calls for the next steps.
+	t.Run("AsksForNoMoreBesideACallInFlight", func(t *testing.T) {
+		f := newTableFixture(t, 20)
+		f.setQuotas(quotas(core))
+		for n := range 2 {
+			f.addJobOf("a", n, stepOf(1, core)).Spec.Queue.Advice = advicePolicy()
+		}
+		f.table.Jobs["a0000"].Occurrences[0].Steps[0].Advice.Pending = 1
+		f.wantCounts(adviceCalls(f.plan(start)), starts{})
+	})
+	// A task that waits for a new ticket must not take its part of the headroom twice, or the next step asks too late.
+	t.Run("AsksBesideAStepThatRenewsItsTicket", func(t *testing.T) {
+		f := newTableFixture(t, 20)
+		f.setQuotas(quotas(2 * core))
+		for n := range 3 {
+			f.addJobOf("a", n, stepOf(1, core)).Spec.Queue.Advice = advicePolicy()
+		}
+		f.allowOne(f.table.Jobs["a0000"].Occurrences[0].Steps[0], "w0", start)
+		f.wantCounts(adviceCalls(f.plan(start)), starts{"a": 2})
+	})
 	// Small tasks behind a gang would otherwise take each core that its organisation gets, and the gang would never start.
 	t.Run("GangIsNotOvertakenWithinItsOrganisation", func(t *testing.T) {
 		f := newTableFixture(t, 8)
@@ -261,6 +295,15 @@
 	})
 }
 
+// adviceCalls returns how many calls for advice a plan makes for each organisation.
+func adviceCalls(p Plan) map[specs.OrganisationName]int {
+	out := make(map[specs.OrganisationName]int)
+	for _, call := range p.AdviceCalls {
+		out[call.Step.Job.Spec.Organisation]++
+	}
+	return out
+}
+
 func advicePolicy() *specs.AdvicePolicy {
 	return &specs.AdvicePolicy{Decision: 10 * time.Millisecond, PerRunner: time.Millisecond, Validity: time.Second}
 }
