Let a gang that can never be placed hold no headroom

A gang above its limit per runner, or that needs what the services of its organisation occupy, kept the headroom of its organisation for ever.

--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -216,7 +216,8 @@
 // reserveForGang reserves capacity for a gang that does not fit, for this pass: it subtracts the gang's resources from
 // the free capacity of the runners that have the most free cores already, as many of them as hold the gang once they
 // are empty. Work behind the gang starts there only if it fits beside the gang. It reserves nothing if the gangs of the
-// service would then exceed reservedShare of its cores.
+// service would then exceed reservedShare of its cores. The gang keeps the headroom of its organisation only if the runners
+// could hold all of it.
 func (p *pass) reserveForGang(s *tasks.Step, runners []*runnerCapacity) {
 	service := s.Job.Spec.Queue.Service
 	wanted := taskResources(s).Times(len(s.Tasks)).Cores
@@ -224,7 +225,9 @@
 		return
 	}
 	p.reserved[service] += wanted
-	p.claimHeadroom(s, len(s.Tasks))
+	if s.Job.Organisation != nil && couldHold(s, runners, len(s.Tasks)) {
+		p.claimHeadroom(s, len(s.Tasks))
+	}
 	sorted := slices.Clone(runners)
 	slices.SortStableFunc(sorted, func(a, b *runnerCapacity) int { return cmp.Compare(b.free.Cores, a.free.Cores) })
 	left := len(s.Tasks)
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -103,6 +103,8 @@
 		headrooms map[*tasks.Organisation]*headroom
 		// lastHeadroom is the one that was looked up last, most often by the same step.
 		lastHeadroom *headroom
+		// services is what the services of each organisation occupy; nil until it is needed.
+		services map[*tasks.Organisation]types.Resources
 		// stepsLeft is how many more steps the plan serves.
 		stepsLeft int
 		out       Plan
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -140,18 +140,26 @@
 	return slices.ContainsFunc(s.Tasks, p.isDue)
 }
 
-// canHoldHeadroom reports whether the step may keep headroom from those behind it: the whole quota suffices, and the
-// runners could hold the tasks if they were empty. Otherwise the organisation would wait for something that never comes.
+// canHoldHeadroom reports whether the step may keep headroom from those behind it: the quota suffices besides the services
+// of its organisation, and the runners could hold the tasks if they were empty. Otherwise the organisation would wait for
+// something that never comes.
 func (p *pass) canHoldHeadroom(s *tasks.Step, h *headroom, width int) bool {
-	if !counted(s, width).WithinLimit(h.organisation.Quota) {
-		return false
-	}
+	need := counted(s, width).Add(p.occupiedByServices(h.organisation))
+	return need.WithinLimit(h.organisation.Quota) && couldHold(s, p.runners[s.Job.Spec.Queue.Service], width)
+}
+
+// couldHold reports whether the runners could hold so many tasks of the step if they were empty.
+func couldHold(s *tasks.Step, runners []*runnerCapacity, width int) bool {
 	fitting := 0
-	for _, r := range p.runners[s.Job.Spec.Queue.Service] {
+	for _, r := range runners {
 		if !canRun(s, r) {
 			continue
 		}
-		fitting += maxCopies(taskResources(s), r.runner.Info.Capacity)
+		n := maxCopies(taskResources(s), r.runner.Info.Capacity)
+		if s.Spec.PerRunner > 0 {
+			n = min(n, s.Spec.PerRunner)
+		}
+		fitting += n
 		if fitting >= width {
 			return true
 		}
@@ -159,6 +167,22 @@
 	return false
 }
 
+// occupiedByServices returns what those runs of an organisation occupy that end only when their job is cancelled. The sums
+// of all organisations are made at the first call of a pass, since most passes need none.
+func (p *pass) occupiedByServices(o *tasks.Organisation) types.Resources {
+	if p.services == nil {
+		p.services = make(map[*tasks.Organisation]types.Resources)
+		for _, r := range p.table.Runners {
+			for _, run := range r.Runs {
+				if t := run.Task; t != nil && t.Step.Spec.Service && !t.Step.Job.Ending {
+					p.services[run.Organisation] = p.services[run.Organisation].Add(run.Counted)
+				}
+			}
+		}
+	}
+	return p.services[o]
+}
+
 // waitingForQuota returns the organisations with a step that waits for its quota.
 func (p *pass) waitingForQuota() []*tasks.Organisation {
 	var out []*tasks.Organisation
--- a/internal/flow/order/quota_test.go
+++ b/internal/flow/order/quota_test.go
@@ -201,20 +201,41 @@
 	})
 	// A gang that never fits must not keep its organisation from running what does.
 	t.Run("GangThatNeverFitsHoldsNothingBack", func(t *testing.T) {
-		for name, s := range map[string]specs.Step{"AboveTheQuota": gangStepOf(5, core), "WithoutRunners": gangStepOf(4, core)} {
+		withoutRunners, limited := gangStepOf(4, core), gangStepOf(4, core)
+		withoutRunners.Label = "nowhere"
+		// Two runners have this label.
+		limited.Label, limited.PerRunner = "r0", 1
+		for name, s := range map[string]specs.Step{"AboveTheQuota": gangStepOf(5, core), "WithoutRunners": withoutRunners, "AboveTheLimitPerRunner": limited} {
 			t.Run(name, func(t *testing.T) {
 				f := newTableFixture(t, 8)
 				f.setQuotas(quotas(4 * core))
 				f.table.Organisations["a"].Running = types.Resources{Cores: core}
-				if name == "WithoutRunners" {
-					s.Label = "nowhere"
-				}
 				// Without this, the ranking puts small work before the gang.
 				f.addJobOf("a", 1, s).Occurrences[0].Due = start.Add(-time.Second)
 				f.addJobOf("a", 2, stepOf(3, core))
 				f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 3})
 			})
 		}
+		// With the reservation of its capacity it would keep the headroom that it has.
+		t.Run("WithHeadroom", func(t *testing.T) {
+			f := newTableFixture(t, 8)
+			f.setQuotas(quotas(4 * core))
+			f.addJobOf("a", 1, limited).Occurrences[0].Due = start.Add(-time.Second)
+			f.addJobOf("a", 2, stepOf(4, core))
+			f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 4})
+		})
+		// A service runs until it is cancelled, so what it occupies does not become free.
+		t.Run("BesideAService", func(t *testing.T) {
+			f := newTableFixture(t, 8)
+			f.setQuotas(quotas(4 * core))
+			service := stepOf(1, core)
+			service.Service = true
+			f.addJobOf("a", 1, service)
+			f.carryOut(f.plan(start))
+			f.addJobOf("a", 2, gangStepOf(4, core)).Occurrences[0].Due = start.Add(-time.Second)
+			f.addJobOf("a", 3, stepOf(3, core))
+			f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 3})
+		})
 	})
 	// A gang waits for its tickets with headroom for all of it; if smaller tasks took that, it would wait again.
 	t.Run("GangKeepsItsHeadroomWhileItWaitsForTickets", func(t *testing.T) {
