Count what a late start occupies of its runner

The run that stands for it in the runner's next incarnation had no resources, so other tasks filled the runner beside it beyond its capacity.

--- a/internal/flow/owner/organisations.go
+++ b/internal/flow/owner/organisations.go
@@ -117,16 +117,19 @@
 	}
 }
 
-// countLateStart goes on counting a run of a runner's former incarnation for its organisation if a start of it may still
-// arrive: the next incarnation carries it out unless it has seen a higher fence, which its first report shows. The caller
-// must hold o.mu.
+// countLateStart goes on counting a run of a runner's former incarnation, for its organisation and for the runner's
+// capacity, if a start of it may still arrive: the next incarnation carries it out unless it has seen a higher fence, which
+// its first report shows. The caller must hold o.mu.
 func (o *Owner) countLateStart(next *tasks.Runner, run *tasks.Run) {
 	isSettled := !run.Sent || (run.Confirmed && run.Tries <= 1)
 	if run.Organisation == nil || isSettled {
 		return
 	}
 	next.Deadline = agent.Clock(storeContactTimeout + o.config.Bounds.MaxLeaseTTL)
-	next.AddRun(&tasks.Run{Key: run.Key, Runner: next, Sent: true, SentFence: run.SentFence, Organisation: run.Organisation, Counted: run.Counted})
+	next.AddRun(&tasks.Run{
+		Key: run.Key, Runner: next, Sent: true, SentFence: run.SentFence, Resources: run.Resources, Orphan: run.Orphan,
+		Organisation: run.Organisation, Counted: run.Counted,
+	})
 }
 
 // isOverQuota reports whether a run whose start was not sent yet brings its organisation above its quota. That is so only
--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -163,14 +163,25 @@
 	o.place(o.table.AddJob(jobOfA(step(3))), r, 3)
 	confirmed := o.table.Jobs["j"].Occurrences[0].Steps[0].Tasks[0].Run
 	confirmed.Confirm(f.clock.Now())
+	r.AddRun(&tasks.Run{
+		Key: tasks.RunKey{Ref: specs.Ref{StepRef: specs.StepRef{Job: "ended"}}, Attempt: 1}, Runner: r, Sent: true, Orphan: true,
+		Organisation: o.table.Organisations["a"], Counted: oneCore(),
+	})
 	info := runner(0)
 	info.Boot = 2
 	next := o.replaceRunner(r, info)
-	wantRunning(t, o, 2)
+	wantRunning(t, o, 3)
+	// What they occupy is not free, or the runner would be filled beyond its capacity.
+	if want := oneCore().Times(2); next.Used != want || next.Orphans != 1 {
+		t.Errorf("the runs occupy %s and %d are of an unknown size, want %s and 1", next.Used, next.Orphans, want)
+	}
 	o.expireRuns(next, f.clock.Now())
-	wantRunning(t, o, 2)
+	wantRunning(t, o, 3)
 	o.emptyReport(next)
 	wantRunning(t, o, 0)
+	if !next.Used.IsZero() || next.Orphans != 0 {
+		t.Errorf("after the first report the runs occupy %s and %d are of an unknown size, want none", next.Used, next.Orphans)
+	}
 }
 
 // The quota may be lowered while the intent of a start is being written, or while its answer is awaited.
