Store all remaining runs of a job with its result

Members of gangs that were done before the term and attempts that only a report named were missing, so the leader after next counted too little for their organisation.

--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -173,15 +173,12 @@
 	at := o.config.Clock.Now()
 	o.notYetDurable[id] = previous
 	var runs []*tasks.Run
-	if state != tasks.JobCompleted || j.Organisation != nil {
+	if state != tasks.JobCompleted {
+		// Those of a completed job have done their work and end by themselves.
 		runs = o.runsOf(j)
 	}
 	result := &tasks.JobResult{Job: id, Queue: j.Spec.Queue.Name, State: state, At: at, Organisation: j.Spec.Organisation}
-	result.SetRemaining(j, runs)
-	if state == tasks.JobCompleted {
-		// They have done their work and end by themselves.
-		runs = nil
-	}
+	result.SetRemaining(j, o.remainingRuns(j))
 	o.record(tasks.Record{End: result}, func() {
 		delete(o.notYetDurable, id)
 		for _, run := range runs {
@@ -218,3 +215,21 @@
 	}
 	return out
 }
+
+// remainingRuns returns all runs of a job of an organisation on any runner, also those that are not their task's current
+// one: members of gangs that were done before this term, and attempts that only a runner's report names. It returns none
+// for other jobs, whose results hold no runs. The caller must hold o.mu.
+func (o *Owner) remainingRuns(j *tasks.Job) []*tasks.Run {
+	if j.Organisation == nil {
+		return nil
+	}
+	var out []*tasks.Run
+	for _, r := range o.table.OrderedRunners() {
+		for key, run := range r.Runs {
+			if key.Ref.Job == j.Spec.ID {
+				out = append(out, run)
+			}
+		}
+	}
+	return out
+}
--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -131,6 +131,26 @@
 			})
 		}
 	})
+	// Runs that are not their task's current one go on as well; the leader after the next knows them only from the job's result.
+	t.Run("RunsThatAreNotCurrent", func(t *testing.T) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(100 * types.Core)
+		spec := jobOfA(gang(4), after(step(1)))
+		j := o.table.AddJob(spec)
+		r := o.addRunner(runner(0))
+		o.place(j, r, 4)
+		o.applyResult(r, agent.Result{Number: 1, Ref: specs.Ref{StepRef: specs.StepRef{Job: "j"}}, Attempt: 1, Outcome: agent.Done})
+		next := f.successor(o, spec)
+		next.addReportedRun(next.formerRunner("w00"), tasks.RunKey{Ref: specs.Ref{StepRef: specs.StepRef{Job: "j", Step: 1}}, Attempt: 7})
+		before := next.runningOfA()
+		if !oneCore().Times(4).Fits(before) {
+			t.Fatalf("the new leader counts %s, want what three members and the reported attempt occupy or more", before)
+		}
+		next.endJob(next.table.Jobs["j"], tasks.JobCancelled, "test")
+		if got := f.successor(next, spec).runningOfA(); got != before {
+			t.Errorf("the leader after it counts %s, want %s", got, before)
+		}
+	})
 	// A runner that left before the term never reports; its runs end with their leases.
 	t.Run("RunsOnARunnerThatNeverReports", func(t *testing.T) {
 		f := newFixture(t, quickWorld())
