Keep headroom for a gang from its first call for advice on

Smaller steps of its organisation behind the gang took the headroom while no advice on the gang was known, so it waited again when its tickets arrived.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -42,10 +42,15 @@
 	}
 }
 
-// claimAskable takes the cores of the step's waiting tasks from those for which calls for advice may be made.
+// claimAskable takes the cores of the step's waiting tasks from those for which calls for advice may be made. Its advice is
+// in flight or requested.
 func (p *pass) claimAskable(s *tasks.Step) {
 	wanted := p.wantedTasks(s)
 	p.askable[s.Job.Spec.Queue.Service] -= taskResources(s).Times(wanted).Cores
+	if s.Spec.Gang && p.allTasksWait(s) {
+		p.keepForAdvice(s)
+		return
+	}
 	p.addAsked(s, wanted)
 }
 
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -183,6 +183,16 @@
 	return p.services[o]
 }
 
+// keepForAdvice claims the headroom for a waiting gang whose call for advice is in flight or planned, unless it has claimed it
+// already: smaller steps of its organisation would otherwise use it up before the advice arrives.
+func (p *pass) keepForAdvice(s *tasks.Step) {
+	h := p.headroomOf(s)
+	if h == nil || h.heldBy(s) > 0 || !p.canHoldHeadroom(s, h, len(s.Tasks)) {
+		return
+	}
+	p.claimHeadroom(s, len(s.Tasks))
+}
+
 // waitingForQuota returns the organisations with a step that waits for its quota.
 func (p *pass) waitingForQuota() []*tasks.Organisation {
 	var out []*tasks.Organisation
--- a/internal/flow/order/quota_test.go
+++ b/internal/flow/order/quota_test.go
@@ -257,6 +257,48 @@
 		f.addJobOf("a", 2, stepOf(4, core))
 		f.wantCounts(f.carryOut(f.plan(start)), starts{})
 	})
+	// Until its first advice arrives, a gang has no runners that it could reserve.
+	t.Run("GangKeepsItsHeadroomWhileItsFirstCallIsMade", func(t *testing.T) {
+		for name, pending := range map[string]int{"Planned": 0, "InFlight": 1} {
+			t.Run(name, func(t *testing.T) {
+				f := newTableFixture(t, 8)
+				f.setQuotas(quotas(5 * core))
+				gang := f.addJobOf("a", 1, gangStepOf(4, core))
+				gang.Spec.Queue.Advice = advicePolicy()
+				gang.Occurrences[0].Steps[0].Advice.Pending = pending
+				gang.Occurrences[0].Due = start.Add(-time.Second)
+				f.addJobOf("a", 2, stepOf(4, core))
+				f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 1})
+			})
+		}
+		// It must not keep what it can never use.
+		t.Run("UnlessItNeverFits", func(t *testing.T) {
+			f := newTableFixture(t, 8)
+			f.setQuotas(quotas(5 * core))
+			s := gangStepOf(4, core)
+			s.Label, s.PerRunner = "r0", 1
+			gang := f.addJobOf("a", 1, s)
+			gang.Spec.Queue.Advice = advicePolicy()
+			gang.Occurrences[0].Due = start.Add(-time.Second)
+			f.addJobOf("a", 2, stepOf(5, core))
+			f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 5})
+		})
+	})
+	// A gang that asks takes its part of the headroom once, and one that never fits takes none; or the next step asks too late.
+	t.Run("AsksBesideAGangThatAsks", func(t *testing.T) {
+		limited := gangStepOf(4, core)
+		limited.Label, limited.PerRunner = "r0", 1
+		for name, s := range map[string]specs.Step{"Fits": gangStepOf(4, core), "NeverFits": limited} {
+			t.Run(name, func(t *testing.T) {
+				f := newTableFixture(t, 20)
+				f.setQuotas(quotas(5 * core))
+				f.addJobOf("a", 1, s).Spec.Queue.Advice = advicePolicy()
+				f.table.Jobs["a0001"].Occurrences[0].Due = start.Add(-time.Second)
+				f.addJobOf("a", 2, stepOf(5, core)).Spec.Queue.Advice = advicePolicy()
+				f.wantCounts(adviceCalls(f.plan(start)), starts{"a": 2})
+			})
+		}
+	})
 	// Before a catalog is known, the quota is not.
 	t.Run("NothingStartsBeforeACatalogIsKnown", func(t *testing.T) {
 		f := newTableFixture(t, 2)
