--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -103,7 +103,7 @@
 // allTasksWait reports whether every task of the gang waits and may start now.
 func (p *pass) allTasksWait(s *tasks.Step) bool {
 	for _, t := range s.Tasks {
-		if t.State != tasks.Waiting || t.Run != nil || p.now.Before(t.NotBefore) {
+		if !p.isDue(t) {
 			return false
 		}
 	}
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -17,11 +17,11 @@
 		steps []entry
 		// current is the first step once it is being served, or nil.
 		current *sharedStep
-		// fruitless is how many more steps may be served in vain before the organisation has had its turn.
-		fruitless int
+		// idleStepsLeft is how many more steps may be served without a start.
+		idleStepsLeft int
 	}
 
-	// shareHeap is a heap of organisations with surplus work, the one of the lowest share on top.
+	// shareHeap holds organisations with surplus work, the one of the lowest share on top. It implements heap.Interface.
 	shareHeap []*shareQueue
 
 	// sharedStep is a step that is served one task after the other, in turn with those of other organisations.
@@ -35,10 +35,8 @@
 	}
 )
 
-// Len returns the number of organisations.
 func (h shareHeap) Len() int { return len(h) }
 
-// Less puts the organisation with the smaller share first.
 func (h shareHeap) Less(i, j int) bool {
 	if h[i].share != h[j].share {
 		return h[i].share < h[j].share
@@ -46,13 +44,10 @@
 	return h[i].headroom.organisation.Name < h[j].headroom.organisation.Name
 }
 
-// Swap swaps two organisations.
 func (h shareHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
-// Push adds an organisation.
 func (h *shareHeap) Push(x any) { *h = append(*h, x.(*shareQueue)) }
 
-// Pop removes the last organisation.
 func (h *shareHeap) Pop() any {
 	last := len(*h) - 1
 	q := (*h)[last]
@@ -128,12 +123,12 @@
 func (p *pass) serveByShare(entries []entry) {
 	queues := p.queueByOrganisation(entries)
 	for _, q := range queues {
-		q.fruitless = max(1, p.stepsLeft/len(queues))
+		q.idleStepsLeft = max(1, p.stepsLeft/len(queues))
 	}
 	for len(queues) > 0 {
 		q := queues[0]
 		p.serveNext(q)
-		if len(q.steps) == 0 || q.fruitless == 0 {
+		if len(q.steps) == 0 || q.idleStepsLeft == 0 {
 			heap.Pop(&queues)
 			continue
 		}
@@ -219,7 +214,7 @@
 func (p *pass) finishStep(q *shareQueue, hasStarted bool) {
 	q.current, q.steps = nil, q.steps[1:]
 	if !hasStarted {
-		q.fruitless--
+		q.idleStepsLeft--
 	}
 }
 
--- a/internal/flow/owner/organisations.go
+++ b/internal/flow/owner/organisations.go
@@ -132,8 +132,9 @@
 	})
 }
 
-// isOverQuota reports whether a run whose start was not sent yet brings its organisation above its quota. That is so only
-// if the quota was lowered after the start was decided. The caller must hold o.mu.
+// isOverQuota reports whether the organisation of a run, which counts already, is above its quota: the quota was lowered
+// after the start was decided, or runs were found since that were not counted before, as by a runner's report. The caller
+// must hold o.mu.
 func (o *Owner) isOverQuota(run *tasks.Run) bool {
 	return run.Organisation != nil && !types.Resources{}.Fits(o.table.Headroom(run.Organisation))
 }
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -215,7 +215,7 @@
 	return r.Now(at) > r.Deadline
 }
 
-// AddRun adds a run, which needs not belong to a task in the tables.
+// AddRun adds a run, which need not belong to a task in the tables.
 func (r *Runner) AddRun(run *Run) {
 	r.Runs[run.Key] = run
 	r.Used = r.Used.Add(run.Resources)
