--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -42,10 +42,15 @@
 	}
 }
 
-// claimAskable takes the cores of the step's waiting tasks from those for which calls for advice may be made.
+// claimAskable takes the cores of the step's waiting tasks from those for which calls for advice may be made. Its advice is
+// in flight or requested.
 func (p *pass) claimAskable(s *tasks.Step) {
 	wanted := p.wantedTasks(s)
 	p.askable[s.Job.Spec.Queue.Service] -= taskResources(s).Times(wanted).Cores
+	if s.Spec.Gang && p.allTasksWait(s) {
+		p.keepForAdvice(s)
+		return
+	}
 	p.addAsked(s, wanted)
 }
 
@@ -72,7 +77,11 @@
 	if len(s.Advice.Answers) >= maxKnownRunners && !includeFull {
 		return
 	}
-	c := candidates{pass: p, step: s, wanted: float64(p.wantedTasks(s)) * askedCapacityFactor, share: p.table.Shares.Of(s.Job.Spec.Queue.Name)}
+	wanted := p.wantedTasks(s)
+	if wanted == 0 {
+		return
+	}
+	c := candidates{pass: p, step: s, wanted: float64(wanted) * askedCapacityFactor, share: p.table.Shares.Of(s.Job.Spec.Queue.Name)}
 	if s.Spec.Gang {
 		c.addEmptiest()
 	} else {
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -107,6 +107,8 @@
 		lastHeadroom *headroom
 		// places holds what gangs keep that wait for tickets, until they are served.
 		places map[*tasks.Step][]keptPlace
+		// services is what the services of each organisation occupy; nil until it is needed.
+		services map[*tasks.Organisation]types.Resources
 		// stepsLeft is how many more steps the plan serves.
 		stepsLeft int
 		out       Plan
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -15,6 +15,10 @@
 	left types.Resources
 	// claimed is what the starts that this pass plans, and the tasks for which it keeps capacity, will occupy.
 	claimed types.Resources
+	// holder is the step for which headroom was claimed last, held for how many of its tasks. The steps of an organisation are
+	// served one after the other, so this is complete for the one that is being served.
+	holder *tasks.Step
+	held   int
 	// asked is what the tasks will occupy for which advice is in flight or requested.
 	asked types.Resources
 	// waits is set once a step waits for the quota.
@@ -56,27 +60,50 @@
 	if h := p.headroomOf(s); h != nil {
 		need := counted(s, n)
 		h.left, h.claimed = h.left.Sub(need), h.claimed.Add(need)
+		h.holder, h.held = s, h.heldBy(s)+n
 	}
 }
 
-// addAsked records that advice on n tasks of the step is in flight or requested.
+// heldBy returns for how many tasks of the step that is being served headroom was claimed.
+func (h *headroom) heldBy(s *tasks.Step) int {
+	if h.holder != s {
+		return 0
+	}
+	return h.held
+}
+
+// addAsked records that advice on n tasks of the step is in flight or requested. Those whose headroom is claimed are not
+// counted again.
 func (p *pass) addAsked(s *tasks.Step, n int) {
 	if h := p.headroomOf(s); h != nil {
-		h.asked = h.asked.Add(counted(s, n))
+		h.asked = h.asked.Add(counted(s, max(0, min(n, s.WaitingTasks-h.heldBy(s)))))
 	}
 }
 
-// wantedTasks returns how many more tasks of the step could start if all capacity were free. Gangs are served only when
-// all their tasks have headroom.
+// wantedTasks returns for how many tasks of the step advice may be requested: those that could start if all capacity were
+// free, and that fit the headroom besides the tasks for which advice is in flight or requested already.
 func (p *pass) wantedTasks(s *tasks.Step) int {
 	h := p.headroomOf(s)
-	if h == nil || s.Spec.Gang {
+	if h == nil {
 		return s.WaitingTasks
 	}
-	if !counted(s, 1).Fits(h.left) {
+	available := h.left.Sub(h.asked)
+	if s.Spec.Gang {
+		return p.wantedMembers(s, h, available)
+	}
+	if !counted(s, 1).Fits(available) {
+		return 0
+	}
+	return min(s.WaitingTasks, maxCopies(counted(s, 1), available))
+}
+
+// wantedMembers is wantedTasks for a gang, which needs advice for all of its tasks or for none. One that holds its
+// headroom already needs no more, and neither does one that is ending, since its members still count as running.
+func (p *pass) wantedMembers(s *tasks.Step, h *headroom, available types.Resources) int {
+	if h.heldBy(s) == 0 && p.allTasksWait(s) && !counted(s, len(s.Tasks)).Fits(available) {
 		return 0
 	}
-	return min(s.WaitingTasks, maxCopies(counted(s, 1), h.left))
+	return s.WaitingTasks
 }
 
 // mayServe reports whether the quota allows the step to start: a gang with all of its tasks, another step with one.
@@ -113,18 +140,26 @@
 	return slices.ContainsFunc(s.Tasks, p.isDue)
 }
 
-// canHoldHeadroom reports whether the step may keep headroom from those behind it: the whole quota suffices, and the
-// runners could hold the tasks if they were empty. Otherwise the organisation would wait for something that never comes.
+// canHoldHeadroom reports whether the step may keep headroom from those behind it: the quota suffices besides the services
+// of its organisation, and the runners could hold the tasks if they were empty. Otherwise the organisation would wait for
+// something that never comes.
 func (p *pass) canHoldHeadroom(s *tasks.Step, h *headroom, width int) bool {
-	if !counted(s, width).WithinLimit(h.organisation.Quota) {
-		return false
-	}
+	need := counted(s, width).Add(p.occupiedByServices(h.organisation))
+	return need.WithinLimit(h.organisation.Quota) && couldHold(s, p.runners[s.Job.Spec.Queue.Service], width)
+}
+
+// couldHold reports whether the runners could hold so many tasks of the step if they were empty.
+func couldHold(s *tasks.Step, runners []*runnerCapacity, width int) bool {
 	fitting := 0
-	for _, r := range p.runners[s.Job.Spec.Queue.Service] {
+	for _, r := range runners {
 		if !canRun(s, r) {
 			continue
 		}
-		fitting += maxCopies(taskResources(s), r.runner.Info.Capacity)
+		n := maxCopies(taskResources(s), r.runner.Info.Capacity)
+		if s.Spec.PerRunner > 0 {
+			n = min(n, s.Spec.PerRunner)
+		}
+		fitting += n
 		if fitting >= width {
 			return true
 		}
@@ -132,6 +167,32 @@
 	return false
 }
 
+// occupiedByServices returns what those runs of an organisation occupy that end only when their job is cancelled. The sums
+// of all organisations are made at the first call of a pass, since most passes need none.
+func (p *pass) occupiedByServices(o *tasks.Organisation) types.Resources {
+	if p.services == nil {
+		p.services = make(map[*tasks.Organisation]types.Resources)
+		for _, r := range p.table.Runners {
+			for _, run := range r.Runs {
+				if t := run.Task; t != nil && t.Step.Spec.Service && !t.Step.Job.Ending {
+					p.services[run.Organisation] = p.services[run.Organisation].Add(run.Counted)
+				}
+			}
+		}
+	}
+	return p.services[o]
+}
+
+// keepForAdvice claims the headroom for a waiting gang whose call for advice is in flight or planned, unless it has claimed it
+// already: smaller steps of its organisation would otherwise use it up before the advice arrives.
+func (p *pass) keepForAdvice(s *tasks.Step) {
+	h := p.headroomOf(s)
+	if h == nil || h.heldBy(s) > 0 || !p.canHoldHeadroom(s, h, len(s.Tasks)) {
+		return
+	}
+	p.claimHeadroom(s, len(s.Tasks))
+}
+
 // waitingForQuota returns the organisations with a step that waits for its quota.
 func (p *pass) waitingForQuota() []*tasks.Organisation {
 	var out []*tasks.Organisation
--- a/internal/flow/order/quota_test.go
+++ b/internal/flow/order/quota_test.go
@@ -64,7 +64,7 @@
 func (f *tableFixture) wantCounts(got map[specs.OrganisationName]int, want map[specs.OrganisationName]int) {
 	f.t.Helper()
 	if !reflect.DeepEqual(got, want) {
-		f.t.Errorf("starts by organisation: %v, want %v", got, want)
+		f.t.Errorf("counts by organisation: %v, want %v", got, want)
 	}
 }
 
@@ -147,6 +147,40 @@
 			t.Errorf("%d calls for advice, want one that names %d runners", len(p.AdviceCalls), minAskedRunners)
 		}
 	})
+	// Advice for more than the quota leaves room for expires unused, and spends the budget of the jobs behind.
+	t.Run("AsksForNoMoreThanTheHeadroomOfAllSteps", func(t *testing.T) {
+		for name, s := range map[string]specs.Step{"Tasks": stepOf(1, 2*core), "Gangs": gangStepOf(2, core)} {
+			t.Run(name, func(t *testing.T) {
+				f := newTableFixture(t, 200)
+				f.setQuotas(quotas(3 * core))
+				for n := range 300 {
+					f.addJobOf("a", n, s).Spec.Queue.Advice = advicePolicy()
+				}
+				f.addJobOf("b", 300, s).Spec.Queue.Advice = advicePolicy()
+				f.wantCounts(adviceCalls(f.plan(start)), starts{"a": 1, "b": 1})
+			})
+		}
+	})
+	// Calls in flight count as well, or the next plan would make the same calls for the next steps.
+	t.Run("AsksForNoMoreBesideACallInFlight", func(t *testing.T) {
+		f := newTableFixture(t, 20)
+		f.setQuotas(quotas(core))
+		for n := range 2 {
+			f.addJobOf("a", n, stepOf(1, core)).Spec.Queue.Advice = advicePolicy()
+		}
+		f.table.Jobs["a0000"].Occurrences[0].Steps[0].Advice.Pending = 1
+		f.wantCounts(adviceCalls(f.plan(start)), starts{})
+	})
+	// A task that waits for a new ticket must not take its part of the headroom twice, or the next step asks too late.
+	t.Run("AsksBesideAStepThatRenewsItsTicket", func(t *testing.T) {
+		f := newTableFixture(t, 20)
+		f.setQuotas(quotas(2 * core))
+		for n := range 3 {
+			f.addJobOf("a", n, stepOf(1, core)).Spec.Queue.Advice = advicePolicy()
+		}
+		f.allowOne(f.table.Jobs["a0000"].Occurrences[0].Steps[0], "w0", start)
+		f.wantCounts(adviceCalls(f.plan(start)), starts{"a": 2})
+	})
 	// Small tasks behind a gang would otherwise take each core that its organisation gets, and the gang would never start.
 	t.Run("GangIsNotOvertakenWithinItsOrganisation", func(t *testing.T) {
 		f := newTableFixture(t, 8)
@@ -167,20 +201,41 @@
 	})
 	// A gang that never fits must not keep its organisation from running what does.
 	t.Run("GangThatNeverFitsHoldsNothingBack", func(t *testing.T) {
-		for name, s := range map[string]specs.Step{"AboveTheQuota": gangStepOf(5, core), "WithoutRunners": gangStepOf(4, core)} {
+		withoutRunners, limited := gangStepOf(4, core), gangStepOf(4, core)
+		withoutRunners.Label = "nowhere"
+		// Two runners have this label.
+		limited.Label, limited.PerRunner = "r0", 1
+		for name, s := range map[string]specs.Step{"AboveTheQuota": gangStepOf(5, core), "WithoutRunners": withoutRunners, "AboveTheLimitPerRunner": limited} {
 			t.Run(name, func(t *testing.T) {
 				f := newTableFixture(t, 8)
 				f.setQuotas(quotas(4 * core))
 				f.table.Organisations["a"].Running = types.Resources{Cores: core}
-				if name == "WithoutRunners" {
-					s.Label = "nowhere"
-				}
 				// Without this, the ranking puts small work before the gang.
 				f.addJobOf("a", 1, s).Occurrences[0].Due = start.Add(-time.Second)
 				f.addJobOf("a", 2, stepOf(3, core))
 				f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 3})
 			})
 		}
+		// With the reservation of its capacity it would keep the headroom that it has.
+		t.Run("WithHeadroom", func(t *testing.T) {
+			f := newTableFixture(t, 8)
+			f.setQuotas(quotas(4 * core))
+			f.addJobOf("a", 1, limited).Occurrences[0].Due = start.Add(-time.Second)
+			f.addJobOf("a", 2, stepOf(4, core))
+			f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 4})
+		})
+		// A service runs until it is cancelled, so what it occupies does not become free.
+		t.Run("BesideAService", func(t *testing.T) {
+			f := newTableFixture(t, 8)
+			f.setQuotas(quotas(4 * core))
+			service := stepOf(1, core)
+			service.Service = true
+			f.addJobOf("a", 1, service)
+			f.carryOut(f.plan(start))
+			f.addJobOf("a", 2, gangStepOf(4, core)).Occurrences[0].Due = start.Add(-time.Second)
+			f.addJobOf("a", 3, stepOf(3, core))
+			f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 3})
+		})
 	})
 	// A gang waits for its tickets with headroom for all of it; if smaller tasks took that, it would wait again.
 	t.Run("GangKeepsItsHeadroomWhileItWaitsForTickets", func(t *testing.T) {
@@ -202,6 +257,48 @@
 		f.addJobOf("a", 2, stepOf(4, core))
 		f.wantCounts(f.carryOut(f.plan(start)), starts{})
 	})
+	// Until its first advice arrives, a gang has no runners that it could reserve.
+	t.Run("GangKeepsItsHeadroomWhileItsFirstCallIsMade", func(t *testing.T) {
+		for name, pending := range map[string]int{"Planned": 0, "InFlight": 1} {
+			t.Run(name, func(t *testing.T) {
+				f := newTableFixture(t, 8)
+				f.setQuotas(quotas(5 * core))
+				gang := f.addJobOf("a", 1, gangStepOf(4, core))
+				gang.Spec.Queue.Advice = advicePolicy()
+				gang.Occurrences[0].Steps[0].Advice.Pending = pending
+				gang.Occurrences[0].Due = start.Add(-time.Second)
+				f.addJobOf("a", 2, stepOf(4, core))
+				f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 1})
+			})
+		}
+		// It must not keep what it can never use.
+		t.Run("UnlessItNeverFits", func(t *testing.T) {
+			f := newTableFixture(t, 8)
+			f.setQuotas(quotas(5 * core))
+			s := gangStepOf(4, core)
+			s.Label, s.PerRunner = "r0", 1
+			gang := f.addJobOf("a", 1, s)
+			gang.Spec.Queue.Advice = advicePolicy()
+			gang.Occurrences[0].Due = start.Add(-time.Second)
+			f.addJobOf("a", 2, stepOf(5, core))
+			f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 5})
+		})
+	})
+	// A gang that asks takes its part of the headroom once, and one that never fits takes none; or the next step asks too late.
+	t.Run("AsksBesideAGangThatAsks", func(t *testing.T) {
+		limited := gangStepOf(4, core)
+		limited.Label, limited.PerRunner = "r0", 1
+		for name, s := range map[string]specs.Step{"Fits": gangStepOf(4, core), "NeverFits": limited} {
+			t.Run(name, func(t *testing.T) {
+				f := newTableFixture(t, 20)
+				f.setQuotas(quotas(5 * core))
+				f.addJobOf("a", 1, s).Spec.Queue.Advice = advicePolicy()
+				f.table.Jobs["a0001"].Occurrences[0].Due = start.Add(-time.Second)
+				f.addJobOf("a", 2, stepOf(5, core)).Spec.Queue.Advice = advicePolicy()
+				f.wantCounts(adviceCalls(f.plan(start)), starts{"a": 2})
+			})
+		}
+	})
 	// Before a catalog is known, the quota is not.
 	t.Run("NothingStartsBeforeACatalogIsKnown", func(t *testing.T) {
 		f := newTableFixture(t, 2)
@@ -261,6 +358,15 @@
 	})
 }
 
+// adviceCalls returns how many calls for advice a plan makes for each organisation.
+func adviceCalls(p Plan) map[specs.OrganisationName]int {
+	out := make(map[specs.OrganisationName]int)
+	for _, call := range p.AdviceCalls {
+		out[call.Step.Job.Spec.Organisation]++
+	}
+	return out
+}
+
 func advicePolicy() *specs.AdvicePolicy {
 	return &specs.AdvicePolicy{Decision: 10 * time.Millisecond, PerRunner: time.Millisecond, Validity: time.Second}
 }
--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -130,6 +131,26 @@
 			})
 		}
 	})
+	// Runs that are not their task's current one go on as well; the leader after the next knows them only from the job's result.
+	t.Run("RunsThatAreNotCurrent", func(t *testing.T) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(100 * types.Core)
+		spec := jobOfA(gang(4), after(step(1)))
+		j := o.table.AddJob(spec)
+		r := o.addRunner(runner(0))
+		o.place(j, r, 4)
+		o.applyResult(r, agent.Result{Number: 1, Ref: specs.Ref{StepRef: specs.StepRef{Job: "j"}}, Attempt: 1, Outcome: agent.Done})
+		next := f.successor(o, spec)
+		next.addReportedRun(next.formerRunner("w00"), tasks.RunKey{Ref: specs.Ref{StepRef: specs.StepRef{Job: "j", Step: 1}}, Attempt: 7})
+		before := next.runningOfA()
+		if !oneCore().Times(4).Fits(before) {
+			t.Fatalf("the new leader counts %s, want what three members and the reported attempt occupy or more", before)
+		}
+		next.endJob(next.table.Jobs["j"], tasks.JobCancelled, "test")
+		if got := f.successor(next, spec).runningOfA(); got != before {
+			t.Errorf("the leader after it counts %s, want %s", got, before)
+		}
+	})
 	// A runner that left before the term never reports; its runs end with their leases.
 	t.Run("RunsOnARunnerThatNeverReports", func(t *testing.T) {
 		f := newFixture(t, quickWorld())
@@ -162,35 +183,86 @@
 	o.place(o.table.AddJob(jobOfA(step(3))), r, 3)
 	confirmed := o.table.Jobs["j"].Occurrences[0].Steps[0].Tasks[0].Run
 	confirmed.Confirm(f.clock.Now())
+	r.AddRun(&tasks.Run{
+		Key: tasks.RunKey{Ref: specs.Ref{StepRef: specs.StepRef{Job: "ended"}}, Attempt: 1}, Runner: r, Sent: true, Orphan: true,
+		Organisation: o.table.Organisations["a"], Counted: oneCore(),
+	})
 	info := runner(0)
 	info.Boot = 2
 	next := o.replaceRunner(r, info)
-	wantRunning(t, o, 2)
+	wantRunning(t, o, 3)
+	// What they occupy is not free, or the runner would be filled beyond its capacity.
+	if want := oneCore().Times(2); next.Used != want || next.Orphans != 1 {
+		t.Errorf("the runs occupy %s and %d are of an unknown size, want %s and 1", next.Used, next.Orphans, want)
+	}
 	o.expireRuns(next, f.clock.Now())
-	wantRunning(t, o, 2)
+	wantRunning(t, o, 3)
 	o.emptyReport(next)
 	wantRunning(t, o, 0)
+	if !next.Used.IsZero() || next.Orphans != 0 {
+		t.Errorf("after the first report the runs occupy %s and %d are of an unknown size, want none", next.Used, next.Orphans)
+	}
 }
 
-// The quota may be lowered while the intent of a start is being written.
+// The quota may be lowered while the intent of a start is being written, or while its answer is awaited.
 func TestStartIsNotSentOnceTheQuotaIsLowered(t *testing.T) {
-	f := newFixture(t, quickWorld())
-	o := f.newQuotaOwner(4 * types.Core)
-	r := o.addRunner(runner(0))
-	r.Synced = true
-	o.table.AddJob(jobOfA(step(4)))
-	o.executePlan()
-	wantRunning(t, o, 4)
-	o.table.SetLimits(&specs.Catalog{Organisations: []specs.Organisation{{Name: "a", Quota: types.Resources{Cores: 3 * types.Core}}}})
+	planned := func(t *testing.T) (*Owner, *tasks.Runner) {
+		f := newFixture(t, quickWorld())
+		o := f.newQuotaOwner(4 * types.Core)
+		r := o.addRunner(runner(0))
+		r.Synced = true
+		o.table.AddJob(jobOfA(step(4)))
+		o.executePlan()
+		wantRunning(t, o, 4)
+		return o, r
+	}
+	wantSent := func(t *testing.T, o *Owner, want int64) {
+		t.Helper()
+		if got := o.counters.starts.Count(); got != want {
+			t.Errorf("%d starts were sent, want %d", got, want)
+		}
+	}
+	t.Run("BeforeItIsSent", func(t *testing.T) {
+		o, _ := planned(t)
+		o.changeQuota(3 * types.Core)
+		o.confirmIntents()
+		wantRunning(t, o, 3)
+		wantSent(t, o, 3)
+	})
+	// The first try may never have arrived, so that the next one would bring the organisation above its quota.
+	t.Run("BeforeItIsSentAgain", func(t *testing.T) {
+		o, r := planned(t)
+		o.confirmIntents()
+		wantSent(t, o, 4)
+		fence := r.Fence
+		o.changeQuota(3 * types.Core)
+		o.applyCatalog()
+		for _, run := range r.Runs {
+			o.applyStartAnswer(run, agent.StartRequest{Fence: fence}, errs.New(errs.Lost, "the answer was lost"))
+		}
+		wantSent(t, o, 4)
+		wantRunning(t, o, 4)
+		if r.Fence <= fence || !r.FencePending {
+			t.Errorf("the fence is %d (pending: %t), want one above %d that is pending", r.Fence, r.FencePending, fence)
+		}
+	})
+}
+
+// changeQuota puts a catalog in force in which the organisation "a" may occupy the given cores.
+func (o *Owner) changeQuota(cores types.MilliCores) {
+	version := o.catalogVersion + 1
+	o.config.Catalog = func() *specs.Catalog {
+		return &specs.Catalog{Version: version, Organisations: []specs.Organisation{{Name: "a", Weight: 1, Quota: types.Resources{Cores: cores}}}}
+	}
+}
+
+// confirmIntents handles all pending records as durable.
+func (o *Owner) confirmIntents() {
 	durable := o.pending.onDurable
 	o.pending = pending{}
 	for _, f := range durable {
 		f()
 	}
-	wantRunning(t, o, 3)
-	if got := o.counters.starts.Count(); got != 3 {
-		t.Errorf("%d starts were sent, want 3", got)
-	}
 }
 
 // The gauges go to a system that keeps each name for ever, so their number must be bounded, and organisations that are gone
