Choose and name the organisations with metrics in one place

The gauges of runs and the metrics of admission each had their own choice of the 64 organisations with the largest weights and their own form of names.

--- a/internal/flow/owner/organisation_counters.go
+++ b/internal/flow/owner/organisation_counters.go
@@ -169,12 +169,12 @@
 
 // metricsOf returns the prefix of the metrics of an organisation that has some of its own.
 func metricsOf(name specs.OrganisationName) string {
-	return admissionPrefix + countedPart + admissionName(name) + "."
+	return admissionPrefix + countedPart + metricName(name) + "."
 }
 
-// admissionName returns the name of an organisation with all but letters and digits replaced, as the lines of metrics
+// metricName returns the name of an organisation with all but letters and digits replaced, as the lines of metrics
 // require.
-func admissionName(name specs.OrganisationName) string {
+func metricName(name specs.OrganisationName) string {
 	return strings.Map(func(r rune) rune {
 		if unicode.IsLetter(r) || unicode.IsDigit(r) {
 			return r
--- a/internal/flow/owner/organisations.go
+++ b/internal/flow/owner/organisations.go
@@ -1,11 +1,8 @@
 package owner
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 	"time"
-	"unicode"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -16,9 +13,6 @@
 )
 
 const (
-	// maxOrganisationGauges is how many organisations have gauges of their own, those with the largest weight; the others
-	// are summed.
-	maxOrganisationGauges = 64
 	// quotaWaitEnd is the time without a step that waits for the quota after which an organisation no longer counts as
 	// waiting, so that one at its quota does not write a log line with each task that ends.
 	quotaWaitEnd = 5 * time.Second
@@ -192,29 +186,27 @@
 	}
 }
 
-// update sets the gauges of the organisations that the catalog names, and removes those of the others.
+// update sets the gauges of the organisations that the catalog names, those with smaller weights summed, and removes the
+// gauges of organisations that are gone.
 func (m *organisationMetrics) update(all map[specs.OrganisationName]*tasks.Organisation) {
-	var known []*tasks.Organisation
-	for _, organisation := range all {
+	rest := make(map[specs.OrganisationName]float64)
+	for name, organisation := range all {
 		if organisation.Known {
-			known = append(known, organisation)
+			rest[name] = organisation.Weight
 		}
 	}
-	slices.SortFunc(known, func(a, b *tasks.Organisation) int {
-		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Name, b.Name))
-	})
 	unused := m.names
 	m.names = make(map[string]bool, len(unused))
-	var others, othersQuota types.Resources
-	for i, organisation := range known {
-		if i < maxOrganisationGauges {
-			m.set("organisation."+metricName(organisation.Name), organisation.Running, organisation.Quota)
-			continue
+	for _, name := range heaviest(rest) {
+		m.set("organisation."+metricName(name), all[name].Running, all[name].Quota)
+		delete(rest, name)
+	}
+	if len(rest) > 0 {
+		var running, quota types.Resources
+		for name := range rest {
+			running, quota = running.Add(all[name].Running), quota.Add(all[name].Quota)
 		}
-		others, othersQuota = others.Add(organisation.Running), othersQuota.Add(organisation.Quota)
-	}
-	if len(known) > maxOrganisationGauges {
-		m.set(otherOrganisations, others, othersQuota)
+		m.set(otherOrganisations, running, quota)
 	}
 	for name := range unused {
 		if !m.names[name] {
@@ -223,16 +215,6 @@
 	}
 }
 
-// metricName returns an organisation's name with all but letters and digits replaced, as the lines of metrics require.
-func metricName(name specs.OrganisationName) string {
-	return strings.Map(func(r rune) rune {
-		if unicode.IsLetter(r) || unicode.IsDigit(r) {
-			return r
-		}
-		return '_'
-	}, string(name))
-}
-
 // set sets the gauges of one organisation; a quota of 0 means that there is no limit.
 func (m *organisationMetrics) set(who string, running, quota types.Resources) {
 	m.setGauge(who, "CoresRunning", int64(running.Cores/types.Core))
