Remove logic that stood twice in the owner package

The conversion of organisation names for metrics, the check of an amount against a quota, the limit on organisations with metrics of their own and the remaining part of a run time each stood twice, so a reader had to compare the copies. Each is now defined once; the test of the name conversion calls the remaining function.

--- a/internal/flow/owner/leaving.go
+++ b/internal/flow/owner/leaving.go
@@ -91,7 +91,7 @@
 	total, measured := o.projectedRunTime(run, now)
 	if measured {
 		out.measured = run.Percent-run.First >= minProgressPercent
-		out.untilEnd = total * time.Duration(completePercent-run.Percent) / completePercent
+		out.untilEnd = remainingPart(run, total)
 		return out
 	}
 	out.untilEnd = o.expectedRunTime(run) - now.Sub(run.ConfirmedAt)
--- a/internal/flow/owner/organisation_counters.go
+++ b/internal/flow/owner/organisation_counters.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-	"unicode"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -18,11 +17,11 @@
 	refusedByQuota    refusalReason = "Quota"
 	refusedByOverload refusalReason = "Overload"
 
-	// maxCountedOrganisations limits the organisations that have metrics of their own, so that a large catalog does not
-	// make the list of metrics long.
+	// maxCountedOrganisations limits the organisations that have metrics of their own, those with the largest weights, so
+	// that a large catalog does not make the list of metrics long. The metrics of the others are sums.
 	maxCountedOrganisations = 64
 	admissionPrefix         = "Owner.Admission."
-	// countedPart and othersPart follow the prefix in the names of metrics.
+	// countedPart and othersPart follow the prefix in the names of metrics: of one organisation, and of the sums.
 	countedPart = "organisation."
 	othersPart  = "others."
 
@@ -169,16 +168,5 @@
 
 // metricsOf returns the prefix of the metrics of an organisation that has some of its own.
 func metricsOf(name specs.OrganisationName) string {
-	return admissionPrefix + countedPart + admissionName(name) + "."
-}
-
-// admissionName returns the name of an organisation with all but letters and digits replaced, as the lines of metrics
-// require.
-func admissionName(name specs.OrganisationName) string {
-	return strings.Map(func(r rune) rune {
-		if unicode.IsLetter(r) || unicode.IsDigit(r) {
-			return r
-		}
-		return '_'
-	}, string(name))
+	return admissionPrefix + countedPart + metricName(name) + "."
 }
--- a/internal/flow/owner/organisations.go
+++ b/internal/flow/owner/organisations.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// maxOrganisationGauges is how many organisations have gauges of their own, those with the largest weight; the others
-	// are summed.
-	maxOrganisationGauges = 64
 	// quotaWaitEnd is the time without a step that waits for the quota after which an organisation no longer counts as
 	// waiting, so that one at its quota does not write a log line with each task that ends.
 	quotaWaitEnd = 5 * time.Second
@@ -207,13 +204,13 @@
 	m.names = make(map[string]bool, len(unused))
 	var others, othersQuota types.Resources
 	for i, organisation := range known {
-		if i < maxOrganisationGauges {
-			m.set("organisation."+metricName(organisation.Name), organisation.Running, organisation.Quota)
+		if i < maxCountedOrganisations {
+			m.set(countedPart+metricName(organisation.Name), organisation.Running, organisation.Quota)
 			continue
 		}
 		others, othersQuota = others.Add(organisation.Running), othersQuota.Add(organisation.Quota)
 	}
-	if len(known) > maxOrganisationGauges {
+	if len(known) > maxCountedOrganisations {
 		m.set(otherOrganisations, others, othersQuota)
 	}
 	for name := range unused {
--- a/internal/flow/owner/organisations_test.go
+++ b/internal/flow/owner/organisations_test.go
@@ -279,14 +279,14 @@
 	o.table.Organisations["o.0"].Running = types.Resources{Cores: 5 * types.Core}
 	o.updateOrganisations(f.clock.Now())
 	values := organisationGauges(o)
-	if got, want := len(values), 4*(maxOrganisationGauges+1); got != want {
+	if got, want := len(values), 4*(maxCountedOrganisations+1); got != want {
 		t.Errorf("%d gauges, want %d", got, want)
 	}
 	if got := values["Owner.Organisations.others.CoresRunning"]; got != 5 {
 		t.Errorf("the others run on %d cores, want 5", got)
 	}
-	if got := values["Owner.Organisations.others.CoresQuota"]; got != 100-maxOrganisationGauges {
-		t.Errorf("the others may run on %d cores, want %d", got, 100-maxOrganisationGauges)
+	if got := values["Owner.Organisations.others.CoresQuota"]; got != 100-maxCountedOrganisations {
+		t.Errorf("the others may run on %d cores, want %d", got, 100-maxCountedOrganisations)
 	}
 	o.table.SetLimits(&specs.Catalog{})
 	o.updateOrganisations(f.clock.Now())
--- a/internal/flow/owner/quota.go
+++ b/internal/flow/owner/quota.go
@@ -15,7 +15,7 @@
 	}
 	for i := range job.Steps {
 		unit, need := neededAtOnce(&job.Steps[i])
-		if !isWithinQuota(need, organisation.Quota) {
+		if !need.WithinLimit(organisation.Quota) {
 			return errs.New(errs.QuotaExceeded, "%s of Steps[%d] needs %s, the quota of organisation %s is %s (0: no limit)",
 				unit, i, need, organisation.Name, organisation.Quota)
 		}
@@ -34,9 +34,3 @@
 	}
 	return "a task", each
 }
-
-// isWithinQuota reports whether an amount is within a quota, in which 0 means no limit.
-func isWithinQuota(need, quota types.Resources) bool {
-	return (quota.Cores == 0 || need.Cores <= quota.Cores) && (quota.Memory == 0 || need.Memory <= quota.Memory) &&
-		(quota.Accelerators == 0 || need.Accelerators <= quota.Accelerators)
-}
--- a/internal/flow/owner/weights_test.go
+++ b/internal/flow/owner/weights_test.go
@@ -435,7 +435,7 @@
 		}
 	})
 	t.Run("NamesFitIntoALine", func(t *testing.T) {
-		if got := admissionName("a b.c\n{é}-9"); got != "a_b_c__é__9" {
+		if got := metricName("a b.c\n{é}-9"); got != "a_b_c__é__9" {
 			t.Errorf("got %q", got)
 		}
 	})
