Explain reservations and headroom in the order package in usual terms

The check against reservedShare stood twice and is now claimReserved. claimAskable also recorded the use of headroom, which its name hid; it is now accountForAdvice. Comments that a reader had to guess at, on places of gangs, on what a waiting step keeps and on the order in which surplus steps are served, now say what the code does.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -38,13 +38,13 @@
 		p.requestAdvice(s, false)
 	}
 	if s.Advice.Pending > 0 {
-		p.claimAskable(s)
+		p.accountForAdvice(s)
 	}
 }
 
-// claimAskable takes the cores of the step's waiting tasks from those for which calls for advice may be made. Its advice is
-// in flight or requested.
-func (p *pass) claimAskable(s *tasks.Step) {
+// accountForAdvice accounts for a step whose advice is in flight or requested: it takes the cores of the step's waiting tasks from
+// those for which further calls for advice may be made, and records what the tasks will take of the organisation's headroom.
+func (p *pass) accountForAdvice(s *tasks.Step) {
 	wanted := p.wantedTasks(s)
 	p.askable[s.Job.Spec.Queue.Service] -= taskResources(s).Times(wanted).Cores
 	if s.Spec.Gang && p.allTasksWait(s) {
@@ -157,7 +157,7 @@
 }
 
 // addAdviceCall adds calls for advice on the runners to the plan, unless one is in flight or the budget is spent. Place is
-// where a gang fits for which the calls get the tickets, or nil.
+// the capacity on which a gang fits when the calls request its tickets; nil for other calls.
 func (p *pass) addAdviceCall(s *tasks.Step, runners []*runnerCapacity, place []tasks.PlaceShare) {
 	if s.Advice.Pending > 0 || len(runners) == 0 {
 		return
@@ -174,7 +174,7 @@
 		p.out.AdviceCalls = append(p.out.AdviceCalls, call)
 	}
 	if len(p.out.AdviceCalls) > planned {
-		p.claimAskable(s)
+		p.accountForAdvice(s)
 	}
 }
 
--- a/internal/flow/order/ahead.go
+++ b/internal/flow/order/ahead.go
@@ -57,7 +57,7 @@
 	case key.priority < own.priority:
 		return workUpTo(queue, len(queue))
 	default:
-		return before(queue, rank)
+		return workBefore(queue, rank)
 	}
 }
 
--- a/internal/flow/order/backlog.go
+++ b/internal/flow/order/backlog.go
@@ -174,7 +174,7 @@
 	return b.Wait(j) - latest
 }
 
-// before returns the work of a queue whose rank is not higher than the given one.
-func before(queue []queuedWork, rank time.Time) float64 {
+// workBefore returns the work of a sorted queue whose rank is not after the given one.
+func workBefore(queue []queuedWork, rank time.Time) float64 {
 	return workUpTo(queue, sort.Search(len(queue), func(i int) bool { return queue[i].rank.After(rank) }))
 }
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -69,7 +69,7 @@
 	return out
 }
 
-// askedRunners returns those of the runners that the latest call for advice on the step named.
+// askedRunners returns those of the runners that the latest calls for advice on the step named.
 func askedRunners(s *tasks.Step, runners []*runnerCapacity) []*runnerCapacity {
 	var out []*runnerCapacity
 	for _, r := range runners {
@@ -80,8 +80,7 @@
 	return out
 }
 
-// renewGangTickets plans calls for tickets for all runners of the shares, and for some spare ones, since free capacity
-// changes before the tickets arrive.
+// renewGangTickets plans calls for tickets for all runners of the shares and for some spare ones; see gangSpareDivisor.
 func (p *pass) renewGangTickets(s *tasks.Step, shares []gangShare, runners []*runnerCapacity) {
 	var wanted []*runnerCapacity
 	for _, sh := range shares {
@@ -213,18 +212,27 @@
 	}
 }
 
+// claimReserved counts the cores of n tasks of a gang as reserved in this pass. It returns false, and counts nothing, if the
+// gangs of the service would then exceed reservedShare of its cores.
+func (p *pass) claimReserved(s *tasks.Step, n int) bool {
+	service := s.Job.Spec.Queue.Service
+	wanted := taskResources(s).Times(n).Cores
+	if p.reserved[service]+wanted > types.MilliCores(reservedShare*float64(p.cores[service])) {
+		return false
+	}
+	p.reserved[service] += wanted
+	return true
+}
+
 // reserveForGang reserves capacity for a gang that does not fit, for this pass: it subtracts the gang's resources from
 // the free capacity of the runners that have the most free cores already, as many of them as hold the gang once they
 // are empty. Work behind the gang starts there only if it fits beside the gang. It reserves nothing if the gangs of the
 // service would then exceed reservedShare of its cores. The gang keeps the headroom of its organisation only if the runners
 // could hold all of it.
 func (p *pass) reserveForGang(s *tasks.Step, runners []*runnerCapacity) {
-	service := s.Job.Spec.Queue.Service
-	wanted := taskResources(s).Times(len(s.Tasks)).Cores
-	if p.reserved[service]+wanted > types.MilliCores(reservedShare*float64(p.cores[service])) {
+	if !p.claimReserved(s, len(s.Tasks)) {
 		return
 	}
-	p.reserved[service] += wanted
 	if s.Job.Organisation != nil && couldHold(s, runners, len(s.Tasks)) {
 		p.claimHeadroom(s, len(s.Tasks))
 	}
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -68,7 +68,7 @@
 	AdviceCall struct {
 		Step    *tasks.Step
 		Runners []*tasks.Runner
-		// Place is where a gang fits now, for which the call gets the tickets; nil for other calls.
+		// Place is the capacity on which a gang fits now, when the call requests its tickets; nil for other calls.
 		Place []tasks.PlaceShare
 	}
 
@@ -105,7 +105,7 @@
 		headrooms map[*tasks.Organisation]*headroom
 		// lastHeadroom is the one that was looked up last, most often by the same step.
 		lastHeadroom *headroom
-		// places holds what gangs keep that wait for tickets, until they are served.
+		// places holds the capacity that is kept for gangs that wait for tickets, until they are served.
 		places map[*tasks.Step][]keptPlace
 		// services is what the services of each organisation occupy; nil until it is needed.
 		services map[*tasks.Organisation]types.Resources
--- a/internal/flow/order/place.go
+++ b/internal/flow/order/place.go
@@ -5,7 +5,7 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
-// placeShareLimit limits the cores that gangs keep while their tickets are on the way, as a fraction of the cores of their
+// placeShareLimit limits the cores that gangs keep while calls for their tickets are in flight, as a fraction of the cores of their
 // service.
 const placeShareLimit = 0.2
 
@@ -15,9 +15,8 @@
 	count  int
 }
 
-// keepPlaces keeps the places of the gangs that wait for the tickets of runners on which they fit, against all other work.
-// It answers a load of small urgent tasks beside gangs: a call for tickets takes about half a second, and without their
-// places gangs find them taken when the tickets arrive, again and again, though enough capacity is free all the time.
+// keepPlaces reserves, for each gang that waits for tickets, the capacity on which it fitted when the tickets were requested.
+// A call for tickets takes about half a second, in which small urgent tasks would otherwise take that capacity each time.
 func (p *pass) keepPlaces(sorted []entry) {
 	cores := make(map[types.ServiceName]types.MilliCores)
 	for _, e := range sorted {
@@ -35,7 +34,7 @@
 	}
 }
 
-// isPlaceNeeded reports whether the tickets for the gang's place are on the way, or have arrived and are still valid.
+// isPlaceNeeded reports whether a call for the tickets of the gang's place is in flight, or one of the tickets is valid.
 func (p *pass) isPlaceNeeded(s *tasks.Step) bool {
 	if s.Advice.Pending > 0 {
 		return true
@@ -60,7 +59,7 @@
 	}
 }
 
-// releasePlace makes the place that the step keeps free again, so that the step can start there.
+// releasePlace adds the place that the step keeps to the free capacity again, so that the step can start there.
 func (p *pass) releasePlace(s *tasks.Step) {
 	for _, kept := range p.places[s] {
 		kept.runner.free = kept.runner.free.Add(taskResources(s).Times(kept.count))
@@ -68,7 +67,7 @@
 	delete(p.places, s)
 }
 
-// placeOf returns the shares as the place that the gang keeps while its tickets are on the way.
+// placeOf returns the shares as the place that the gang keeps while the calls for its tickets are in flight.
 func placeOf(shares []gangShare) []tasks.PlaceShare {
 	out := make([]tasks.PlaceShare, 0, len(shares))
 	for _, sh := range shares {
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -15,11 +15,11 @@
 	left types.Resources
 	// claimed is what the starts that this pass plans, and the tasks for which it keeps capacity, will occupy.
 	claimed types.Resources
-	// holder is the step for which headroom was claimed last, held for how many of its tasks. The steps of an organisation are
-	// served one after the other, so this is complete for the one that is being served.
+	// holder is the step for which headroom was claimed last, and held the number of its tasks that the claims cover. The steps
+	// of an organisation are served one after the other, so the claims of the step that is being served are complete.
 	holder *tasks.Step
 	held   int
-	// asked is what the tasks will occupy for which advice is in flight or requested.
+	// asked is what those tasks will occupy for which advice is in flight or requested and no headroom is claimed.
 	asked types.Resources
 	// waits is set once a step waits for the quota.
 	waits bool
@@ -81,7 +81,7 @@
 }
 
 // wantedTasks returns for how many tasks of the step advice may be requested: those that could start if all capacity were
-// free, and that fit the headroom besides the tasks for which advice is in flight or requested already.
+// free, and that fit the headroom left by the tasks for which advice is in flight or requested already.
 func (p *pass) wantedTasks(s *tasks.Step) int {
 	h := p.headroomOf(s)
 	if h == nil {
@@ -121,6 +121,7 @@
 	if p.hasHeadroom(s, width) {
 		return true
 	}
+	// When a step waits already and a resource of the headroom is negative, no further step fits, whatever this one keeps.
 	isExhausted := h.waits && !types.Resources{}.Fits(h.left)
 	if isExhausted || !p.table.KnowsLimits(h.organisation) || !p.hasDueTask(s) {
 		return false
@@ -142,7 +143,7 @@
 
 // canHoldHeadroom reports whether the step may keep headroom from those behind it: the quota suffices besides the services
 // of its organisation, and the runners could hold the tasks if they were empty. Otherwise the organisation would wait for
-// something that never comes.
+// capacity that cannot become free.
 func (p *pass) canHoldHeadroom(s *tasks.Step, h *headroom, width int) bool {
 	need := counted(s, width).Add(p.occupiedByServices(h.organisation))
 	return need.WithinLimit(h.organisation.Quota) && couldHold(s, p.runners[s.Job.Spec.Queue.Service], width)
--- a/internal/flow/order/restart.go
+++ b/internal/flow/order/restart.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
@@ -14,8 +13,8 @@
 const restartWindow = time.Second
 
 // prepareRestart prepares the next attempt of a gang of which some members have ended and the others are being stopped: it
-// plans the call for tickets, so that they arrive while the last members end, and keeps the capacity that the gang's
-// members free against work behind it. It keeps none without a ticket or a call in flight.
+// plans the call for tickets, so that they arrive while the last members end, and reserves the capacity that the gang's
+// members free, so that later steps do not take it. It reserves none without a ticket or a call in flight.
 func (p *pass) prepareRestart(s *tasks.Step, runners []*runnerCapacity) {
 	if !p.isEnding(s) {
 		return
@@ -27,8 +26,8 @@
 	p.keepForRestart(s, shares, ending)
 }
 
-// isEnding reports whether the latest attempt of the gang broke recently, has others to follow, and all of its members that
-// have not ended are being stopped on runners that answer.
+// isEnding reports whether a member of the gang's latest attempt ended early within restartWindow, another attempt is
+// allowed, and all members that have not ended are being stopped on reachable runners.
 func (p *pass) isEnding(s *tasks.Step) bool {
 	if s.BrokenAt.IsZero() || p.now.Sub(s.BrokenAt) >= restartWindow || s.Tasks[0].OutOfAttempts() {
 		return false
@@ -114,11 +113,7 @@
 			count += n
 		}
 	}
-	service := s.Job.Spec.Queue.Service
-	wanted := taskResources(s).Times(count).Cores
-	if p.reserved[service]+wanted > types.MilliCores(reservedShare*float64(p.cores[service])) {
-		return
+	if p.claimReserved(s, count) {
+		p.subtractShares(s, kept)
 	}
-	p.reserved[service] += wanted
-	p.subtractShares(s, kept)
 }
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -17,7 +17,7 @@
 		steps []entry
 		// current is the first step once it is being served, or nil.
 		current *sharedStep
-		// idleStepsLeft is how many more steps may be served without a start.
+		// idleStepsLeft is how many more steps of the organisation may be served without a start.
 		idleStepsLeft int
 	}
 
@@ -89,7 +89,8 @@
 	return len(entries)
 }
 
-// serveAll serves the steps: those within the weights, then the surplus ones, and in the same way those that are overdue.
+// serveAll serves the steps in four groups: those within the weights that are not overdue, the surplus ones that are not
+// overdue, those within the weights that are overdue, and the surplus ones that are overdue.
 func (p *pass) serveAll(sorted []entry) {
 	isOverdue := func(e entry) bool { return e.tier == overdue }
 	within, surplus := p.splitSurplus(sorted)
@@ -195,8 +196,8 @@
 	}
 }
 
-// begin reports whether the organisation's first step may be served; otherwise it is removed, or all steps are when the
-// plan may serve no more.
+// begin reports whether the organisation's first step may be served, and counts it. Otherwise it removes the step, or all
+// steps of the organisation when the plan may serve no more.
 func (p *pass) begin(q *shareQueue, s *tasks.Step) bool {
 	switch {
 	case p.stepsLeft == 0:
@@ -236,7 +237,7 @@
 		p.requestAdvice(s, len(c.runners) == 0)
 	}
 	if s.Advice.Pending > 0 {
-		p.claimAskable(s)
+		p.accountForAdvice(s)
 	}
 }
 
