--- a/internal/core/rescue/rescue.go
+++ b/internal/core/rescue/rescue.go
@@ -37,8 +37,8 @@
 	return f()
 }
 
-// Go runs f in the calling goroutine, and calls onPanic after a panic.
-func (r *Rescuer) Go(what string, f, onPanic func()) {
+// Run runs f, and calls onPanic if f panics.
+func (r *Rescuer) Run(what string, f, onPanic func()) {
 	err := r.Call(what, func() error {
 		f()
 		return nil
--- a/internal/core/rescue/rescue_test.go
+++ b/internal/core/rescue/rescue_test.go
@@ -20,8 +20,8 @@
 		t.Errorf("got %v, want kind Internal", err)
 	}
 	handled := false
-	r.Go("a loop", func() { panic("boom") }, func() { handled = true })
-	r.Go("a loop", func() {}, func() { t.Error("the end of a loop was handled as a panic") })
+	r.Run("a loop", func() { panic("boom") }, func() { handled = true })
+	r.Run("a loop", func() {}, func() { t.Error("the end of a loop was handled as a panic") })
 	if !handled {
 		t.Error("the panic of a loop was not handled")
 	}
--- a/internal/flow/access/access.go
+++ b/internal/flow/access/access.go
@@ -17,7 +17,8 @@
 	// historyMargin is subtracted from the time within which a key must be withdrawn: a watch of the store may miss changes
 	// for up to a second while the store discards its history.
 	historyMargin = time.Second
-	// retryAfter is when callers should retry after a refusal for old knowledge: by then a source that failed has been left.
+	// retryAfter is when callers should retry after a refusal because the confirmation is too old: by then the daemon gets the
+	// catalog from another source if its source has failed.
 	retryAfter = time.Second
 )
 
@@ -89,7 +90,7 @@
 		v.Catalog.Version, v.Confirmation.Age.Round(time.Millisecond), v.MaxAge)
 }
 
-// Recheck checks a caller that another daemon has let in against this daemon's catalog. A catalog that is newer than the one
+// Recheck checks a caller, whose key another daemon has accepted, against this daemon's catalog. A catalog that is newer than the one
 // that held the key decides: it gives the organisation, or an error of kind Denied if no organisation holds the key any more.
 func Recheck(c *specs.Catalog, caller specs.Caller) (specs.Caller, error) {
 	if caller.Organisation == "" || c == nil || !c.NeedsKeys || c.Version <= caller.Catalog {
--- a/internal/flow/feed/feed.go
+++ b/internal/flow/feed/feed.go
@@ -30,8 +30,8 @@
 	// waitDivisor gives the time that a source or the store waits for a new catalog before it answers, as a part of the
 	// largest age. Knowledge passes two daemons at most, and must not be too old after that.
 	waitDivisor = 4
-	// confirmationWaitDivisor gives the longest wait as a part of the greatest age of a confirmation. Behind two daemons, the
-	// confirmation is then half as old as it may be at most.
+	// confirmationWaitDivisor sets the longest wait of a poll, as a part of the greatest age of a confirmation. A daemon that
+	// gets the catalog through two others then has a confirmation of at most half the greatest age.
 	confirmationWaitDivisor = 8
 	// shortWaitDivisor gives the wait of a daemon whose knowledge is old, as a part of the usual one.
 	shortWaitDivisor = 8
--- a/internal/flow/front/access.go
+++ b/internal/flow/front/access.go
@@ -8,15 +8,15 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
-// passOn returns the caller as an argument of a call to the leader: nil for the zero Caller.
-func passOn(caller specs.Caller) *specs.Caller {
+// callerArg returns the Caller field of the arguments of a call to the leader: nil for the zero Caller.
+func callerArg(caller specs.Caller) *specs.Caller {
 	if caller == (specs.Caller{}) {
 		return nil
 	}
 	return &caller
 }
 
-// recheck checks a caller that a daemon has let in against the leader's own catalog.
+// recheck checks a caller, whose key another daemon has accepted, against the leader's own catalog.
 func (f *Front) recheck(caller *specs.Caller) (specs.Caller, error) {
 	if caller == nil {
 		return specs.Caller{}, nil
--- a/internal/flow/front/confirm.go
+++ b/internal/flow/front/confirm.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// queryAgeDivisor gives the age of the confirmation, as a part of the greatest one, from which one peer is asked for a
-	// younger one in each peerQueryInterval. The feed's own confirmations are younger in calm operation.
+	// queryAgeDivisor sets the age of the confirmation, as a part of its greatest age, from which one peer is asked for a
+	// younger one in each peerQueryInterval. While the store is reachable, the feed keeps the confirmation younger than that.
 	queryAgeDivisor = 2
-	// urgentAgeDivisor gives the time that is left of the greatest age, as a part of it, in which urgentQueries peers are asked
-	// at once: so 40 daemons are asked, and each answer handed on, before the confirmation may not be used any more.
+	// urgentAgeDivisor sets the last part of the greatest age in which urgentQueries peers are asked at once: 40 daemons can
+	// be asked, and pass on what they learn, before the confirmation is too old to use.
 	urgentAgeDivisor = 3
 	urgentQueries    = 8
 )
@@ -50,7 +50,7 @@
 			continue
 		}
 		var asked []peer.Target
-		asked, next = takeTurn(f.otherMembers(), next, count)
+		asked, next = nextTargets(f.otherMembers(), next, count)
 		f.queryPeers(ctx, asked)
 	}
 }
@@ -77,8 +77,8 @@
 	return out
 }
 
-// takeTurn returns the next targets, at most count, and where the turn goes on, so that all are reached one after the other.
-func takeTurn(targets []peer.Target, next, count int) ([]peer.Target, int) {
+// nextTargets returns the targets that follow in round-robin order, at most count, and the index from which to go on.
+func nextTargets(targets []peer.Target, next, count int) ([]peer.Target, int) {
 	var out []peer.Target
 	for range min(count, len(targets)) {
 		next = (next + 1) % len(targets)
--- a/internal/flow/front/confirm_test.go
+++ b/internal/flow/front/confirm_test.go
@@ -323,7 +323,7 @@
 		asked := make(map[types.VMID]bool)
 		for next, round := 17, 0; round < 5; round++ {
 			var turn []peer.Target
-			turn, next = takeTurn(members, next, urgentQueries)
+			turn, next = nextTargets(members, next, urgentQueries)
 			for _, m := range turn {
 				asked[m.VM] = true
 			}
@@ -370,10 +370,10 @@
 // A catalog without organisations must add nothing to the calls between daemons.
 func TestCallsCarryNoCallerWithoutOrganisations(t *testing.T) {
 	caller := specs.Caller{Organisation: "a", Key: specs.DigestKey(firstKey), Catalog: 1}
-	if got := passOn(caller); got == nil || *got != caller {
+	if got := callerArg(caller); got == nil || *got != caller {
 		t.Errorf("the caller is passed on as %+v, want %+v", got, caller)
 	}
-	if got := passOn(specs.Caller{}); got != nil {
+	if got := callerArg(specs.Caller{}); got != nil {
 		t.Errorf("the zero caller is passed on as %+v, want nothing", got)
 	}
 	without, with := peer.Size(&JobArgs{Job: "j"}), peer.Size(&JobArgs{Job: "j", Caller: &caller})
--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -248,7 +248,7 @@
 // Draining mean that it will never run because of this request; Lost means that it is in doubt.
 func (f *Front) Submit(ctx context.Context, caller specs.Caller, job *specs.Job) error {
 	began := f.config.Clock.Now()
-	err := f.callLeader(ctx, methodSubmit, &SubmitArgs{Job: *job, Caller: passOn(caller)}, &Empty{})
+	err := f.callLeader(ctx, methodSubmit, &SubmitArgs{Job: *job, Caller: callerArg(caller)}, &Empty{})
 	if err == nil {
 		f.callMetrics.submits.UpdateSince(began)
 	}
@@ -257,7 +257,7 @@
 
 // Cancel cancels a job. The error is of kind NotFound if there is no such job, or if it is another organisation's.
 func (f *Front) Cancel(ctx context.Context, caller specs.Caller, id specs.JobID) error {
-	return f.callLeader(ctx, methodCancel, &JobArgs{Job: id, Caller: passOn(caller)}, &Empty{})
+	return f.callLeader(ctx, methodCancel, &JobArgs{Job: id, Caller: callerArg(caller)}, &Empty{})
 }
 
 // State returns the state of a job. The error is of kind NotFound if there is no such job, or if it is another
@@ -265,7 +265,7 @@
 func (f *Front) State(ctx context.Context, caller specs.Caller, id specs.JobID) (tasks.JobState, error) {
 	began := f.config.Clock.Now()
 	reply := &StateReply{}
-	if err := f.callLeader(ctx, methodState, &JobArgs{Job: id, Caller: passOn(caller)}, reply); err != nil {
+	if err := f.callLeader(ctx, methodState, &JobArgs{Job: id, Caller: callerArg(caller)}, reply); err != nil {
 		return "", err
 	}
 	f.callMetrics.states.UpdateSince(began)
@@ -275,7 +275,7 @@
 // Waiting returns the number of jobs of the queue of which no task has started yet.
 func (f *Front) Waiting(ctx context.Context, caller specs.Caller, queue specs.QueueName) (int, error) {
 	reply := &WaitingReply{}
-	if err := f.callLeader(ctx, methodWaiting, &QueueArgs{Queue: queue, Caller: passOn(caller)}, reply); err != nil {
+	if err := f.callLeader(ctx, methodWaiting, &QueueArgs{Queue: queue, Caller: callerArg(caller)}, reply); err != nil {
 		return 0, err
 	}
 	return reply.Waiting, nil
--- a/internal/flow/owner/confirm.go
+++ b/internal/flow/owner/confirm.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// mayOrder reports whether leadership was confirmed recently enough to start tasks and renew leases. The caller must hold
+// isLeadershipConfirmed reports whether leadership was confirmed recently enough to start tasks and renew leases. The caller must hold
 // o.mu.
-func (o *Owner) mayOrder() bool {
+func (o *Owner) isLeadershipConfirmed() bool {
 	return o.config.Clock.Since(o.confirmedAt) <= storeContactTimeout
 }
--- a/internal/flow/owner/confirm_test.go
+++ b/internal/flow/owner/confirm_test.go
@@ -90,7 +90,7 @@
 	o.mu.Unlock()
 	o.commitWrite(w)
 	o.mu.Lock()
-	if o.mayOrder() {
+	if o.isLeadershipConfirmed() {
 		t.Error("a write that began 20 s ago confirms leadership now")
 	}
 }
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -73,7 +73,7 @@
 		delete(o.renewLoops, r)
 		return renewal{}, false, false
 	}
-	if !o.mayOrder() {
+	if !o.isLeadershipConfirmed() {
 		return renewal{}, false, true
 	}
 	next = renewal{to: r.Info, request: agent.RenewRequest{Fence: r.Fence, Acknowledged: r.DurableResult}, sentAt: now}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -245,7 +245,7 @@
 // without one of its loops would neither serve nor be replaced. The caller of f must not hold o.mu.
 func (o *Owner) guarded(what string, f func()) func() {
 	return func() {
-		o.rescuer.Go(what, f, func() { o.endTerm(what + " panicked") })
+		o.rescuer.Run(what, f, func() { o.endTerm(what + " panicked") })
 	}
 }
 
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -88,7 +88,7 @@
 	now := o.config.Clock.Now()
 	stale := !run.TicketUntil.IsZero() && run.TicketUntil.Before(now.Add(ticketMargin/2))
 	isUnwanted := run.StartCancelled || o.isUnwanted(run) || o.isOverQuota(run)
-	mayStart := r.Usable(now) && o.knowsDirectory() && o.mayOrder()
+	mayStart := r.Usable(now) && o.knowsDirectory() && o.isLeadershipConfirmed()
 	if isUnwanted || stale || !mayStart {
 		o.discardRun(run)
 		return
@@ -173,7 +173,7 @@
 	o.config.Log.Info().Str("Task", run.Key.Ref.String()).Int("Attempt", int(run.Key.Attempt)).
 		Str("Runner", string(run.Runner.Info.ID)).Int("Tries", run.Tries).Msg("start was not answered; it is in doubt whether the attempt runs")
 	isWanted := !run.StartCancelled && !o.isUnwanted(run) && !o.isOverQuota(run)
-	if run.Tries < maxStartTries && isWanted && run.Runner.UnreachableSince.IsZero() && o.mayOrder() {
+	if run.Tries < maxStartTries && isWanted && run.Runner.UnreachableSince.IsZero() && o.isLeadershipConfirmed() {
 		o.sendStart(run)
 		return
 	}
--- a/internal/flow/specs/organisation.go
+++ b/internal/flow/specs/organisation.go
@@ -19,7 +19,7 @@
 	Organisation struct {
 		Name OrganisationName `json:"Name"`
 		Keys []KeyDigest      `json:"Keys,omitempty"`
-		// Weight is the number of jobs per second that the organisation may submit with the full claim to the runners.
+		// Weight is the number of jobs per second that the organisation may submit before further ones are surplus.
 		Weight float64 `json:"Weight"`
 		// Quota limits what its runs occupy on all runners together; a resource that is 0 has no limit.
 		Quota types.Resources `json:"Quota"`
