Describe run times, speeds and leaving runners in statistical and plain terms

Comments spoke of the middle of speeds, of a share "as one in so many" and of a load that a function answers, and two constants were called shares and weights although they divide. They now name the median, the interquartile mean and the moving average.

--- a/internal/flow/owner/access.go
+++ b/internal/flow/owner/access.go
@@ -20,7 +20,7 @@
 	return state, nil
 }
 
-// isAccessible reports whether the caller may ask for a job and cancel it: the job is its organisation's or has none. A caller
+// isAccessible reports whether the caller may query and cancel a job: the job belongs to its organisation, or to none. A caller
 // without an organisation, that is, one of a public route or of a catalog that requires no keys, may access all jobs. A job
 // that is not in the tables is not accessible to an organisation. The caller must hold o.mu.
 func (o *Owner) isAccessible(caller specs.Caller, id specs.JobID) bool {
@@ -31,7 +31,7 @@
 	return known && (organisation == "" || organisation == caller.Organisation)
 }
 
-// organisationOf returns the organisation whose job it is, or was if it has ended; empty if it has none. It returns false if
+// organisationOf returns the organisation to which a job belongs, also one that has ended; empty if it belongs to none. It returns false if
 // the job is not in the tables. The caller must hold o.mu.
 func (o *Owner) organisationOf(id specs.JobID) (specs.OrganisationName, bool) {
 	if j := o.table.Jobs[id]; j != nil {
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -152,7 +152,7 @@
 	}
 	if r.ObserveClock(report.Clock, sentAt, now) {
 		o.counters.clocksWentBack.Inc(1)
-		o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("clock of the runner went back; its leases are counted from the clock as it is")
+		o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("the runner's clock went back; computing the deadlines of its leases from its present value")
 	}
 	if !r.Synced {
 		// Another leader may have asked for a lease up to the maximum; from now on the runner refuses its requests.
--- a/internal/flow/owner/leaving.go
+++ b/internal/flow/owner/leaving.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// leaveMargin is how much earlier than it said a runner is taken to leave: its entry was read some time after it was
-	// written, and a stop has to reach the runner.
+	// leaveMargin is how much earlier a runner is assumed to leave than it announced: its entry in the directory was read some
+	// time after it was written, and a stop has to reach the runner.
 	leaveMargin = 500 * time.Millisecond
 	// maxLeaveTime is the expected time until the end of a run that goes on until its job is cancelled.
 	maxLeaveTime = 24 * time.Hour
 )
 
 type (
-	// leavingRun is what decides about a run on a runner that leaves.
+	// leavingRun holds the facts by which it is decided what happens to a run on a runner that leaves.
 	leavingRun struct {
 		// untilLeave is the time until the runner leaves, untilEnd the expected time until the run ends.
 		untilLeave time.Duration
@@ -39,9 +39,9 @@
 	stopToRestart
 )
 
-// decide answers a load in which runners are taken away at short notice while they are full. Whatever runs on a runner when
-// it leaves is lost, and starts elsewhere only once its lease has expired. So a run that will not end in time is stopped: at
-// the last moment if that saves its work, and at once if it is sure that its work will be lost.
+// decide returns what happens to the run. What still runs on a runner when it leaves is lost, and starts elsewhere only once
+// its lease has expired. So a run that is not expected to end in time is stopped: at the last moment, or at once if a stop saves
+// nothing and the progress of the run shows that it will not end in time.
 func (r leavingRun) decide(stopTimeout time.Duration) leaveDecision {
 	isLastMoment := r.untilLeave <= stopTimeout+leaveMargin+tickInterval
 	switch {
@@ -80,7 +80,7 @@
 	}
 }
 
-// leavingRun returns what decides about a run on a runner that leaves. The caller must hold o.mu.
+// leavingRun returns the facts by which it is decided what happens to a run on a runner that leaves. The caller must hold o.mu.
 func (o *Owner) leavingRun(run *tasks.Run, now time.Time) leavingRun {
 	spec := run.Task.Step.Spec
 	out := leavingRun{untilLeave: run.Runner.LeavesAt.Sub(now), saves: spec.Checkpoint || spec.Service}
--- a/internal/flow/owner/organisations.go
+++ b/internal/flow/owner/organisations.go
@@ -19,9 +19,10 @@
 	// quotaWaitEnd is the time without a step that waits for the quota after which an organisation no longer counts as
 	// waiting, so that one at its quota does not write a log line with each task that ends.
 	quotaWaitEnd = 5 * time.Second
-	// otherOrganisations is the part of the names of the gauges that sum the others.
-	otherOrganisations = "others"
+	// organisationPrefix begins the names of the gauges; otherOrganisations follows it in those that sum the organisations
+	// without gauges of their own.
 	organisationPrefix = "Owner.Organisations."
+	otherOrganisations = "others"
 
 	// maxCatalogLag is how long a daemon may have a newer catalog than the leader: a new version must be in force everywhere
 	// within 4 s. The rest is for the message that names an organisation.
@@ -62,8 +63,8 @@
 	return m
 }
 
-// adoptRemainingRuns adopts the runs of organisations that may go on though the ledger places no task there: those that
-// had not ended when their job ended, and those of gang members, which are all done when the first one is. Each counts for
+// adoptRemainingRuns adopts the runs of organisations that may go on though the ledger has no running task for them: those
+// that had not ended when their job ended, and those of members of done gangs, since all members count as done when one is. Each counts for
 // its organisation until its runner's first report, or until its lease has expired. The caller must hold o.mu.
 func (o *Owner) adoptRemainingRuns() {
 	oldest := o.config.Clock.Now().Add(-remainingRunAge)
@@ -114,9 +115,9 @@
 	}
 }
 
-// countLateStart goes on counting a run of a runner's former incarnation, for its organisation and for the runner's
-// capacity, if a start of it may still arrive: the next incarnation carries it out unless it has seen a higher fence, which
-// its first report shows. The caller must hold o.mu.
+// countLateStart keeps a run of a runner's former incarnation counted, for its organisation and in the runner's capacity, if a
+// start request for it may still arrive. The next incarnation would start it unless it has seen a higher fence, which its first
+// report shows. The caller must hold o.mu.
 func (o *Owner) countLateStart(next *tasks.Runner, run *tasks.Run) {
 	isSettled := !run.Sent || (run.Confirmed && run.Tries <= 1)
 	if run.Organisation == nil || isSettled {
--- a/internal/flow/owner/pace.go
+++ b/internal/flow/owner/pace.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// paceWeight is the weight of a task that was done in its runner's pace.
+	// paceWeight is the weight of one task in the moving average that is its runner's pace.
 	paceWeight = 1.0 / 16
 	// minPace and maxPace limit the pace that one task can give a runner, so that a long one counts little, and the
 	// factor by which a runner's pace changes a run time.
--- a/internal/flow/owner/slow.go
+++ b/internal/flow/owner/slow.go
@@ -16,18 +16,19 @@
 	// minSiblings and maxSiblings bound how many tasks of its step on other runners a task is compared with.
 	minSiblings = 2
 	maxSiblings = 32
-	// stallPercents is how many times the time of one percent a task may make no progress.
+	// stallPercents limits the time without progress to the time in which a task usually advances by so many percent.
 	stallPercents = 3
-	// gangMoveOverhead is the time that moving a gang costs besides the work: the stops take 0.4 s, the next place is ready
-	// 0.9 s later in three of four cases, and resuming takes up to 0.6 s.
+	// gangMoveOverhead is the time that moving a gang costs besides the work: the stops take 0.4 s, the next attempt has its
+	// tickets and capacity 0.9 s later in three of four cases, and resuming takes up to 0.6 s.
 	gangMoveOverhead = 1900 * time.Millisecond
 )
 
-// measureSpeed returns how fast the runner works, or false when its tasks do not tell: the middle of their speeds, or the
-// higher one of two, since not all tasks of a healthy runner are long at the same time. A single task tells only if it takes
-// longer than its queue's long tasks do. The caller must hold o.mu.
+// measureSpeed returns how fast the runner works: the median speed of its tasks, or the higher one of two, since not all tasks
+// of a healthy runner are long at the same time. It returns false when the speed is not known: no task shows it, or only one
+// that may be long by itself. The caller must hold o.mu.
 func (o *Owner) measureSpeed(r *tasks.Runner, now time.Time) (float64, bool) {
 	var speeds []float64
+	// isLong is of the latest run; it matters only if that is the only one.
 	isLong := false
 	for _, run := range r.Runs {
 		if !canMeasureProgress(run) {
@@ -102,8 +103,8 @@
 	return limit
 }
 
-// remainingHere returns how long a run, or the slowest member of its gang, still takes where it is, given how long the whole
-// run takes there. The caller must hold o.mu.
+// remainingHere returns how long a run, or the slowest member of its gang, still takes on its present runner, given how long
+// the whole run takes there. The caller must hold o.mu.
 func (o *Owner) remainingHere(run *tasks.Run, total time.Duration, now time.Time) time.Duration {
 	longest := remainingPart(run, total)
 	if !run.Task.Step.Spec.Gang {
@@ -139,7 +140,7 @@
 	return overhead + usual
 }
 
-// remainingPart returns the part of a run time that the run has not done yet.
+// remainingPart returns the part of the total run time that is left according to the run's progress.
 func remainingPart(run *tasks.Run, total time.Duration) time.Duration {
 	return total * time.Duration(completePercent-run.Percent) / completePercent
 }
--- a/internal/flow/tasks/distribution.go
+++ b/internal/flow/tasks/distribution.go
@@ -20,12 +20,12 @@
 	minRunTime    = 1
 	maxRunTime    = 10_000_000
 	runTimeDigits = 1
-	// trimmedShare is the part of the runs that the centre leaves out at either end.
+	// trimmedShare is the part of the runs that the interquartile mean leaves out at either end.
 	trimmedShare = 0.25
-	// refreshShare is the part of the runs, as one in so many, after which the summary of a distribution is made anew.
-	refreshShare = 16
-	// estimateWeight is the weight of one new run in a queue's mean estimate, as one in so many.
-	estimateWeight = 16
+	// refreshDivisor sets how often the summary of a distribution of n runs is computed: after every n/refreshDivisor new runs.
+	refreshDivisor = 16
+	// estimateRuns sets the weight of one run in the moving average of a queue's estimates, 1/estimateRuns.
+	estimateRuns = 16
 )
 
 type (
@@ -36,15 +36,16 @@
 		observed int
 	}
 
-	// runTimes is the distribution of a queue's run times, each divided by what the task's estimate says of it; see scale.
+	// runTimes is the distribution of a queue's run times, each divided by the scale of the task's estimate.
 	runTimes struct {
 		current, former *hdrhistogram.Histogram
 		runs            int
-		// estimate is the mean estimate, in seconds.
+		// estimate is the moving average of the estimates, in seconds.
 		estimate float64
 		// lastObserved is the value of Distributions.observed at the latest run.
 		lastObserved int
-		// bars, of total runs, centre and mean summarise the distribution as it was after summarised runs.
+		// bars, total, centre and mean are the summary of the distribution, computed after summarised runs: its histogram, the
+		// number of runs, their interquartile mean and their mean.
 		bars       []hdrhistogram.Bar
 		summarised int
 		total      float64
@@ -71,7 +72,7 @@
 	r.observe(estimate, ran)
 }
 
-// dropOldest makes room for one more queue.
+// dropOldest removes the queue that was observed longest ago if there are maxQueues.
 func (d *Distributions) dropOldest() {
 	if len(d.queues) < maxQueues {
 		return
@@ -86,8 +87,8 @@
 	delete(d.queues, oldest)
 }
 
-// Centre returns the run time of a usual task with the estimate: the mean of the middle half of the runs, which a tail of
-// long ones does not move. It returns false for a queue without observations.
+// Centre returns the run time of a usual task with the estimate: the interquartile mean of the runs, which a tail of long
+// ones does not change. It returns false for a queue without observations.
 func (d *Distributions) Centre(q specs.QueueName, estimate time.Duration) (time.Duration, bool) {
 	r := d.queues[q]
 	if r == nil {
@@ -153,7 +154,7 @@
 
 func (r *runTimes) observe(estimate, ran time.Duration) {
 	r.runs++
-	r.estimate += (estimate.Seconds() - r.estimate) / float64(min(r.runs, estimateWeight))
+	r.estimate += (estimate.Seconds() - r.estimate) / float64(min(r.runs, estimateRuns))
 	if r.current.TotalCount() >= windowRuns {
 		r.current, r.former = r.former, r.current
 		r.current.Reset()
@@ -168,8 +169,8 @@
 	return int(r.current.TotalCount() + r.former.TotalCount())
 }
 
-// scale returns what an estimate says of a task's run time relative to that of the other tasks of its queue. The estimate
-// counts half: it is the average of 1 and its ratio to the mean estimate.
+// scale returns the expected run time of a task with the estimate, relative to the other tasks of its queue. The estimate
+// counts half: the scale is the average of 1 and the estimate's ratio to the mean estimate.
 func (r *runTimes) scale(estimate time.Duration) float64 {
 	if r.estimate <= 0 || estimate <= 0 {
 		return 1
@@ -182,9 +183,9 @@
 	return time.Duration(relative * r.scale(estimate) * float64(time.Millisecond))
 }
 
-// summarise computes the summary anew when enough runs have been observed since.
+// summarise updates the summary when enough runs have been observed since the last one.
 func (r *runTimes) summarise() {
-	if r.runs-r.summarised < max(1, r.count()/refreshShare) {
+	if r.runs-r.summarised < max(1, r.count()/refreshDivisor) {
 		return
 	}
 	r.summarised = r.runs
@@ -202,7 +203,7 @@
 	r.centre = r.trimmedMean(trimmedShare)
 }
 
-// trimmedMean returns the mean without a part of the runs at either end.
+// trimmedMean returns the mean without the given part of the runs at either end.
 func (r *runTimes) trimmedMean(trimmed float64) float64 {
 	low, high := trimmed*r.total, (1-trimmed)*r.total
 	sum, seen := 0.0, 0.0
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -118,8 +118,8 @@
 		QuarantinedUntil time.Time
 		// Speed is how fast the runner works: 1 is as fast as expected, less is slower.
 		Speed float64
-		// Pace is how fast the runner's tasks were done, relative to what was expected of them: a slow mean, in which a few
-		// long tasks count little.
+		// Pace is the moving average of the expected run time of the runner's tasks divided by the actual one. It changes
+		// slowly, so that a few long tasks count little.
 		Pace float64
 		// AssessedAt is when the progress of the runner's tasks was last checked.
 		AssessedAt time.Time
--- a/internal/flow/tasks/times.go
+++ b/internal/flow/tasks/times.go
@@ -24,7 +24,7 @@
 	Predictor interface {
 		// Observe adds the run time of a task that was done, as it would be at the usual speed of the runners.
 		Observe(q specs.QueueName, estimate, ran time.Duration)
-		// Centre returns the run time of a usual task, Mean the mean of all.
+		// Centre returns the run time of a usual task, not affected by a few long ones; Mean returns the mean of all.
 		Centre(q specs.QueueName, estimate time.Duration) (time.Duration, bool)
 		Mean(q specs.QueueName, estimate time.Duration) (time.Duration, bool)
 		// Quantile returns the time within which the given part of the tasks is done, and from how many runs that is known.
