--- a/internal/flow/owner/organisation_counters.go
+++ b/internal/flow/owner/organisation_counters.go
@@ -18,11 +18,11 @@
 	refusedByQuota    refusalReason = "Quota"
 	refusedByOverload refusalReason = "Overload"
 
-	// maxCountedOrganisations limits the organisations that have metrics of their own, so that a large catalog does not
-	// make the list of metrics long.
+	// maxCountedOrganisations limits the organisations that have metrics of their own, those with the largest weights, so
+	// that a large catalog does not make the list of metrics long. The metrics of the others are sums.
 	maxCountedOrganisations = 64
 	admissionPrefix         = "Owner.Admission."
-	// countedPart and othersPart follow the prefix in the names of metrics.
+	// countedPart and othersPart follow the prefix in the names of metrics: of one organisation, and of the sums.
 	countedPart = "organisation."
 	othersPart  = "others."
 
