Make error texts on limits and malformed keys say what is wrong

A surplus job that is refused for the number of jobs was told that this was the maximum, although its limit is lower.

--- a/internal/flow/ledger/load.go
+++ b/internal/flow/ledger/load.go
@@ -126,7 +126,7 @@
 func snapshotSetOf(key store.Key) (int, error) {
 	name := strings.TrimPrefix(string(key), string(snapshotPrefix))
 	if name == "" || name[0] < '0' || int(name[0]-'0') >= snapshotSets {
-		return 0, errs.New(errs.Invalid, "%s names no set of snapshots", key)
+		return 0, errs.New(errs.Invalid, "key %s has no digit of a snapshot key set after its prefix", key)
 	}
 	return int(name[0] - '0'), nil
 }
--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// fullRetryDelay is when callers should retry once more jobs may be accepted again.
+	// fullRetryDelay is the time after which callers should retry when the limit of jobs was reached.
 	fullRetryDelay = 2 * time.Second
 	// admitWriteTimeout is how long a ledger write may be in flight before new jobs are rejected at once.
 	admitWriteTimeout = 600 * time.Millisecond
@@ -66,7 +66,7 @@
 	if slot, ok := o.slotDelay(job, delay, now); ok {
 		delay = slot
 	}
-	err := errs.After(errs.Overloaded, delay, "%d accepted jobs wait or run, which is the maximum", len(o.table.Jobs))
+	err := errs.After(errs.Overloaded, delay, "%d accepted jobs wait or run; the limit for this job is %d", len(o.table.Jobs), limit)
 	o.reportRefusal(job, refusedByOverload, 0, err)
 	return err
 }
--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -285,7 +285,7 @@
 // ones. It allows jobs above the limits of Check, which earlier versions may have accepted.
 func (j *Job) CheckForm() error {
 	if j.ID == "" || j.Occurrences() < 1 {
-		return errs.New(errs.Invalid, "job has the id %q and %d occurrences", j.ID, j.Occurrences())
+		return errs.New(errs.Invalid, "a job must have an ID and at least one occurrence, this one has the ID %q and %d occurrences", j.ID, j.Occurrences())
 	}
 	for i := range j.Steps {
 		if count := j.Steps[i].Count; count < 1 || count > MaxWidth {
