Clarify comments on organisations, checkpoints and confirmations

Some comments described a rule by its purpose only ("whose job it is", "taken for its own", "from when on") or gave a unit as "thousandths of a core times seconds". They now state the condition, the unit and, for isOverQuota, the result while the limits are not known.

--- a/internal/flow/feed/confirm.go
+++ b/internal/flow/feed/confirm.go
@@ -7,9 +7,9 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
-// confirmation is when the store is known to have had no catalog newer than the one in force, by the clock that counts
-// suspension. Unlike Feed.confirmedAt it does not exist before the store, or a daemon with a confirmation, has shown it, and it
-// is never later than when the request was sent whose answer showed it.
+// confirmation is the latest time at which the store is known to have had no catalog newer than the one in force, on
+// Config.Uptime. Unlike Feed.confirmedAt, it is not known until the store or a daemon with a confirmation has answered, and it
+// is never later than the sending of the request whose answer showed it.
 type confirmation struct {
 	known bool
 	at    time.Duration
@@ -62,8 +62,8 @@
 	}
 }
 
-// confirmFromStore notes what an answer of the store shows, which was sent after the request at sentAt. An answer without a
-// catalog shows something only if it tells what came after the position that was asked for.
+// confirmFromStore records the confirmation in an answer of the store to a request that was sent at sentAt. An answer without a
+// catalog confirms the one in force only if the request asked for changes after a position.
 func (f *Feed) confirmFromStore(update Update, after Position, sentAt time.Duration) {
 	switch {
 	case update.Lagging:
--- a/internal/flow/owner/confirm.go
+++ b/internal/flow/owner/confirm.go
@@ -11,8 +11,8 @@
 	confirmInterval = time.Second
 	// confirmTimeout limits one read of the epoch.
 	confirmTimeout = 900 * time.Millisecond
-	// storeContactTimeout is how long a leader goes on starting tasks and renewing leases without a confirmation. A new
-	// leader counts on it: it takes the leases on a runner that has not answered it for valid for this time plus MaxLeaseTTL.
+	// storeContactTimeout is how long a leader goes on starting tasks and renewing leases without a confirmation. A new leader
+	// relies on it: it assumes that leases on a runner that has not answered it are valid for this time plus MaxLeaseTTL.
 	storeContactTimeout = 8 * time.Second
 )
 
--- a/internal/flow/owner/organisations.go
+++ b/internal/flow/owner/organisations.go
@@ -40,7 +40,7 @@
 		names map[string]bool
 		// waits holds, for each organisation that waits for its quota, since when and when a step was last found waiting.
 		waits map[*tasks.Organisation]*quotaWait
-		// unnamed holds when the organisations were first seen that no catalog of this term has named.
+		// unnamed holds, for each organisation that no catalog of this term has named, when it was first seen.
 		unnamed map[*tasks.Organisation]time.Time
 	}
 
@@ -130,9 +130,9 @@
 	})
 }
 
-// isOverQuota reports whether the organisation of a run, which counts already, is above its quota: the quota was lowered
-// after the start was decided, or runs were found since that were not counted before, as by a runner's report. The caller
-// must hold o.mu.
+// isOverQuota reports whether the organisation of a run, which counts already, is above its quota: the quota was lowered after
+// the start was decided, or a runner's report showed runs that were not counted before. It also returns true while the limits
+// of the organisation are not known. The caller must hold o.mu.
 func (o *Owner) isOverQuota(run *tasks.Run) bool {
 	return run.Organisation != nil && !types.Resources{}.Fits(o.table.Headroom(run.Organisation))
 }
--- a/internal/flow/owner/waste.go
+++ b/internal/flow/owner/waste.go
@@ -11,17 +11,17 @@
 )
 
 type (
-	// wasteCounters counts, by cause, the runs that ended before their task was done, and the work that was lost with them.
+	// wasteCounters counts, by cause, the confirmed runs that ended before their task was done, and the work that was lost.
 	wasteCounters struct {
 		runs map[tasks.EndCause]metrics.Counter
-		// lost counts thousandths of a core times seconds.
+		// lost counts core-milliseconds.
 		lost map[tasks.EndCause]metrics.Counter
 	}
 
 	// earlyEnd is the end of a run whose task was not done.
 	earlyEnd struct {
 		cause tasks.EndCause
-		// lost is the work since the run's last checkpoint, in seconds times cores.
+		// lost is the work since the run's last checkpoint, in core-seconds.
 		lost float64
 	}
 )
--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -132,7 +132,7 @@
 		Steps    []Step    `json:"Steps"`
 		Schedule *Schedule `json:"Schedule,omitempty"`
 		Accepted time.Time `json:"Accepted"`
-		// Organisation is the organisation whose job it is; empty means none.
+		// Organisation is the organisation to which the job belongs; empty means none.
 		Organisation OrganisationName `json:"Organisation,omitempty"`
 		// Surplus means that the organisation had used up its weight when the job was accepted: the job is served from what
 		// other jobs leave.
--- a/internal/flow/tasks/cause.go
+++ b/internal/flow/tasks/cause.go
@@ -6,7 +6,7 @@
 	EndedFailed EndCause = "Failed"
 	// EndedGangBroken means that another member of its gang ended early, or did not start.
 	EndedGangBroken EndCause = "GangBroken"
-	// EndedSlow means that it was stopped to start on a faster runner, EndedStalled since it made no progress.
+	// EndedSlow means that it was stopped to start on a faster runner, EndedStalled that it was stopped for lack of progress.
 	EndedSlow    EndCause = "Slow"
 	EndedStalled EndCause = "Stalled"
 	// EndedLeaseExpired means that its lease has expired.
--- a/internal/flow/tasks/checkpoint.go
+++ b/internal/flow/tasks/checkpoint.go
@@ -6,25 +6,25 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
-// GangCheckpoint is a saved state of one member of a gang. It is valid for all members.
+// GangCheckpoint is a state that one member of a gang has saved. Every member can continue from it.
 type GangCheckpoint struct {
 	Value specs.Checkpoint
-	// Attempt is the attempt that made the state; 0 when it is not known.
+	// Attempt is the attempt that saved the state; 0 when it is not known.
 	Attempt specs.Attempt
 	// At is when this leader learned of the state; zero when it is from the ledger.
 	At time.Time
 }
 
-// Observe replaces the state by one that an attempt has made, unless a later attempt made the present one. Of two states
-// of one attempt, the one that is observed last counts as the newer.
+// Observe replaces the state by one that the given attempt has saved, unless a later attempt saved the present one. Of two
+// states of one attempt, the one that is observed last counts as the newer.
 func (g *GangCheckpoint) Observe(value specs.Checkpoint, attempt specs.Attempt, at time.Time) {
 	if value != "" && attempt >= g.Attempt && (value != g.Value || attempt != g.Attempt) {
 		*g = GangCheckpoint{Value: value, Attempt: attempt, At: at}
 	}
 }
 
-// WaitingChange returns the change by which the task waits again. A member of a gang then has the newest checkpoint of any
-// member, so that it is durable however the others end.
+// WaitingChange returns the change that sets the task to Waiting. For a member of a gang it holds the newest checkpoint of any
+// member, so that this is durable whatever the results of the others.
 func (t *Task) WaitingChange() *TaskChange {
 	c := t.Change()
 	c.State = Waiting
@@ -39,8 +39,8 @@
 	}
 }
 
-// LatestSave returns from when on the run's work would be lost: when it, or for a gang any member of its attempt, last saved
-// its state, or when the runner began it.
+// LatestSave returns the time since which the run's work is not saved: when it, or for a gang any member of its attempt, last
+// saved its state, or when the run was confirmed if none has.
 func (r *Run) LatestSave() time.Time {
 	saved := r.SavedAt
 	if r.Task != nil && r.Task.Step.Spec.Gang && r.Task.Step.Saved.Attempt == r.Key.Attempt {
--- a/internal/flow/tasks/organisation.go
+++ b/internal/flow/tasks/organisation.go
@@ -12,8 +12,9 @@
 	Known  bool
 	Weight float64
 	Quota  types.Resources
-	// Removed means that an earlier catalog named the organisation, or that so much time has passed that a newer one can't.
-	// An organisation that is neither Known nor Removed may be new, in a catalog that only other daemons have yet.
+	// Removed means that the catalog in force does not name the organisation and no newer one can be on its way that does: an
+	// earlier catalog named it, or this daemon has waited long enough for a newer one. An organisation that is neither Known nor
+	// Removed may be new, in a catalog that only other daemons have yet.
 	Removed bool
 	// Running is the sum of the resources of its runs on all runners, including starts in doubt, runs that are being stopped
 	// and runs on unreachable runners whose leases may still be valid.
@@ -47,14 +48,14 @@
 	return o
 }
 
-// add counts what a run occupies; it does nothing for a run without an organisation.
+// add counts what a run occupies. On a nil organisation, that of a run without one, it does nothing.
 func (o *Organisation) add(counted types.Resources) {
 	if o != nil {
 		o.Running = o.Running.Add(counted)
 	}
 }
 
-// subtract ends the count of what a run occupied; it does nothing for a run without an organisation.
+// subtract stops counting what a run occupied. On a nil organisation it does nothing.
 func (o *Organisation) subtract(counted types.Resources) {
 	if o != nil {
 		o.Running = o.Running.Sub(counted)
@@ -67,7 +68,7 @@
 }
 
 // Headroom returns what may still be started for the organisation: nothing before its limits are known, and everything for
-// one that was removed from the catalog. A field is negative if more runs than the quota allows.
+// one that was removed from the catalog. A field is negative if the runs occupy more than the quota.
 func (t *Table) Headroom(o *Organisation) types.Resources {
 	switch {
 	case !t.KnowsLimits(o):
@@ -79,8 +80,8 @@
 	}
 }
 
-// CountOrphan sets for whom a run counts whose job is not in the table, and with how much: an upper bound, as its task's
-// resources are not known. A run counts for all organisations if it is not known whose it is.
+// CountOrphan sets the organisation and the resources with which a run counts whose job is not in the table. The resources are
+// an upper bound, since those of its task are not known. A run of an unknown job counts for every organisation.
 func (t *Table) CountOrphan(run *Run) {
 	ended, known := t.EndedJobs[run.Key.Ref.Job]
 	if !known {
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -33,7 +33,7 @@
 		Queue specs.QueueName `json:"Queue"`
 		State JobState        `json:"State"`
 		At    time.Time       `json:"At"`
-		// Organisation is the one whose job it was; empty means none, or that a former version wrote the record.
+		// Organisation is the one to which the job belonged; empty means none, or that a former version wrote the record.
 		Organisation specs.OrganisationName `json:"Organisation,omitempty"`
 		// Largest is the most that one of its tasks takes of each resource, and Runs are the runs that had not ended yet.
 		// A new leader counts them for the organisation. Both are empty when nothing ran any more.
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -77,8 +77,8 @@
 		ReadyAt time.Time
 		// Saved is the latest known state of any member of a gang, from which all members of the next attempt continue.
 		Saved GangCheckpoint
-		// BrokenIn is the latest attempt of a gang of which a member ended early, the first one at BrokenAt; zero when there
-		// was none in this term.
+		// BrokenIn is the latest attempt of a gang of which a member ended early, and BrokenAt the time of the first such end in
+		// that attempt. Both are zero when there was none in this term.
 		BrokenIn specs.Attempt
 		BrokenAt time.Time
 		// Advice holds the answers of the advice service on the step.
@@ -96,7 +96,7 @@
 	// Job is a job that has not ended.
 	Job struct {
 		Spec specs.Job
-		// Organisation is the one whose job it is, or nil.
+		// Organisation is the one to which the job belongs, or nil.
 		Organisation *Organisation
 		// Attempted is set once a start was decided, Ran once a runner is known to have begun one.
 		Attempted   bool
@@ -142,7 +142,7 @@
 		Organisations map[specs.OrganisationName]*Organisation
 		// LimitsKnown is set once SetLimits was called.
 		LimitsKnown bool
-		// Unattributed counts the runs whose organisation is not known. Each organisation must take them for its own.
+		// Unattributed counts the runs whose organisation is not known. They count against the quota of every organisation.
 		Unattributed *Organisation
 		Times        *Times
 		Shares       *Shares
