Stop gangs on leaving runners as a whole, and refuse what the plan would never start

Cause, by a reader of the change: admission did not count the cores of steps with Fills against the quota while the plan does, so such a job was accepted and never started; one test held each rule. A gang on a leaving runner was stopped by one member, so the others saved nothing; a run past its expected time counted as ending at once. Change: admission counts as the plan does, and its test with it; gangs are stopped as a whole; the remaining time comes from the distribution.

--- a/internal/flow/owner/leaving.go
+++ b/internal/flow/owner/leaving.go
@@ -76,7 +76,7 @@
 			Dur("UntilLeave", leaving.untilLeave).Dur("UntilEnd", leaving.untilEnd).Bool("Saved", decision == stopToMove).
 			Msg("stopping task that would not end before its runner leaves")
 		o.counters.stopsBeforeLeave.Inc(1)
-		o.stopRun(run)
+		o.stopWithGang(run, tasks.EndedRunnerLeft)
 	}
 }
 
@@ -94,6 +94,6 @@
 		out.untilEnd = remainingPart(run, total)
 		return out
 	}
-	out.untilEnd = o.expectedRunTime(run) - now.Sub(run.ConfirmedAt)
+	out.untilEnd = o.table.Times.Remaining(run.Task.Step.Job.Spec.Queue.Name, spec.Estimate, now.Sub(run.ConfirmedAt))
 	return out
 }
--- a/internal/flow/owner/quota.go
+++ b/internal/flow/owner/quota.go
@@ -23,14 +23,11 @@
 	return nil
 }
 
-// neededAtOnce returns what must be free for any task of the step to start, and for whom: a task, or the whole gang.
+// neededAtOnce returns what the quota must allow for any task of the step to start, and for whom: a task, or the whole gang.
+// The requested cores of a step with Fills count, as in the plan: a job that the plan never starts must not be accepted.
 func neededAtOnce(s *specs.Step) (string, types.Resources) {
-	each := s.Resources
-	if s.Fills {
-		each.Cores = 0
-	}
 	if s.Gang {
-		return "the gang", each.Times(s.Count)
+		return "the gang", s.Resources.Times(s.Count)
 	}
-	return "a task", each
+	return "a task", s.Resources
 }
--- a/internal/flow/owner/weights_test.go
+++ b/internal/flow/owner/weights_test.go
@@ -312,7 +312,7 @@
 		{"WideStepRunsInWaves", quota, step(100), false},
 		{"Gang", quota, gang(5), true},
 		{"GangThatFits", quota, gang(4), false},
-		{"CoresOfFillingTasksAreNotCounted", quota, filling, false},
+		{"CoresOfFillingTasksCountAsInThePlan", quota, filling, true},
 		{"NoQuota", types.Resources{}, large, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
