--- a/internal/core/guard/tls_test.go
+++ b/internal/core/guard/tls_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
@@ -76,7 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := peer.NewServer()
+	s := peer.NewServer(clockwork.NewRealClock())
 	s.Security = testPeerTLS(t, keys)
 	counter := &Counter{}
 	if err := s.Register("Counter", counter); err != nil {
@@ -90,7 +92,7 @@
 // call calls Counter.Add over a new connection; a nil s makes it a connection without TLS.
 func call(t *testing.T, s peer.Security, to peer.Target) error {
 	t.Helper()
-	c := peer.NewClient(meter.Discard())
+	c := peer.NewClient(meter.Discard(), clockwork.NewRealClock())
 	c.Security = s
 	t.Cleanup(c.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -277,9 +277,9 @@
 	if err != nil {
 		return err
 	}
-	d.server = peer.NewServer()
+	d.server = peer.NewServer(d.config.Clock)
 	d.server.Security = security
-	d.client = peer.NewClient(calls)
+	d.client = peer.NewClient(calls, d.config.Clock)
 	d.client.Security = security
 	d.peerCaller = d.client
 	if d.config.Wrap != nil {
--- a/internal/node/peer/dial_test.go
+++ b/internal/node/peer/dial_test.go
@@ -57,7 +57,7 @@
 	inner := newCountingListener(t)
 	l := &failingListener{Listener: inner}
 	l.failures.Store(3)
-	server := NewServer()
+	server := NewServer(clockwork.NewRealClock())
 	if err := server.Register("Mirror", Mirror{}); err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +66,7 @@
 		defer close(served)
 		server.Serve(l)
 	}()
-	client := NewClient(meter.Discard())
+	client := NewClient(meter.Discard(), clockwork.NewRealClock())
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
@@ -95,13 +95,13 @@
 // the daemon's queue of new connections.
 func TestCallsShareOneDial(t *testing.T) {
 	l := newCountingListener(t)
-	server := NewServer()
+	server := NewServer(clockwork.NewRealClock())
 	if err := server.Register("Mirror", Mirror{}); err != nil {
 		t.Fatal(err)
 	}
 	go server.Serve(l)
 	defer server.Close()
-	client := NewClient(meter.Discard())
+	client := NewClient(meter.Discard(), clockwork.NewRealClock())
 	defer client.Close()
 	to := Target{Address: types.Address(l.Addr().String())}
 	var wg sync.WaitGroup
@@ -133,7 +133,7 @@
 			}
 		}
 	}()
-	client := NewClient(meter.Discard())
+	client := NewClient(meter.Discard(), clockwork.NewRealClock())
 	clock := clockwork.NewFakeClock()
 	client.clock = clock
 	defer client.Close()
@@ -171,14 +171,14 @@
 // Two slow calls with answers between them do not make a connection silent, however long ago the first one was.
 func TestAnAnswerEndsTheSilenceOfAConnection(t *testing.T) {
 	l := newCountingListener(t)
-	server := NewServer()
+	server := NewServer(clockwork.NewRealClock())
 	if err := server.Register("Pause", Pause{}); err != nil {
 		t.Fatal(err)
 	}
 	go server.Serve(l)
 	defer server.Close()
 	clock := clockwork.NewFakeClock()
-	client := NewClient(meter.Discard())
+	client := NewClient(meter.Discard(), clockwork.NewRealClock())
 	client.clock = clock
 	defer client.Close()
 	to := Target{Address: types.Address(l.Addr().String())}
--- a/internal/node/peer/peer_test.go
+++ b/internal/node/peer/peer_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
@@ -45,13 +47,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := NewServer()
+		s := NewServer(clockwork.NewRealClock())
 		if err := s.Register("Echo", Echo{}); err != nil {
 			t.Fatal(err)
 		}
 		go s.Serve(listener)
 		defer s.Close()
-		c := NewClient(calls)
+		c := NewClient(calls, clockwork.NewRealClock())
 		defer c.Close()
 		to := Target{VM: "b", Site: types.Site{Region: "far"}, Address: types.Address(listener.Addr().String())}
 		test(t, c, to, calls)
--- a/internal/node/peer/rpc.go
+++ b/internal/node/peer/rpc.go
@@ -38,7 +38,8 @@
 	Server struct {
 		Security Security
 
-		rpc *rpc.Server
+		clock clockwork.Clock
+		rpc   *rpc.Server
 
 		mu       sync.Mutex
 		listener net.Listener
@@ -85,8 +86,8 @@
 )
 
 // NewServer returns a server without services.
-func NewServer() *Server {
-	return &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+func NewServer(clock clockwork.Clock) *Server {
+	return &Server{clock: clock, rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
 }
 
 // Register makes a service callable under the name. It returns an error of kind Internal when net/rpc rejects it.
@@ -109,7 +110,7 @@
 			return
 		}
 		if err != nil {
-			time.Sleep(acceptBackoff)
+			s.clock.Sleep(acceptBackoff)
 			continue
 		}
 		if s.track(conn) {
@@ -177,9 +178,9 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient(calls *meter.Meter) *Client {
+func NewClient(calls *meter.Meter, clock clockwork.Clock) *Client {
 	return &Client{
-		meter: calls, clock: clockwork.NewRealClock(),
+		meter: calls, clock: clock,
 		links: make(map[types.Address]*link), dials: make(map[types.Address]*dial),
 	}
 }
