Leave a part of each quota to the most urgent work

Cause: a wide patient step took the whole quota of its organisation, so urgent tasks that came next were late before one of its tasks ended. Late work ranks behind patient work in time, which took all that was freed. What a waiting gang keeps was kept from urgent tasks too. Change: an eighth of a quota is only for work of the most urgent priority, except for services and for steps that could never start beside it. What a waiting step keeps is kept from steps of the same or a lower priority.

--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -234,7 +234,7 @@
 		return
 	}
 	if s.Job.Organisation != nil && couldHold(s, runners, len(s.Tasks)) {
-		p.claimHeadroom(s, len(s.Tasks))
+		p.keepHeadroom(s, len(s.Tasks))
 	}
 	sorted := slices.Clone(runners)
 	slices.SortStableFunc(sorted, func(a, b *runnerCapacity) int { return cmp.Compare(b.free.Cores, a.free.Cores) })
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -103,6 +104,8 @@
 		// capacity is that of all usable runners.
 		capacity  types.Resources
 		headrooms map[*tasks.Organisation]*headroom
+		// mostUrgent is the lowest priority number of the jobs in the table.
+		mostUrgent int
 		// lastHeadroom is the one that was looked up last, most often by the same step.
 		lastHeadroom *headroom
 		// places holds the capacity that is kept for gangs that wait for tickets, until they are served.
@@ -153,6 +156,7 @@
 		return p.out
 	}
 	p.collectRunners()
+	p.mostUrgent = mostUrgent(t)
 	entries := p.sortedEntries(compare)
 	p.keepPlaces(entries)
 	p.serveAll(entries)
@@ -160,6 +164,15 @@
 	return p.out
 }
 
+// mostUrgent returns the lowest priority number of the jobs in the table.
+func mostUrgent(t *tasks.Table) int {
+	lowest := math.MaxInt
+	for _, j := range t.Jobs {
+		lowest = min(lowest, j.Spec.Queue.Priority)
+	}
+	return lowest
+}
+
 func newPass(t *tasks.Table, now time.Time, limits Limits) *pass {
 	return &pass{
 		table:    t,
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -7,16 +7,21 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
+// urgentQuotaDivisor sets the part of a quota, 1/urgentQuotaDivisor, that only work of the most urgent priority may use. Without it
+// a wide patient step takes the whole quota, and urgent tasks are late before the first of its tasks ends.
+const urgentQuotaDivisor = 8
+
 // headroom is what an organisation may still start in one pass.
 type headroom struct {
 	organisation *tasks.Organisation
-	// left is what its quota leaves besides its runs, the claims of this pass, and what a step that waits for its quota
-	// keeps from the steps behind it. Fields may be negative.
+	// left is what its quota leaves besides its runs and the claims of this pass. Fields may be negative.
 	left types.Resources
+	// kept is what waiting steps keep from the steps behind them.
+	kept []keptHeadroom
 	// claimed is what the starts that this pass plans, and the tasks for which it keeps capacity, will occupy.
 	claimed types.Resources
-	// holder is the step for which headroom was claimed last, and held the number of its tasks that the claims cover. The steps
-	// of an organisation are served one after the other, so the claims of the step that is being served are complete.
+	// holder is the step for which headroom was claimed or kept last, and held the number of its tasks that this covers. The
+	// steps of an organisation are served one after the other, so it is complete for the step that is being served.
 	holder *tasks.Step
 	held   int
 	// asked is what those tasks will occupy for which advice is in flight or requested and no headroom is claimed.
@@ -25,6 +30,54 @@
 	waits bool
 }
 
+// keptHeadroom is what a step that cannot start yet keeps from the steps of the same or a lower priority behind it. More urgent
+// steps may use it: they are short, and the waiting step may wait for long.
+type keptHeadroom struct {
+	priority  int
+	resources types.Resources
+}
+
+// leftFor returns what the quota leaves for a step: all but what steps of the same or a higher priority keep, and what is for
+// more urgent work only.
+func (p *pass) leftFor(s *tasks.Step, h *headroom) types.Resources {
+	left := h.left.Sub(p.urgentPart(s, h.organisation))
+	for _, k := range h.kept {
+		if k.priority <= s.Job.Spec.Queue.Priority {
+			left = left.Sub(k.resources)
+		}
+	}
+	return left
+}
+
+// urgentPart returns the part of the quota that the step leaves to more urgent work: none for a step of the most urgent priority
+// that has jobs, for a service, which would lack tasks for as long as it runs, or for a step that could never start beside it.
+func (p *pass) urgentPart(s *tasks.Step, o *tasks.Organisation) types.Resources {
+	if s.Spec.Service || s.Job.Spec.Queue.Priority <= p.mostUrgent {
+		return types.Resources{}
+	}
+	quota := o.Quota
+	part := types.Resources{
+		Cores: quota.Cores / urgentQuotaDivisor, Memory: quota.Memory / urgentQuotaDivisor,
+		Accelerators: quota.Accelerators / urgentQuotaDivisor,
+	}
+	width := 1
+	if s.Spec.Gang {
+		width = len(s.Tasks)
+	}
+	if !counted(s, width).Add(part).Add(p.occupiedByServices(o)).WithinLimit(quota) {
+		return types.Resources{}
+	}
+	return part
+}
+
+// keepHeadroom keeps headroom for n tasks of a step that cannot start yet.
+func (p *pass) keepHeadroom(s *tasks.Step, n int) {
+	if h := p.headroomOf(s); h != nil {
+		h.kept = append(h.kept, keptHeadroom{priority: s.Job.Spec.Queue.Priority, resources: counted(s, n)})
+		h.holder, h.held = s, h.heldBy(s)+n
+	}
+}
+
 // headroomOf returns the headroom of the organisation of a step's job, or nil if it has none.
 func (p *pass) headroomOf(s *tasks.Step) *headroom {
 	o := s.Job.Organisation
@@ -52,7 +105,7 @@
 // hasHeadroom reports whether the quota leaves room for n tasks of the step.
 func (p *pass) hasHeadroom(s *tasks.Step, n int) bool {
 	h := p.headroomOf(s)
-	return h == nil || counted(s, n).Fits(h.left)
+	return h == nil || counted(s, n).Fits(p.leftFor(s, h))
 }
 
 // claimHeadroom takes the resources of n tasks of the step from the headroom of its organisation.
@@ -64,7 +117,7 @@
 	}
 }
 
-// heldBy returns for how many tasks of the step that is being served headroom was claimed.
+// heldBy returns for how many tasks of the step that is being served headroom was claimed or kept.
 func (h *headroom) heldBy(s *tasks.Step) int {
 	if h.holder != s {
 		return 0
@@ -87,7 +140,7 @@
 	if h == nil {
 		return s.WaitingTasks
 	}
-	available := h.left.Sub(h.asked)
+	available := p.leftFor(s, h).Sub(h.asked)
 	if s.Spec.Gang {
 		return p.wantedMembers(s, h, available)
 	}
@@ -122,13 +175,13 @@
 		return true
 	}
 	// When a step waits already and a resource of the headroom is negative, no further step fits, whatever this one keeps.
-	isExhausted := h.waits && !types.Resources{}.Fits(h.left)
+	isExhausted := h.waits && !types.Resources{}.Fits(p.leftFor(s, h))
 	if isExhausted || !p.table.KnowsLimits(h.organisation) || !p.hasDueTask(s) {
 		return false
 	}
 	h.waits = true
 	if p.canHoldHeadroom(s, h, width) {
-		h.left = h.left.Sub(counted(s, width))
+		p.keepHeadroom(s, width)
 	}
 	return false
 }
@@ -184,14 +237,14 @@
 	return p.services[o]
 }
 
-// keepForAdvice claims the headroom for a waiting gang whose call for advice is in flight or planned, unless it has claimed it
+// keepForAdvice keeps the headroom for a waiting gang whose call for advice is in flight or planned, unless it has claimed it
 // already: smaller steps of its organisation would otherwise use it up before the advice arrives.
 func (p *pass) keepForAdvice(s *tasks.Step) {
 	h := p.headroomOf(s)
 	if h == nil || h.heldBy(s) > 0 || !p.canHoldHeadroom(s, h, len(s.Tasks)) {
 		return
 	}
-	p.claimHeadroom(s, len(s.Tasks))
+	p.keepHeadroom(s, len(s.Tasks))
 }
 
 // waitingForQuota returns the organisations with a step that waits for its quota.
--- a/internal/flow/order/quota_test.go
+++ b/internal/flow/order/quota_test.go
@@ -199,6 +199,55 @@
 		f.endRuns("a", 1)
 		f.wantStarts(f.plan(start), "a0002")
 	})
+	// A patient gang may wait for seconds. Urgent tasks that are late rank behind it, and must not wait for the quota that the
+	// gang keeps while it cannot start.
+	t.Run("PatientGangDoesNotHoldUpUrgentTasks", func(t *testing.T) {
+		f := newTableFixture(t, 8)
+		f.setQuotas(quotas(4 * core))
+		f.addJobOf("a", 1, stepOf(2, core))
+		f.carryOut(f.plan(start))
+		gang := f.addJobOf("a", 2, gangStepOf(3, core))
+		gang.Spec.Queue.Priority, gang.Spec.Queue.Latency = 2, time.Minute
+		urgent := f.addJobOf("a", 3, stepOf(1, core))
+		urgent.Spec.Queue.Priority = 0
+		urgent.Occurrences[0].Due = start.Add(-urgent.Allowance())
+		f.wantStarts(f.plan(start), "a0003")
+	})
+	// A wide patient step that takes the whole quota makes urgent tasks that come next wait until one of its tasks ends.
+	t.Run("PatientStepLeavesAPartToUrgentTasks", func(t *testing.T) {
+		f := newTableFixture(t, 8)
+		f.setQuotas(quotas(8 * core))
+		f.addJob("of nobody", 0, stepOf(1, core))
+		patient := f.addJobOf("a", 1, stepOf(20, core))
+		patient.Spec.Queue.Priority = 2
+		f.wantCounts(f.carryOut(f.plan(start)), starts{"": 1, "a": 7})
+		urgent := f.addJobOf("a", 2, stepOf(1, core))
+		urgent.Spec.Queue.Priority = 0
+		f.wantStarts(f.plan(start), "a0002")
+	})
+	// Work that needs the part for urgent work must not wait for ever.
+	t.Run("PatientGangMayNeedTheWholeQuota", func(t *testing.T) {
+		f := newTableFixture(t, 8)
+		f.setQuotas(quotas(8 * core))
+		f.addJob("of nobody", 0, stepOf(1, core))
+		gang := f.addJobOf("a", 1, gangStepOf(8, core))
+		gang.Spec.Queue.Priority = 2
+		f.wantCounts(f.carryOut(f.plan(start)), starts{"": 1, "a": 8})
+	})
+	// Services end only when they are cancelled, so a gang that fits beside them but not beside the part for urgent work as well
+	// would never start, and a service would never have all its tasks.
+	t.Run("ServicesMayTakeThePartForUrgentTasks", func(t *testing.T) {
+		f := newTableFixture(t, 8)
+		f.setQuotas(map[specs.OrganisationName]types.MilliCores{"a": 8 * core, "b": 8 * core})
+		f.addJob("of nobody", 0, stepOf(1, core))
+		small, large := stepOf(4, core), stepOf(8, core)
+		small.Service, large.Service = true, true
+		f.addJobOf("a", 1, small).Spec.Queue.Priority = 2
+		f.addJobOf("b", 2, large).Spec.Queue.Priority = 2
+		f.wantCounts(f.carryOut(f.plan(start)), starts{"": 1, "a": 4, "b": 8})
+		f.addJobOf("a", 3, gangStepOf(4, core)).Spec.Queue.Priority = 2
+		f.wantCounts(f.carryOut(f.plan(start)), starts{"a": 4})
+	})
 	// A gang that never fits must not keep its organisation from running what does.
 	t.Run("GangThatNeverFitsHoldsNothingBack", func(t *testing.T) {
 		withoutRunners, limited := gangStepOf(4, core), gangStepOf(4, core)
