--- a/internal/flow/order/load_test.go
+++ b/internal/flow/order/load_test.go
@@ -81,6 +81,8 @@
 	tailShare float64
 	// gainedJobs counts the jobs whose callers gained something.
 	gainedJobs int
+	// gainedGangs counts the gangs among them.
+	gainedGangs int
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -221,6 +223,9 @@
 	sim.table.Apply(tasks.Record{End: &tasks.JobResult{Job: id, Queue: k.queue.Name, State: tasks.JobCompleted, At: now}})
 	if took <= lateFactor*objective {
 		sim.gainedJobs++
+		if k.gang {
+			sim.gainedGangs++
+		}
 	}
 	if !j.Spec.Accepted.Before(start.Add(loadDuration - 8*time.Second)) {
 		return
--- a/internal/flow/order/restart_load_test.go
+++ b/internal/flow/order/restart_load_test.go
@@ -34,6 +34,11 @@
 
 	// prepares is set when the planner learns of a gang's break before its last member has ended.
 	prepares bool
+	// keepsPlaces is set when gangs keep their places while their tickets are on the way.
+	keepsPlaces bool
+	// allowedOneIn is that one in so many runners is allowed.
+	allowedOneIn int
+
 	breaksAt map[*tasks.Run]time.Time
 	answers  map[*tasks.Step]adviceAnswer
 	lastEnd  map[*tasks.Step]time.Time
@@ -51,7 +56,7 @@
 
 func newBreakingLoad(seed uint64, prepares bool) *breakingLoad {
 	l := &breakingLoad{
-		simulation: newSimulation(seed), prepares: prepares, breaksAt: make(map[*tasks.Run]time.Time),
+		simulation: newSimulation(seed), prepares: prepares, allowedOneIn: 2, breaksAt: make(map[*tasks.Run]time.Time),
 		answers: make(map[*tasks.Step]adviceAnswer), lastEnd: make(map[*tasks.Step]time.Time),
 		begunAt: make(map[*tasks.Step]time.Time),
 	}
@@ -88,10 +93,13 @@
 		answer.asked = append(answer.asked, r.Incarnation())
 	}
 	c.Step.Advice.Pending, c.Step.Advice.Asked = 1, answer.asked
+	if l.keepsPlaces {
+		c.Step.Advice.Place = c.Place
+	}
 	l.answers[c.Step] = answer
 }
 
-// answerCalls allows every second runner.
+// answerCalls allows one in allowedOneIn runners.
 func (l *breakingLoad) answerCalls(now time.Time) {
 	for s, answer := range l.answers {
 		if now.Before(answer.at) {
@@ -99,7 +107,7 @@
 		}
 		var permits []agent.Permit
 		for _, i := range answer.asked {
-			if (l.table.Runners[i.Runner].Position()+len(s.Tasks))%2 == 0 {
+			if (l.table.Runners[i.Runner].Position()+len(s.Tasks))%l.allowedOneIn == 0 {
 				permits = append(permits, agent.Permit{Runner: i.Runner, Ticket: "T"})
 			}
 		}
