Tell a runner that crashed from one that is cut off in logs and metrics

Cause: both showed as a lease renewal that failed, so the logs could not tell whether a runner had crashed, nor how long the tasks on it had run there.

Change: a line and the metric Owner_RunnersReplaced when another runner answers at a runner's address, and the age of each attempt that ends early. No decision changes.

--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -19,6 +19,7 @@
 	renewals         metrics.Counter
 	renewFailures    metrics.Counter
 	clocksWentBack   metrics.Counter
+	runnersReplaced  metrics.Counter
 	// Current amounts.
 	jobs        metrics.Gauge
 	jobsWaiting metrics.Gauge
@@ -46,7 +47,7 @@
 		runsLost: count("RunsLost"), stops: count("Stops"), stopsBeforeLeave: count("StopsBeforeLeave"), runsFailed: count("RunsFailed"),
 		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
 		renewals: count("Holds"), renewFailures: count("HoldFailures"),
-		clocksWentBack: count("RunnerClocksWentBack"),
+		clocksWentBack: count("RunnerClocksWentBack"), runnersReplaced: count("RunnersReplaced"),
 		ledgerLoad:     timer("LedgerLoad"), ledgerWrite: timer("LedgerWrite"), ledgerSnapshot: timer("LedgerImage"), acceptToDurable: timer("AcceptToDurable"),
 		adviceLatency: timer("Advice"), startLatency: timer("StartAnswer"), dueToStart: timer("HandInToStart"), planDuration: timer("Plan"),
 	}
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -129,6 +129,9 @@
 		}
 		return renewBackoff
 	}
+	if errs.Is(err, errs.NotFound) {
+		o.noteReplaced(r)
+	}
 	if r.UnreachableSince.IsZero() {
 		r.UnreachableSince = o.config.Clock.Now()
 		o.config.Log.Warn().Err(err).Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("lease renewal failed; the leases of the runner's attempts are not extended until a renewal succeeds")
@@ -136,6 +139,18 @@
 	return renewBackoff
 }
 
+// noteReplaced notes that another runner, or another boot, answers at the address of a runner: it has crashed or left. The
+// caller must hold o.mu.
+func (o *Owner) noteReplaced(r *tasks.Runner) {
+	if r.Replaced {
+		return
+	}
+	r.Replaced = true
+	o.counters.runnersReplaced.Inc(1)
+	o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Str("Address", string(r.Info.Address)).Int("Runs", len(r.Runs)).Bool("Draining", r.Info.Draining).
+		Dur("Silent", elapsed(o.config.Clock.Now(), r.UnreachableSince)).Msg("another runner answers at the runner's address; it has crashed or left")
+}
+
 // applyReport applies a runner's answer to the renewal request that was sent at sentAt. The caller must hold o.mu.
 func (o *Owner) applyReport(r *tasks.Runner, request agent.RenewRequest, report agent.Report, sentAt time.Time) {
 	if o.table.Runners[r.Info.ID] != r {
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -139,7 +139,7 @@
 		c.Saved = result.Checkpoint
 	}
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Str("How", string(result.Outcome)).
-		Str("Cause", string(end.cause)).Float64("LostCoreSeconds", end.lost).Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
+		Str("Cause", string(end.cause)).Dur("Age", end.age).Float64("LostCoreSeconds", end.lost).Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
 	o.record(tasks.Record{Task: c}, nil)
 }
 
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -117,6 +117,9 @@
 		o.counters.dueToStart.Update(now.Sub(run.Task.Step.Occurrence.Due))
 		o.organisationCounters.started(&j.Spec, now)
 	}
+	if !run.Sent {
+		run.SentAt = now
+	}
 	run.Sent, run.InFlight = true, true
 	run.SentFence = r.Fence
 	run.Tries++
--- a/internal/flow/owner/waste.go
+++ b/internal/flow/owner/waste.go
@@ -21,6 +21,8 @@
 	// earlyEnd is the end of a run whose task was not done.
 	earlyEnd struct {
 		cause tasks.EndCause
+		// age is how long the run may have been running; see tasks.Run.Age.
+		age time.Duration
 		// lost is the work since the run's last checkpoint, in core-seconds.
 		lost float64
 	}
@@ -41,7 +43,7 @@
 // countEarlyEnd counts a run that ended with an outcome other than Done, and returns the cause and the work that was lost. A
 // run that was never confirmed has done no work and is not counted. The caller must hold o.mu.
 func (o *Owner) countEarlyEnd(run *tasks.Run, outcome agent.Outcome) earlyEnd {
-	end := earlyEnd{cause: causeOf(run, outcome)}
+	end := earlyEnd{cause: causeOf(run, outcome), age: run.Age(o.config.Clock.Now())}
 	if !run.Confirmed {
 		return end
 	}
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -50,6 +50,8 @@
 		FencePending bool
 		// UnreachableSince is when the lease renewals of the runner began to fail; zero while they succeed.
 		UnreachableSince time.Time
+		// Replaced is set once another runner, or another boot, was found to answer at the runner's address.
+		Replaced bool
 
 		// position is the index of the runner in Table.OrderedRunners.
 		position int
@@ -73,8 +75,10 @@
 		Counted      types.Resources
 		// Orphan is set when Resources is not known, for example because the job has ended.
 		Orphan bool
-		// Sent is set once a start was sent; Confirmed once the runner is known to run it, at ConfirmedAt.
+		// Sent is set once a start was sent, first at SentAt; that is zero when a former leader sent it. Confirmed is set once
+		// the runner is known to run it, at ConfirmedAt.
 		Sent        bool
+		SentAt      time.Time
 		Confirmed   bool
 		ConfirmedAt time.Time
 		// SentFence is the highest fence under which a start was sent.
@@ -187,6 +191,18 @@
 	}
 }
 
+// Age returns how long the run may have been running when its runner was last known to be reachable, or until the given
+// time if it still is; 0 when a former leader sent its start.
+func (r *Run) Age(at time.Time) time.Duration {
+	if lost := r.Runner.UnreachableSince; !lost.IsZero() {
+		at = lost
+	}
+	if r.SentAt.IsZero() {
+		return 0
+	}
+	return max(0, at.Sub(r.SentAt))
+}
+
 // RemoveRun removes a run from the runner and its task, and frees its resources. It does nothing when the run is not
 // on the runner.
 func (r *Runner) RemoveRun(run *Run) {
