--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -48,7 +48,7 @@
 		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
 		renewals: count("Holds"), renewFailures: count("HoldFailures"),
 		clocksWentBack: count("RunnerClocksWentBack"), runnersReplaced: count("RunnersReplaced"),
-		ledgerLoad:     timer("LedgerLoad"), ledgerWrite: timer("LedgerWrite"), ledgerSnapshot: timer("LedgerImage"), acceptToDurable: timer("AcceptToDurable"),
+		ledgerLoad: timer("LedgerLoad"), ledgerWrite: timer("LedgerWrite"), ledgerSnapshot: timer("LedgerImage"), acceptToDurable: timer("AcceptToDurable"),
 		adviceLatency: timer("Advice"), startLatency: timer("StartAnswer"), dueToStart: timer("HandInToStart"), planDuration: timer("Plan"),
 	}
 }
--- /dev/null
+++ b/internal/plat/agent/crash.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+)
+
+// crashDelay is how long a task works before it crashes its runner.
+const crashDelay = 10 * time.Millisecond
+
+// Restart crashes a runner with everything that runs on it. After the delay, another runner starts at its address.
+func (f *Fleet) Restart(id specs.RunnerID, after time.Duration) {
+	f.mu.Lock()
+	s := f.runners[id]
+	f.mu.Unlock()
+	if s == nil {
+		return
+	}
+	f.Crash(id)
+	go func() {
+		<-f.clock.After(after)
+		next := s.info
+		next.ID, next.Boot = f.nextID(id), 0
+		f.Add(next)
+	}()
+}
+
+// nextID returns the id of the runner that follows the given one at its address.
+func (f *Fleet) nextID(id specs.RunnerID) specs.RunnerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restarts++
+	return specs.RunnerID(fmt.Sprintf("%.3s-%d", id, f.restarts))
+}
+
+// crashUnder crashes the runner shortly after it began an attempt, if the task does that.
+func (f *Fleet) crashUnder(id specs.RunnerID, ref specs.Ref) {
+	if f.world.Crashes == nil || !f.world.Crashes(ref) {
+		return
+	}
+	go func() {
+		<-f.clock.After(crashDelay)
+		f.Restart(id, f.world.RestartDelay)
+	}()
+}
+
+// absentRunnerError returns the error of a call to a runner that is not there. The caller must hold f.mu.
+func (f *Fleet) absentRunnerError(to Runner) error {
+	for _, s := range f.runners {
+		if s.info.Address == to.Address && !f.unreachable[s.info.ID] {
+			return errs.New(errs.NotFound, "runner %s answers at the address of %s", s.info.ID, to.ID)
+		}
+	}
+	return errs.New(errs.Lost, "runner %s is unreachable", to.ID)
+}
--- a/internal/plat/agent/memory.go
+++ b/internal/plat/agent/memory.go
@@ -35,6 +35,8 @@
 		lostStartDelay time.Duration
 		unreachable    map[specs.RunnerID]bool
 		gangs          map[gangKey]*gang
+		// restarts counts the runners that were started by Restart.
+		restarts int
 	}
 
 	// StartedAttempt is an attempt that a runner started.
@@ -53,6 +55,10 @@
 		RunTime func(ref specs.Ref) time.Duration
 		// Fails reports whether an attempt fails at its end; nil means never.
 		Fails func(runner specs.RunnerID, ref specs.Ref, attempt specs.Attempt) bool
+		// Crashes reports whether a task crashes each runner that begins it, shortly after that; nil means never. Another
+		// runner starts at the address RestartDelay later.
+		Crashes      func(ref specs.Ref) bool
+		RestartDelay time.Duration
 		// Takes returns the resources that a task occupies, for the check of capacities; nil turns the check off.
 		Takes func(ref specs.Ref) types.Resources
 		// GangSize returns the number of tasks of a gang step, or 0 for any other step; nil means that there are no
--- a/internal/plat/agent/requests.go
+++ b/internal/plat/agent/requests.go
@@ -15,6 +15,9 @@
 // caller must hold f.mu.
 func (f *Fleet) reachRunner(to Runner, fence Fence) (*runnerState, error) {
 	s := f.runners[to.ID]
+	if s == nil && !f.unreachable[to.ID] {
+		return nil, f.absentRunnerError(to)
+	}
 	if s == nil || f.unreachable[to.ID] {
 		return nil, errs.New(errs.Lost, "runner %s is unreachable", to.ID)
 	}
@@ -177,6 +180,7 @@
 		f.joinGang(s, r.Ref, run, f.world.GangSize(r.Ref.StepRef))
 	}
 	s.notifyWaiters()
+	f.crashUnder(s.info.ID, r.Ref)
 	return nil
 }
 
