Give up a task that crashes each runner that starts it

Cause: only an attempt that ended as failed counted against its task. The loss of a runner was handled as an expired lease, whatever its reason, and the task was requeued without a limit.

Change: each loss of a runner is counted, durably, in the tasks that were on it, and apart from that the losses in which the runner has certainly crashed: another one answers at its address, or it reports another boot. The tasks that were started last before a loss are suspected; a suspected task starts on the runner that is settled and the emptiest, and no other task starts there for 1.5 s. If that runner crashes, the task alone is to blame and its job fails, from two certain crashes on; a task that never was alone is given up at four losses, one whose runners never come back at five. Losses of many runners at once, of draining runners, and under services that have run for long blame no task.

--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -26,8 +26,8 @@
 		p.prepareRestart(s, runners)
 		return true
 	}
-	if shares := p.fitGang(s, p.withTickets(s, runners)); shares != nil {
-		p.startGang(s, shares)
+	if shares, quiet := p.fitWithTickets(s, runners); shares != nil {
+		p.startGang(s, shares, quiet)
 		return true
 	}
 	if s.Advice.Pending > 0 {
@@ -47,15 +47,30 @@
 }
 
 // startGang starts the tasks of the step on the runners of the shares, all of which have a valid ticket or need none.
-func (p *pass) startGang(s *tasks.Step, shares []gangShare) {
+func (p *pass) startGang(s *tasks.Step, shares []gangShare, quiet bool) {
 	index := 0
 	for _, sh := range shares {
 		ticket, _ := p.ticket(s, sh.runner)
 		for range sh.count {
-			p.startTask(s.Tasks[index], sh.runner, ticket)
+			p.startTask(s.Tasks[index], sh.runner, ticket, quiet)
 			index++
 		}
+		if quiet {
+			p.keepQuiet(sh.runner)
+		}
+	}
+}
+
+// fitWithTickets distributes the gang over runners for which it has tickets, and reports whether it starts there apart from
+// other starts: a gang that may crash its runners does, if it fits on such ones.
+func (p *pass) fitWithTickets(s *tasks.Step, runners []*runnerCapacity) (shares []gangShare, quiet bool) {
+	ready := p.withTickets(s, runners)
+	if s.Tasks[0].IsSuspect() {
+		if shares := p.fitGang(s, p.settledRunners(ready)); shares != nil {
+			return shares, true
+		}
 	}
+	return p.fitGang(s, ready), false
 }
 
 // withTickets returns those of the runners for which the step has a valid ticket or needs none.
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -63,6 +63,8 @@
 		Ticket agent.Ticket
 		// TicketUntil is when the ticket expires; zero when the queue needs none.
 		TicketUntil time.Time
+		// Quiet is set when no other task may start on the runner for a while, since this one may crash it.
+		Quiet bool
 	}
 
 	// AdviceCall is a call to the advice service that the caller of MakePlan must make.
@@ -110,6 +112,8 @@
 		lastHeadroom *headroom
 		// places holds the capacity that is kept for gangs that wait for tickets, until they are served.
 		places map[*tasks.Step][]keptPlace
+		// quiet counts the runners of each service that are kept free of further starts for tasks that may crash them.
+		quiet map[types.ServiceName]int
 		// services is what the services of each organisation occupy; nil until it is needed.
 		services map[*tasks.Organisation]types.Resources
 		// stepsLeft is how many more steps the plan serves.
@@ -186,6 +190,7 @@
 		stepStarts: make(map[*tasks.Runner]int),
 		headrooms:  make(map[*tasks.Organisation]*headroom),
 		places:     make(map[*tasks.Step][]keptPlace),
+		quiet:      make(map[types.ServiceName]int),
 		stepsLeft:  maxSteps,
 	}
 }
@@ -263,6 +268,9 @@
 		p.cores[name] += r.Info.Capacity.Cores
 		p.capacity = p.capacity.Add(r.Info.Capacity)
 		p.addToAskable(r)
+		if r.IsQuiet(p.now) {
+			p.keepQuiet(&p.capacities[i])
+		}
 	}
 }
 
@@ -371,7 +379,11 @@
 		p.headroomOf(s).waits = true
 		return false
 	}
-	r := p.bestRunner(t, c.runners)
+	choice := p.chooseRunner(t, c.runners)
+	if choice.waits {
+		return true
+	}
+	r := choice.runner
 	if r == nil {
 		c.lacksCapacity = true
 		return false
@@ -382,29 +394,31 @@
 		c.stale = append(c.stale, r)
 		r.free = r.free.Sub(taskResources(s))
 		p.claimHeadroom(s, 1)
-		return true
+	} else {
+		p.startTask(t, r, ticket, choice.quiet)
+	}
+	if choice.quiet {
+		p.keepQuiet(r)
 	}
-	p.startTask(t, r, ticket)
 	return true
 }
 
 // startTask adds the start of the task to the plan.
-func (p *pass) startTask(t *tasks.Task, r *runnerCapacity, ticket agent.Ticket) {
+func (p *pass) startTask(t *tasks.Task, r *runnerCapacity, ticket agent.Ticket, quiet bool) {
 	r.free = r.free.Sub(taskResources(t.Step))
 	p.claimHeadroom(t.Step, 1)
 	p.stepStarts[r.runner]++
 	p.askable[r.runner.Info.Service] -= taskResources(t.Step).Cores
 	until := t.Step.Advice.Answers[r.runner.Incarnation()].Until
-	p.out.Starts = append(p.out.Starts, Start{Task: t, Runner: r.runner, Ticket: ticket, TicketUntil: until})
+	p.out.Starts = append(p.out.Starts, Start{Task: t, Runner: r.runner, Ticket: ticket, TicketUntil: until, Quiet: quiet})
 }
 
 // bestRunner returns the runner of the lowest cost that has free capacity for the task, or nil.
 func (p *pass) bestRunner(t *tasks.Task, runners []*runnerCapacity) *runnerCapacity {
 	var best *runnerCapacity
 	lowest := 0.0
-	n := taskResources(t.Step)
 	for _, r := range runners {
-		if !n.Fits(r.free) || p.atPerRunnerLimit(t.Step, r) {
+		if !p.fitsTask(t, r) {
 			continue
 		}
 		c := cost(t, r)
--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -20,6 +20,9 @@
 	renewFailures    metrics.Counter
 	clocksWentBack   metrics.Counter
 	runnersReplaced  metrics.Counter
+	lossSuspects     metrics.Counter
+	quietStarts      metrics.Counter
+	jobsCrashing     metrics.Counter
 	// Current amounts.
 	jobs        metrics.Gauge
 	jobsWaiting metrics.Gauge
@@ -48,6 +51,7 @@
 		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
 		renewals: count("Holds"), renewFailures: count("HoldFailures"),
 		clocksWentBack: count("RunnerClocksWentBack"), runnersReplaced: count("RunnersReplaced"),
+		lossSuspects: count("LossSuspects"), quietStarts: count("QuietStarts"), jobsCrashing: count("JobsCrashing"),
 		ledgerLoad: timer("LedgerLoad"), ledgerWrite: timer("LedgerWrite"), ledgerSnapshot: timer("LedgerImage"), acceptToDurable: timer("AcceptToDurable"),
 		adviceLatency: timer("Advice"), startLatency: timer("StartAnswer"), dueToStart: timer("HandInToStart"), planDuration: timer("Plan"),
 	}
--- a/internal/flow/owner/gang_test.go
+++ b/internal/flow/owner/gang_test.go
@@ -104,7 +104,7 @@
 	outcomes := map[string]func(f *gangFixture){
 		"Failed": func(f *gangFixture) { f.end(0, agent.Failed, "") },
 		"LeaseExpired": func(f *gangFixture) {
-			f.removeAbsentRun(f.step.Tasks[0].Run, agent.LeaseExpired)
+			f.removeAbsentRun(f.step.Tasks[0].Run, agent.LeaseExpired, tasks.Loss{})
 		},
 		"Stopped":        func(f *gangFixture) { f.end(0, agent.Stopped, "") },
 		"TheOneThatKnew": func(f *gangFixture) { f.end(2, agent.Failed, "") },
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -129,26 +129,14 @@
 		}
 		return renewBackoff
 	}
-	if errs.Is(err, errs.NotFound) {
-		o.noteReplaced(r)
-	}
 	if r.UnreachableSince.IsZero() {
-		r.UnreachableSince = o.config.Clock.Now()
+		o.noteUnreachable(r)
 		o.config.Log.Warn().Err(err).Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("lease renewal failed; the leases of the runner's attempts are not extended until a renewal succeeds")
 	}
-	return renewBackoff
-}
-
-// noteReplaced notes that another runner, or another boot, answers at the address of a runner: it has crashed or left. The
-// caller must hold o.mu.
-func (o *Owner) noteReplaced(r *tasks.Runner) {
-	if r.Replaced {
-		return
+	if errs.Is(err, errs.NotFound) {
+		o.runnerGone(r)
 	}
-	r.Replaced = true
-	o.counters.runnersReplaced.Inc(1)
-	o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Str("Address", string(r.Info.Address)).Int("Runs", len(r.Runs)).Bool("Draining", r.Info.Draining).
-		Dur("Silent", elapsed(o.config.Clock.Now(), r.UnreachableSince)).Msg("another runner answers at the runner's address; it has crashed or left")
+	return renewBackoff
 }
 
 // applyReport applies a runner's answer to the renewal request that was sent at sentAt. The caller must hold o.mu.
@@ -161,6 +149,7 @@
 		return
 	}
 	now := o.config.Clock.Now()
+	r.Replaced = false
 	if !r.UnreachableSince.IsZero() {
 		o.config.Log.Info().Str("Runner", string(r.Info.ID)).Dur("Silent", now.Sub(r.UnreachableSince)).Msg("runner is reachable again; the leases of its attempts are extended again")
 		r.UnreachableSince = time.Time{}
@@ -238,6 +227,7 @@
 		run.Sent = true
 		return run
 	}
+	r.LastStartAt = o.config.Clock.Now()
 	run := &tasks.Run{Key: key, Runner: r, Sent: true, Orphan: t == nil}
 	if t == nil {
 		o.table.CountOrphan(run)
@@ -263,16 +253,18 @@
 		if invalidated || ended {
 			o.config.Log.Info().Str("Task", key.Ref.String()).Int("Attempt", int(key.Attempt)).
 				Str("Runner", string(r.Info.ID)).Bool("Confirmed", run.Confirmed).Msg("attempt is missing from its runner's report; its task is handled as after an expired lease")
-			o.removeAbsentRun(run, agent.LeaseExpired)
+			o.removeAbsentRun(run, agent.LeaseExpired, tasks.Loss{})
 		}
 	}
 }
 
-// removeAbsentRun removes a run that is certainly not on its runner, and applies the outcome to its task. The counter
-// runsLost counts all of these, also the starts that a runner rejected. The caller must hold o.mu.
-func (o *Owner) removeAbsentRun(run *tasks.Run, outcome agent.Outcome) {
+// removeAbsentRun removes a run that is certainly not on its runner, and applies the outcome to its task. The loss is that of
+// the runner, if it was lost. The counter runsLost counts all of these runs, also the starts that a runner rejected. The caller
+// must hold o.mu.
+func (o *Owner) removeAbsentRun(run *tasks.Run, outcome agent.Outcome, loss tasks.Loss) {
 	o.counters.runsLost.Inc(1)
 	end := o.countEarlyEnd(run, outcome)
+	end.loss = loss
 	run.Runner.RemoveRun(run)
 	if run.Task != nil {
 		o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: outcome, Checkpoint: run.Checkpoint}, end)
--- /dev/null
+++ b/internal/flow/owner/loss.go
@@ -0,0 +1,192 @@
+package owner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
+)
+
+const (
+	// suspectAge is how old a run may be for its task to count as a possible cause of its runner's crash. A crash that breaks no
+	// connection is noticed only when a lease renewal times out.
+	suspectAge = 2 * tasks.QuietTime
+	// maxSuspects is how many tasks or gangs are suspected of one crash. Each of them keeps other starts off a runner for a while.
+	maxSuspects = 3
+	// lastingProofAge is how long a run of a service must have gone on for the loss of its runner not to count against it.
+	lastingProofAge = 10 * time.Second
+	// massWindow is the time before and after the loss of a runner in which other losses count as simultaneous.
+	massWindow = time.Second
+	// minMassLoss is how many simultaneous losses, and massLossDivisor which fraction of all runners, 1/massLossDivisor, have no
+	// task as their cause.
+	minMassLoss     = 4
+	massLossDivisor = 50
+	// lossMemory is how long losses are remembered.
+	lossMemory = 30 * time.Second
+)
+
+// runnerLoss is a runner that became unreachable.
+type runnerLoss struct {
+	at time.Time
+	// explained is set when a task that may have crashed a runner before was on it.
+	explained bool
+}
+
+// noteUnreachable notes that the lease renewals of a runner have begun to fail. The caller must hold o.mu.
+func (o *Owner) noteUnreachable(r *tasks.Runner) {
+	now := o.config.Clock.Now()
+	r.UnreachableSince = now
+	recent := o.losses[:0]
+	for _, l := range o.losses {
+		if now.Sub(l.at) < lossMemory {
+			recent = append(recent, l)
+		}
+	}
+	o.losses = append(recent, runnerLoss{at: now, explained: r.HasSuspect()})
+}
+
+// isMassLoss reports whether so many runners were lost at about the given time that no task is the likely cause. The caller
+// must hold o.mu.
+func (o *Owner) isMassLoss(at time.Time) bool {
+	n := 0
+	for _, l := range o.losses {
+		if !l.explained && l.at.Sub(at).Abs() <= massWindow {
+			n++
+		}
+	}
+	return n >= max(minMassLoss, len(o.table.Runners)/massLossDivisor)
+}
+
+// runnerGone handles the proof that a runner is gone: another one answers at its address. Nothing of it runs any more. The
+// caller must hold o.mu.
+func (o *Owner) runnerGone(r *tasks.Runner) {
+	if r.Replaced {
+		return
+	}
+	r.Replaced, r.Listed = true, false
+	o.counters.runnersReplaced.Inc(1)
+	o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Str("Address", string(r.Info.Address)).Int("Runs", len(r.Runs)).Bool("Draining", r.Info.Draining).
+		Dur("Silent", elapsed(o.config.Clock.Now(), r.UnreachableSince)).Msg("another runner answers at the runner's address; it has crashed or left")
+	o.removeLostRuns(r, true)
+}
+
+// removeLostRuns removes the runs of a runner that is lost. Crashed is set when it has certainly crashed or left, in contrast to
+// one that was out of reach until its leases expired, and whose unsent starts are discarded elsewhere. The caller must hold o.mu.
+func (o *Owner) removeLostRuns(r *tasks.Runner, crashed bool) {
+	losses := o.assessLoss(r, crashed)
+	for _, run := range r.Runs {
+		if !crashed && !run.Sent {
+			continue
+		}
+		if crashed {
+			run.StopCause = cmp.Or(run.StopCause, tasks.EndedRunnerLeft)
+		}
+		o.removeAbsentRun(run, agent.LeaseExpired, losses[run])
+	}
+}
+
+// assessLoss returns what the loss of a runner tells of its runs. The caller must hold o.mu.
+func (o *Owner) assessLoss(r *tasks.Runner, crashed bool) map[*tasks.Run]tasks.Loss {
+	now := o.config.Clock.Now()
+	lostAt := r.UnreachableSince
+	if lostAt.IsZero() {
+		lostAt = now
+	}
+	isMass := o.isMassLoss(lostAt)
+	if r.Info.Draining || (isMass && !crashed) {
+		// A draining runner leaves as announced. Many runners at once are out of reach for another reason than their tasks.
+		return nil
+	}
+	var culprit *tasks.Run
+	if crashed && !isMass {
+		culprit = soleSuspect(r, now)
+	}
+	out := make(map[*tasks.Run]tasks.Loss)
+	for _, run := range r.Runs {
+		if !run.Sent || run.Task == nil || run.Task.Run != run || hasProvedItself(run, now) {
+			continue
+		}
+		isCulprit := culprit != nil && run.SameUnit(culprit)
+		if culprit != nil && !isCulprit {
+			continue
+		}
+		out[run] = tasks.Loss{Counts: true, Crashed: crashed, Alone: isCulprit}
+	}
+	if !isMass {
+		markSuspects(out, now)
+	}
+	o.logLoss(r, out, crashed, isMass, culprit)
+	return out
+}
+
+// markSuspects marks the runs that are the most likely cause of a loss: those that were started last, up to maxSuspects tasks or
+// gangs, within suspectAge.
+func markSuspects(losses map[*tasks.Run]tasks.Loss, now time.Time) {
+	runs := slices.SortedFunc(maps.Keys(losses), func(a, b *tasks.Run) int { return b.SentAt.Compare(a.SentAt) })
+	var suspects []*tasks.Run
+	for _, run := range runs {
+		if run.SentAt.IsZero() || run.Age(now) > suspectAge {
+			return
+		}
+		if !slices.ContainsFunc(suspects, run.SameUnit) {
+			if len(suspects) == maxSuspects {
+				return
+			}
+			suspects = append(suspects, run)
+		}
+		loss := losses[run]
+		loss.Suspect = true
+		losses[run] = loss
+	}
+}
+
+// logLoss logs and counts the loss of a runner that had runs. The caller must hold o.mu.
+func (o *Owner) logLoss(r *tasks.Runner, losses map[*tasks.Run]tasks.Loss, crashed, isMass bool, culprit *tasks.Run) {
+	if len(losses) == 0 {
+		return
+	}
+	suspects := 0
+	for _, l := range losses {
+		if l.Suspect {
+			suspects++
+		}
+	}
+	o.counters.lossSuspects.Inc(int64(suspects))
+	line := o.config.Log.Info().Str("Runner", string(r.Info.ID)).Bool("Crashed", crashed).Bool("Mass", isMass).
+		Int("Counted", len(losses)).Int("Suspects", suspects)
+	if culprit != nil {
+		line = line.Str("Culprit", culprit.Key.Ref.String())
+	}
+	line.Msg("runner was lost; counting the loss against the tasks that may be its cause")
+}
+
+// soleSuspect returns the run that is the only likely cause of a crash of its runner, or nil: that of a task with an earlier
+// loss, which was started within suspectAge, and QuietTime or more after everything else on the runner.
+func soleSuspect(r *tasks.Runner, now time.Time) *tasks.Run {
+	var latest *tasks.Run
+	for _, run := range r.Runs {
+		if run.Sent && (latest == nil || run.SentAt.After(latest.SentAt)) {
+			latest = run
+		}
+	}
+	if latest == nil || latest.Task == nil || latest.SentAt.IsZero() || latest.Age(now) > suspectAge {
+		return nil
+	}
+	if record := latest.Task.LossRecord(); record.Losses == 0 {
+		return nil
+	}
+	for _, run := range r.Runs {
+		if run.Sent && !run.SameUnit(latest) && run.SentAt.After(latest.SentAt.Add(-tasks.QuietTime)) {
+			return nil
+		}
+	}
+	return latest
+}
+
+// hasProvedItself reports whether a run of a service has gone on for so long that it cannot be the cause of a loss.
+func hasProvedItself(run *tasks.Run, now time.Time) bool {
+	return run.Task.Step.Spec.Service && run.Age(now) >= lastingProofAge
+}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -147,6 +147,8 @@
 		ratesVersion specs.CatalogVersion
 		// usualPace is the median pace of the runners of each service at the latest tick.
 		usualPace map[types.ServiceName]float64
+		// losses holds the runners that became unreachable within lossMemory, the oldest first.
+		losses []runnerLoss
 	}
 )
 
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -96,7 +97,7 @@
 		t.Step.Break(result.Attempt, o.config.Clock.Now())
 		o.stopOtherMembers(t, result.Attempt)
 	}
-	o.endJobIfFinished(t.Step.Job, t)
+	o.endJobIfFinished(t.Step.Job, t, end.loss)
 	wake(o.planWake)
 }
 
@@ -111,7 +112,7 @@
 			continue
 		}
 		c := m.Change()
-		c.State, c.Saved = tasks.Done, ""
+		c.State, c.Saved, c.Losses = tasks.Done, "", tasks.LossRecord{}
 		o.record(tasks.Record{Task: c}, nil)
 	}
 }
@@ -135,11 +136,21 @@
 // requeue records that a task waits again, with the checkpoint of the attempt if it has one. The caller must hold o.mu.
 func (o *Owner) requeue(t *tasks.Task, result agent.Result, end earlyEnd) {
 	c := t.WaitingChange()
+	switch {
+	case end.loss.Counts:
+		c.Losses = t.LossRecord()
+		c.Losses.Add(end.loss, result.Attempt)
+		t.NotBefore = o.config.Clock.Now()
+	case end.age > tasks.QuietTime:
+		// The attempt went on for long enough to show that the task does not crash its runner at its start.
+		c.Losses.Suspect = false
+	}
 	if !t.Step.Spec.Gang && result.Checkpoint != "" {
 		c.Saved = result.Checkpoint
 	}
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Str("How", string(result.Outcome)).
-		Str("Cause", string(end.cause)).Dur("Age", end.age).Float64("LostCoreSeconds", end.lost).Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
+		Str("Cause", string(end.cause)).Dur("Age", end.age).Float64("LostCoreSeconds", end.lost).
+		Int("Losses", int(c.Losses.Losses)).Int("Crashes", int(c.Losses.Crashes)).Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
 	o.record(tasks.Record{Task: c}, nil)
 }
 
@@ -157,13 +168,17 @@
 	}
 }
 
-// endJobIfFinished ends the job when all of its tasks are done, or when the task has no attempts left. The caller must
-// hold o.mu.
-func (o *Owner) endJobIfFinished(j *tasks.Job, t *tasks.Task) {
+// endJobIfFinished ends the job when all of its tasks are done, or when the task has no attempts left or has crashed too many
+// runners, the last one in the given loss. The caller must hold o.mu.
+func (o *Owner) endJobIfFinished(j *tasks.Job, t *tasks.Task, loss tasks.Loss) {
+	losses := t.LossRecord()
 	switch {
 	case j.Finished():
 		o.endJob(j, tasks.JobCompleted, "all tasks are done")
 	case t.State == tasks.Waiting && !t.Step.Spec.Service && t.OutOfAttempts():
 		o.endJob(j, tasks.JobFailed, "task "+t.Ref.String()+" has no attempts left")
+	case loss.Counts && t.State == tasks.Waiting && losses.IsGivenUp(loss):
+		o.counters.jobsCrashing.Inc(1)
+		o.endJob(j, tasks.JobFailed, fmt.Sprintf("task %s was lost with %d runners, of which %d have crashed", t.Ref, losses.Losses, losses.Crashes))
 	}
 }
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -1,8 +1,8 @@
 package owner
 
 import (
-	"cmp"
 	"context"
+	"maps"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
@@ -49,7 +49,9 @@
 		if t.State != tasks.Placed {
 			continue
 		}
-		run := o.formerRunner(t.Runner).PlaceTask(t, t.Attempt)
+		r := o.formerRunner(t.Runner)
+		r.LastStartAt = o.config.Clock.Now()
+		run := r.PlaceTask(t, t.Attempt)
 		run.Sent = true
 	}
 }
@@ -225,9 +227,12 @@
 	next.ClockAt = o.config.Clock.Now()
 	o.table.SetRunner(next)
 	o.noteLeave(next)
-	for _, run := range r.Runs {
-		run.StopCause = cmp.Or(run.StopCause, tasks.EndedRunnerLeft)
-		o.removeAbsentRun(run, agent.LeaseExpired)
+	former := maps.Clone(r.Runs)
+	if r.UnreachableSince.IsZero() {
+		o.noteUnreachable(r)
+	}
+	o.removeLostRuns(r, true)
+	for _, run := range former {
 		o.countLateStart(next, run)
 	}
 	o.startRenewLoop(next)
@@ -296,11 +301,7 @@
 		return
 	}
 	o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("leases on an unreachable runner have expired; removing its runs")
-	for _, run := range r.Runs {
-		if run.Sent {
-			o.removeAbsentRun(run, agent.LeaseExpired)
-		}
-	}
+	o.removeLostRuns(r, false)
 }
 
 // resendStops sends stops again that have taken no effect within stopRetryInterval. The caller must hold o.mu.
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -69,6 +69,11 @@
 		attempt = t.Step.GangAttempt(s.Task)
 	}
 	run := s.Runner.PlaceTask(t, attempt)
+	s.Runner.LastStartAt = o.config.Clock.Now()
+	if s.Quiet {
+		s.Runner.KeepQuiet(run)
+		o.counters.quietStarts.Inc(1)
+	}
 	run.Ticket, run.TicketUntil = s.Ticket, s.TicketUntil
 	c := t.Change()
 	c.State, c.Attempt, c.Runner = tasks.Placed, attempt, s.Runner.Info.ID
@@ -202,7 +207,7 @@
 	if run.Task != nil {
 		run.Task.NotBefore = o.config.Clock.Now().Add(retryBackoff)
 	}
-	o.removeAbsentRun(run, agent.Stopped)
+	o.removeAbsentRun(run, agent.Stopped, tasks.Loss{})
 }
 
 // raiseFence raises the fence of a run's runner above all starts that were sent for the run. A start that has not
--- a/internal/flow/owner/waste.go
+++ b/internal/flow/owner/waste.go
@@ -25,6 +25,8 @@
 		age time.Duration
 		// lost is the work since the run's last checkpoint, in core-seconds.
 		lost float64
+		// loss is that of the run's runner, if it was lost.
+		loss tasks.Loss
 	}
 )
 
--- a/internal/flow/owner/waste_test.go
+++ b/internal/flow/owner/waste_test.go
@@ -25,7 +25,7 @@
 			f.stopStalledRun(f.step.Tasks[0].Run, f.config.Clock.Now())
 			f.end(0, agent.Stopped, "")
 		}, 1},
-		tasks.EndedLeaseExpired: {func(f *gangFixture) { f.removeAbsentRun(f.step.Tasks[0].Run, agent.LeaseExpired) }, 1},
+		tasks.EndedLeaseExpired: {func(f *gangFixture) { f.removeAbsentRun(f.step.Tasks[0].Run, agent.LeaseExpired, tasks.Loss{}) }, 1},
 		tasks.EndedRunnerLeft:   {func(f *gangFixture) { f.replaceRunner(f.runners[0], runner(0)) }, 1},
 		tasks.EndedCancelled:    {func(f *gangFixture) { f.endJob(f.step.Job, tasks.JobCancelled, "test"); f.end(0, agent.Stopped, "") }, 1},
 	}
@@ -55,7 +55,7 @@
 func TestNothingIsCountedAsLostWithoutAnEarlyEnd(t *testing.T) {
 	f := newGangFixture(t, 2)
 	f.discardRun(f.step.Tasks[0].Run)
-	f.removeAbsentRun(f.step.Tasks[1].Run, agent.Stopped)
+	f.removeAbsentRun(f.step.Tasks[1].Run, agent.Stopped, tasks.Loss{})
 	f.begin()
 	f.report(0, "")
 	f.end(0, agent.Done, "")
--- /dev/null
+++ b/internal/flow/tasks/loss.go
@@ -0,0 +1,132 @@
+package tasks
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+)
+
+const (
+	// QuietTime is how long a runner gets no other start before and after that of a task that may crash it, so that a crash
+	// tells of that task alone.
+	QuietTime = 1500 * time.Millisecond
+
+	// minCrashes is how many runners must certainly have crashed under a task before it is given up.
+	minCrashes = 2
+	// maxSharedLosses is after how many losses a task is given up that was never alone with its runner.
+	maxSharedLosses = 4
+	// maxLosses is after how many losses a task is given up though no crash is certain, since its runners do not come back.
+	maxLosses = 5
+	// quietLosses is from how many losses on a task waits for a runner without other recent starts. After fewer, a suspected task
+	// waits for maxQuietWait at most, since it may be innocent.
+	quietLosses  = 2
+	maxQuietWait = 2 * time.Second
+)
+
+type (
+	// LossRecord counts the attempts of a task, or of a gang, that ended with the loss of their runner. The fields are small, since
+	// the leader holds one for each task.
+	LossRecord struct {
+		// Losses counts all of them, Crashes those whose runner has certainly crashed.
+		Losses  int16 `json:"Losses,omitempty"`
+		Crashes int16 `json:"Crashes,omitempty"`
+		// Suspect is set when the latest of them ended so soon after its start that it may have been the cause.
+		Suspect bool `json:"Suspect,omitempty"`
+		// In is the latest attempt that was counted.
+		In specs.Attempt `json:"In,omitempty"`
+	}
+
+	// Loss is what the loss of a runner tells of one of its runs.
+	Loss struct {
+		// Counts is set when the loss counts against the task; the other fields are not set without it.
+		Counts bool
+		// Crashed is set when the runner has certainly crashed, and is not just out of reach.
+		Crashed bool
+		// Suspect is set when the task may be the cause of the loss.
+		Suspect bool
+		// Alone is set when no other task can be the cause of the crash.
+		Alone bool
+	}
+)
+
+// Add counts a loss in which the given attempt ended, once for each attempt.
+func (l *LossRecord) Add(loss Loss, attempt specs.Attempt) {
+	if !loss.Counts || attempt <= l.In {
+		return
+	}
+	l.In = attempt
+	l.Losses++
+	if loss.Crashed {
+		l.Crashes++
+	}
+	l.Suspect = loss.Suspect
+}
+
+// IsGivenUp reports whether the task starts no more after the latest loss. Such a task crashes every runner that starts it, for
+// all that is known.
+func (l *LossRecord) IsGivenUp(latest Loss) bool {
+	if l.Crashes < minCrashes {
+		return l.Losses >= maxLosses
+	}
+	return latest.Alone || l.Losses >= maxSharedLosses
+}
+
+// LossRecord returns the losses of the task, or of its gang: those of the member with the latest.
+func (t *Task) LossRecord() LossRecord {
+	if !t.Step.Spec.Gang {
+		return t.Losses
+	}
+	var out LossRecord
+	for _, m := range t.Step.Tasks {
+		if m.Losses.In > out.In {
+			out = m.Losses
+		}
+	}
+	return out
+}
+
+// IsSuspect reports whether the task, or its gang, may have crashed a runner, so that its next attempt should start apart from
+// other starts.
+func (t *Task) IsSuspect() bool {
+	l := t.LossRecord()
+	return l.Suspect || l.Losses >= quietLosses
+}
+
+// MustStartApart reports whether a suspected task must wait for a runner that has had no other start for a while.
+func (t *Task) MustStartApart(now time.Time) bool {
+	return t.LossRecord().Losses >= quietLosses || now.Before(t.NotBefore.Add(maxQuietWait))
+}
+
+// SameUnit reports whether two runs belong to one task or to one gang, which are to blame together.
+func (r *Run) SameUnit(o *Run) bool {
+	return r.Task == o.Task || (r.Task != nil && o.Task != nil && r.Task.Step == o.Task.Step && r.Task.Step.Spec.Gang)
+}
+
+// KeepQuiet keeps other starts off the runner until the run has gone on for QuietTime, or has ended.
+func (r *Runner) KeepQuiet(run *Run) {
+	r.quietFor = run
+}
+
+// IsQuiet reports whether the runner gets no other starts for now; see KeepQuiet.
+func (r *Runner) IsQuiet(now time.Time) bool {
+	run := r.quietFor
+	if run == nil || r.Runs[run.Key] != run {
+		return false
+	}
+	return run.SentAt.IsZero() || now.Before(run.SentAt.Add(QuietTime))
+}
+
+// IsSettled reports whether the runner had no start within QuietTime.
+func (r *Runner) IsSettled(now time.Time) bool {
+	return !now.Before(r.LastStartAt.Add(QuietTime))
+}
+
+// HasSuspect reports whether a task that may have crashed a runner before is on the runner.
+func (r *Runner) HasSuspect() bool {
+	for _, run := range r.Runs {
+		if run.Task != nil && run.Task.IsSuspect() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -25,6 +25,7 @@
 		Saved    specs.Checkpoint `json:"Saved,omitempty"`
 		// SavedIn is the attempt of the gang that made Saved; 0 when it is not known, or the task is in no gang.
 		SavedIn specs.Attempt `json:"SavedIn,omitempty"`
+		Losses  LossRecord    `json:"Losses,omitzero"`
 	}
 
 	// JobResult records that a job has ended, and how.
@@ -68,6 +69,7 @@
 	step.adjustCounts(task.State, -1)
 	task.State, task.Attempt, task.Failures = c.State, c.Attempt, c.Failures
 	task.Faulted, task.Runner, task.Checkpoint, task.SavedIn = c.Faulted, c.Runner, c.Saved, c.SavedIn
+	task.Losses = c.Losses
 	if step.Spec.Gang {
 		step.Saved.Observe(c.Saved, c.SavedIn, time.Time{})
 	}
@@ -131,6 +133,7 @@
 	c := &TaskChange{
 		Ref: t.Ref, State: t.State, Attempt: t.Attempt, Failures: t.Failures,
 		Faulted: t.Faulted, Runner: t.Runner, Saved: t.Checkpoint, SavedIn: t.SavedIn,
+		Losses: t.Losses,
 	}
 	if t.State == Waiting {
 		c.setNewestCheckpoint(t)
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -52,6 +52,10 @@
 		UnreachableSince time.Time
 		// Replaced is set once another runner, or another boot, was found to answer at the runner's address.
 		Replaced bool
+		// LastStartAt is when a start on the runner was last decided, or found; zero when there was none.
+		LastStartAt time.Time
+		// quietFor is the run for which other starts are kept off the runner; see KeepQuiet.
+		quietFor *Run
 
 		// position is the index of the runner in Table.OrderedRunners.
 		position int
