Let the next leader learn that a runner has crashed

What callers saw: tasks on a runner that crashed shortly before its leader was killed were started again only 14.8 s after the crash.

Cause: the ledger names the runner of each placed task, but not its address. A runner that the directory no longer listed when the next leader began could not be asked, so its tasks waited for the end of every lease that could have been asked for.

The next leader asks there; the runner answers, or another one does in its place, which is proof of the crash.

--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -190,3 +190,13 @@
 func hasProvedItself(run *tasks.Run, now time.Time) bool {
 	return run.Task.Step.Spec.Service && run.Age(now) >= lastingProofAge
 }
+
+// recordAddress records where a runner can be reached, before its first run, so that the next leader can ask it or learn that
+// another one answers in its place. The caller must hold o.mu.
+func (o *Owner) recordAddress(r *tasks.Runner) {
+	a := tasks.RunnerAddress{Runner: r.Info.ID, Boot: r.Info.Boot, Address: r.Info.Address}
+	if known, ok := o.table.Address(a.Runner); ok && known == a {
+		return
+	}
+	o.record(tasks.Record{Runner: &a}, nil)
+}
--- a/internal/flow/owner/loss_test.go
+++ b/internal/flow/owner/loss_test.go
@@ -77,3 +77,99 @@
 	f.checkAllDone(o, ids)
 	f.checkNoViolations()
 }
+
+// TestCrashesOfRunnersAreKnownToTheNextLeader guards against a count that starts anew when the leader is killed between two crashes.
+func TestCrashesOfRunnersAreKnownToTheNextLeader(t *testing.T) {
+	f := newFixture(t, crashingWorld(100*time.Millisecond))
+	f.addRunners(6)
+	o, stop := f.startOwner()
+	f.submit(o, job(string(badJob), step(1)))
+	for leaders := range maxCrashingStarts {
+		f.eventually("the task is started again, or given up", func() bool {
+			state, err := o.State(t.Context(), specs.Caller{}, badJob)
+			return f.startsOf(badJob) > leaders || (err == nil && state == tasks.JobFailed)
+		})
+		stop()
+		o, stop = f.startOwner()
+	}
+	f.checkGivenUp(o)
+	f.checkNoViolations()
+}
+
+// TestNextLeaderLearnsThatARunnerHasCrashed guards against callers who wait for the end of leases on a runner that crashed shortly
+// before its leader was killed, and that the directory no longer lists.
+func TestNextLeaderLearnsThatARunnerHasCrashed(t *testing.T) {
+	f := newFixture(t, crashingWorld(time.Minute))
+	f.addRunners(1)
+	o, stop := f.startOwner()
+	f.submit(o, job("j", step(1)))
+	f.eventually("the task runs", func() bool { return f.fleet.StartCount() == 1 })
+	stop()
+	f.fleet.Restart("w00", 0)
+	began := time.Now()
+	f.startOwner()
+	f.eventually("the task runs again", func() bool { return f.fleet.StartCount() == 2 })
+	if took := time.Since(began); took >= leaseTTL {
+		t.Errorf("the task runs again after %s, want less than a lease of %s", took, leaseTTL)
+	}
+	f.checkNoViolations()
+}
+
+// TestRunnersThatCrashTogetherFailNoTask guards against innocent tasks that are given up because their runners crash again and
+// again for a reason of their own.
+func TestRunnersThatCrashTogetherFailNoTask(t *testing.T) {
+	f := newFixture(t, crashingWorld(700*time.Millisecond))
+	f.addRunners(12)
+	o, _ := f.startOwner()
+	ids := f.submitInnocent(o, 40)
+	for range 3 {
+		time.Sleep(300 * time.Millisecond)
+		runners, _, _ := f.fleet.List(t.Context())
+		for _, r := range runners[:8] {
+			f.fleet.Restart(r.ID, 100*time.Millisecond)
+		}
+	}
+	f.checkAllDone(o, ids)
+	f.checkNoViolations()
+}
+
+// TestGangThatCrashesRunnersIsGivenUp guards against a gang whose crashes count for none of its members, or for each of them.
+func TestGangThatCrashesRunnersIsGivenUp(t *testing.T) {
+	w := crashingWorld(300 * time.Millisecond)
+	w.GangSize = func(s specs.StepRef) int {
+		if s.Job == badJob {
+			return 6
+		}
+		return 0
+	}
+	w.GangTimeout = time.Second
+	f := newFixture(t, w)
+	f.addRunners(4)
+	o, _ := f.startOwner()
+	ids := f.submitInnocent(o, 4)
+	f.submit(o, job(string(badJob), gang(6)))
+	f.waitForState(o, badJob, tasks.JobFailed)
+	starts := make(map[specs.Ref]int)
+	for _, a := range f.fleet.StartedAttempts() {
+		starts[a.Ref]++
+	}
+	for ref, n := range starts {
+		if ref.Job == badJob && (n < 2 || n > maxCrashingStarts) {
+			t.Errorf("member %s was started %d times, want 2 to %d", ref, n, maxCrashingStarts)
+		}
+	}
+	f.checkAllDone(o, ids)
+	f.checkNoViolations()
+}
+
+// TestServiceThatCrashesRunnersIsGivenUp guards against a service, which has no limit of failures, that crashes runners for ever.
+func TestServiceThatCrashesRunnersIsGivenUp(t *testing.T) {
+	f := newFixture(t, crashingWorld(time.Minute))
+	f.addRunners(4)
+	o, _ := f.startOwner()
+	service := step(1)
+	service.Service = true
+	f.submit(o, job(string(badJob), service))
+	f.checkGivenUp(o)
+	f.checkNoViolations()
+}
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -56,14 +56,16 @@
 	}
 }
 
-// formerRunner returns a runner that the ledger names. If the tables lack it, it is added as not listed. The caller must
-// hold o.mu.
+// formerRunner returns a runner that the ledger names. If the tables lack it, it is added as not listed, and asked for its state
+// at the address that the ledger has for it. The caller must hold o.mu.
 func (o *Owner) formerRunner(id specs.RunnerID) *tasks.Runner {
 	if r := o.table.Runners[id]; r != nil {
 		return r
 	}
-	r := o.addRunner(agent.Runner{ID: id})
+	known, _ := o.table.Address(id)
+	r := o.addRunner(agent.Runner{ID: id, Boot: known.Boot, Address: known.Address})
 	r.Listed = false
+	o.startRenewLoop(r)
 	return r
 }
 
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -68,6 +68,7 @@
 	if t.Step.Spec.Gang {
 		attempt = t.Step.GangAttempt(s.Task)
 	}
+	o.recordAddress(s.Runner)
 	run := s.Runner.PlaceTask(t, attempt)
 	s.Runner.LastStartAt = o.config.Clock.Now()
 	if s.Quiet {
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
@@ -47,6 +48,13 @@
 		// Alone is set when no other task can be the cause of the crash.
 		Alone bool
 	}
+
+	// RunnerAddress tells where a runner with runs can be reached, also when the directory does not list it any more.
+	RunnerAddress struct {
+		Runner  specs.RunnerID `json:"Runner"`
+		Boot    specs.Boot     `json:"Boot,omitempty"`
+		Address types.Address  `json:"Address"`
+	}
 )
 
 // Add counts a loss in which the given attempt ended, once for each attempt.
@@ -130,3 +138,25 @@
 	}
 	return false
 }
+
+// SetAddress records where a runner can be reached.
+func (t *Table) SetAddress(a RunnerAddress) {
+	t.addresses[a.Runner] = a
+}
+
+// Address returns where a runner was last reached; false means that it is not known.
+func (t *Table) Address(id specs.RunnerID) (RunnerAddress, bool) {
+	a, ok := t.addresses[id]
+	return a, ok
+}
+
+// addressRecords returns the addresses of the runners in the table that have runs.
+func (t *Table) addressRecords() []Record {
+	var out []Record
+	for _, r := range t.OrderedRunners() {
+		if a, ok := t.addresses[r.Info.ID]; ok && len(r.Runs) > 0 {
+			out = append(out, Record{Runner: &a})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/flow/tasks/loss_test.go
@@ -0,0 +1,78 @@
+package tasks
+
+import (
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
+)
+
+// TestLossesDecideWhetherATaskIsGivenUp guards against a task that is given up before two runners have certainly crashed under it, as
+// callers are told, and against one that is started after the fifth crash.
+func TestLossesDecideWhetherATaskIsGivenUp(t *testing.T) {
+	crash := Loss{Counts: true, Crashed: true}
+	alone := Loss{Counts: true, Crashed: true, Alone: true}
+	silent := Loss{Counts: true}
+	for name, test := range map[string]struct {
+		losses []Loss
+		want   bool
+	}{
+		"OneCrash":                   {losses: []Loss{crash}},
+		"OneCrashAlone":              {losses: []Loss{alone}},
+		"TwoSharedCrashes":           {losses: []Loss{crash, crash}},
+		"TwoCrashesTheLastAlone":     {losses: []Loss{crash, alone}, want: true},
+		"SilentThenAlone":            {losses: []Loss{silent, alone}},
+		"ThreeSharedCrashes":         {losses: []Loss{crash, crash, crash}},
+		"FourSharedCrashes":          {losses: []Loss{crash, crash, crash, crash}, want: true},
+		"FourLossesWithOneCrash":     {losses: []Loss{silent, crash, silent, silent}},
+		"FourLossesWithTwoCrashes":   {losses: []Loss{silent, crash, silent, crash}, want: true},
+		"FiveLossesWithoutAnyCrash":  {losses: []Loss{silent, silent, silent, silent, silent}, want: true},
+		"LossesThatDoNotCount":       {losses: []Loss{{}, {}, {}, {}, {}, crash}},
+		"OneCrashAfterFourUncounted": {losses: []Loss{{}, {}, {}, {}, alone}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var record LossRecord
+			for i, l := range test.losses {
+				record.Add(l, specs.Attempt(i+1))
+			}
+			if got := record.IsGivenUp(test.losses[len(test.losses)-1]); got != test.want {
+				t.Errorf("given up: %v, want %v (%+v)", got, test.want, record)
+			}
+		})
+	}
+}
+
+// TestLossOfAnAttemptCountsOnce guards against members of a gang on one runner that each count its crash.
+func TestLossOfAnAttemptCountsOnce(t *testing.T) {
+	var record LossRecord
+	for range 3 {
+		record.Add(Loss{Counts: true, Crashed: true}, 1)
+	}
+	if record.Losses != 1 || record.Crashes != 1 {
+		t.Errorf("one attempt counts as %+v, want 1 loss and 1 crash", record)
+	}
+}
+
+// TestRunnerStaysQuietForASuspectedRun guards against starts beside a task that may crash the runner, and against a runner that gets none
+// after that task has ended.
+func TestRunnerStaysQuietForASuspectedRun(t *testing.T) {
+	now := time.Now()
+	r := NewRunner(agent.Runner{ID: "w"}, 1)
+	j := New().AddJob(&specs.Job{ID: "j", Steps: []specs.Step{{Count: 1}}})
+	run := r.PlaceTask(j.Occurrences[0].Steps[0].Tasks[0], 1)
+	r.KeepQuiet(run)
+	checkQuiet(t, r, now, true)
+	run.Sent, run.SentAt = true, now
+	checkQuiet(t, r, now.Add(QuietTime-time.Millisecond), true)
+	checkQuiet(t, r, now.Add(QuietTime), false)
+	r.RemoveRun(run)
+	checkQuiet(t, r, now, false)
+}
+
+func checkQuiet(t *testing.T, r *Runner, at time.Time, want bool) {
+	t.Helper()
+	if got := r.IsQuiet(at); got != want {
+		t.Errorf("the runner is quiet: %v, want %v", got, want)
+	}
+}
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -12,6 +12,8 @@
 	Record struct {
 		Task *TaskChange `json:"Task,omitempty"`
 		End  *JobResult  `json:"End,omitempty"`
+		// Runner is where a runner can be reached, written before its first run.
+		Runner *RunnerAddress `json:"Runner,omitempty"`
 	}
 
 	// TaskChange is the complete durable state of a task after a change.
@@ -57,6 +59,8 @@
 		t.applyTaskChange(r.Task)
 	case r.End != nil:
 		t.applyJobResult(r.End)
+	case r.Runner != nil:
+		t.SetAddress(*r.Runner)
 	}
 }
 
@@ -152,7 +156,7 @@
 // SnapshotRecords returns records that, applied to a table with the accepted jobs, rebuild the durable state of their
 // tasks.
 func (t *Table) SnapshotRecords() []Record {
-	var out []Record
+	out := t.addressRecords()
 	for _, j := range t.Jobs {
 		for _, o := range j.Occurrences {
 			for _, s := range o.Steps {
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -140,6 +140,8 @@
 		Runners map[specs.RunnerID]*Runner
 		// ordered holds the runners in the order of their ids; nil after a change.
 		ordered []*Runner
+		// addresses holds where the runners with durable runs can be reached.
+		addresses map[specs.RunnerID]RunnerAddress
 		// Organisations holds those that have jobs or runs, or that the catalog names.
 		Organisations map[specs.OrganisationName]*Organisation
 		// LimitsKnown is set once SetLimits was called.
@@ -157,6 +159,7 @@
 		Jobs:      make(map[specs.JobID]*Job),
 		EndedJobs: make(map[specs.JobID]EndedJob),
 		Runners:   make(map[specs.RunnerID]*Runner),
+		addresses: make(map[specs.RunnerID]RunnerAddress),
 
 		Organisations: make(map[specs.OrganisationName]*Organisation),
 		Unattributed:  &Organisation{},
@@ -195,6 +198,7 @@
 // RemoveRunner removes a runner.
 func (t *Table) RemoveRunner(id specs.RunnerID) {
 	delete(t.Runners, id)
+	delete(t.addresses, id)
 	t.ordered = nil
 }
 
