Blame one task for two crashes only when no other runner was lost with it

Cause: with three runners or fewer that crash together, a suspected task that was alone on one of them was given up at its second crash, though the runners may have a reason of their own. Only four losses or more counted as a reason of their own.

Change: at two crashes the last one must be the only unexplained loss within a second; at three it is enough that the task was alone.

Result: a case of TestLossesDecideWhetherATaskIsGivenUp.

--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -48,16 +48,16 @@
 	o.losses = append(recent, runnerLoss{at: now, explained: r.HasSuspect()})
 }
 
-// isMassLoss reports whether so many runners were lost at about the given time that no task is the likely cause. The caller
-// must hold o.mu.
-func (o *Owner) isMassLoss(at time.Time) bool {
+// unexplainedLosses returns how many runners without a suspected task were lost at about the given time. The caller must hold
+// o.mu.
+func (o *Owner) unexplainedLosses(at time.Time) int {
 	n := 0
 	for _, l := range o.losses {
 		if !l.explained && l.at.Sub(at).Abs() <= massWindow {
 			n++
 		}
 	}
-	return n >= max(minMassLoss, len(o.table.Runners)/massLossDivisor)
+	return n
 }
 
 // runnerGone handles the proof that a runner is gone: another one answers at its address. Nothing of it runs any more. The
@@ -95,7 +95,8 @@
 	if lostAt.IsZero() {
 		lostAt = now
 	}
-	isMass := o.isMassLoss(lostAt)
+	unexplained := o.unexplainedLosses(lostAt)
+	isMass := unexplained >= max(minMassLoss, len(o.table.Runners)/massLossDivisor)
 	if r.Info.Draining || (isMass && !crashed) {
 		// A draining runner leaves as announced. Many runners at once are out of reach for another reason than their tasks.
 		return nil
@@ -113,7 +114,7 @@
 		if culprit != nil && !isCulprit {
 			continue
 		}
-		out[run] = tasks.Loss{Counts: true, Crashed: crashed, Alone: isCulprit}
+		out[run] = tasks.Loss{Counts: true, Crashed: crashed, Alone: isCulprit, Isolated: unexplained == 0}
 	}
 	if !isMass {
 		markSuspects(out, now)
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -45,8 +45,10 @@
 		Crashed bool
 		// Suspect is set when the task may be the cause of the loss.
 		Suspect bool
-		// Alone is set when no other task can be the cause of the crash.
-		Alone bool
+		// Alone is set when no other task can be the cause of the crash, Isolated when no other runner was lost at about the same
+		// time for a reason that is not known.
+		Alone    bool
+		Isolated bool
 	}
 
 	// RunnerAddress tells where a runner with runs can be reached, also when the directory does not list it any more.
@@ -76,7 +78,10 @@
 	if l.Crashes < minCrashes {
 		return l.Losses >= maxLosses
 	}
-	return latest.Alone || l.Losses >= maxSharedLosses
+	if latest.Alone && (latest.Isolated || l.Losses > minCrashes) {
+		return true
+	}
+	return l.Losses >= maxSharedLosses
 }
 
 // LossRecord returns the losses of the task, or of its gang: those of the member with the latest.
--- a/internal/flow/tasks/loss_test.go
+++ b/internal/flow/tasks/loss_test.go
@@ -12,7 +12,8 @@
 // callers are told, and against one that is started after the fifth crash.
 func TestLossesDecideWhetherATaskIsGivenUp(t *testing.T) {
 	crash := Loss{Counts: true, Crashed: true}
-	alone := Loss{Counts: true, Crashed: true, Alone: true}
+	alone := Loss{Counts: true, Crashed: true, Alone: true, Isolated: true}
+	besideOthers := Loss{Counts: true, Crashed: true, Alone: true}
 	silent := Loss{Counts: true}
 	for name, test := range map[string]struct {
 		losses []Loss
@@ -22,6 +23,8 @@
 		"OneCrashAlone":              {losses: []Loss{alone}},
 		"TwoSharedCrashes":           {losses: []Loss{crash, crash}},
 		"TwoCrashesTheLastAlone":     {losses: []Loss{crash, alone}, want: true},
+		"AloneBesideOtherLosses":     {losses: []Loss{crash, besideOthers}},
+		"AloneThriceBesideOthers":    {losses: []Loss{crash, besideOthers, besideOthers}, want: true},
 		"SilentThenAlone":            {losses: []Loss{silent, alone}},
 		"ThreeSharedCrashes":         {losses: []Loss{crash, crash, crash}},
 		"FourSharedCrashes":          {losses: []Loss{crash, crash, crash, crash}, want: true},
