Keep runners for suspected tasks from the begin of each plan on

Losses within a second of each other counted as a cause of their own, so that no task was ever found alone while crashes were frequent. And the wait for a settled runner took three seconds of a runner for each test.

Change: runners are held for suspected tasks before anything else is planned, for those that have waited longest first; no suspected task waits for more than 2 s; a quarter of the runners may be held, more while the service is idle. Losses are simultaneous within 150 ms when connections break, which is noticed at once, and within 2 s when runners fall silent. The quiet time is 0.5 s instead of 1.5 s.

--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -99,6 +99,8 @@
 		reserved map[types.ServiceName]types.MilliCores
 		// cores is the sum of the cores of the usable runners of each service.
 		cores map[types.ServiceName]types.MilliCores
+		// idleCores is the sum of the free cores of the usable runners of each service at the begin of the pass.
+		idleCores map[types.ServiceName]types.MilliCores
 		// askable is for how many cores of each service calls for advice may still be made; see addToAskable.
 		askable map[types.ServiceName]types.MilliCores
 		// stepStarts counts the starts of the step that is being served, by runner.
@@ -114,6 +116,8 @@
 		places map[*tasks.Step][]keptPlace
 		// quiet counts the runners of each service that are kept free of further starts for tasks that may crash them.
 		quiet map[types.ServiceName]int
+		// held holds the runners that wait to be settled, by the suspected task for which they do.
+		held map[*tasks.Task]*runnerCapacity
 		// services is what the services of each organisation occupy; nil until it is needed.
 		services map[*tasks.Organisation]types.Resources
 		// stepsLeft is how many more steps the plan serves.
@@ -162,6 +166,7 @@
 	p.collectRunners()
 	p.mostUrgent = mostUrgent(t)
 	entries := p.sortedEntries(compare)
+	p.holdRunners()
 	p.keepPlaces(entries)
 	p.serveAll(entries)
 	p.out.WaitingForQuota = p.waitingForQuota()
@@ -187,10 +192,13 @@
 		cores:    make(map[types.ServiceName]types.MilliCores),
 		askable:  make(map[types.ServiceName]types.MilliCores),
 
+		idleCores: make(map[types.ServiceName]types.MilliCores),
+
 		stepStarts: make(map[*tasks.Runner]int),
 		headrooms:  make(map[*tasks.Organisation]*headroom),
 		places:     make(map[*tasks.Step][]keptPlace),
 		quiet:      make(map[types.ServiceName]int),
+		held:       make(map[*tasks.Task]*runnerCapacity),
 		stepsLeft:  maxSteps,
 	}
 }
@@ -266,6 +274,7 @@
 		p.capacities[i] = runnerCapacity{runner: r, free: r.Free()}
 		p.runners[name] = append(p.runners[name], &p.capacities[i])
 		p.cores[name] += r.Info.Capacity.Cores
+		p.idleCores[name] += max(0, r.Free().Cores)
 		p.capacity = p.capacity.Add(r.Info.Capacity)
 		p.addToAskable(r)
 		if r.IsQuiet(p.now) {
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -110,7 +110,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err != nil {
-		return o.handleRenewFailure(r, next.request, err)
+		return o.handleRenewFailure(r, next, err)
 	}
 	o.applyReport(r, next.request, report, next.sentAt)
 	if len(report.Results) > 0 {
@@ -121,16 +121,16 @@
 
 // handleRenewFailure records a renewal that failed and returns the delay before the next. It ends the term when the
 // runner refused the fence that is still in use. The caller must hold o.mu.
-func (o *Owner) handleRenewFailure(r *tasks.Runner, request agent.RenewRequest, err error) time.Duration {
+func (o *Owner) handleRenewFailure(r *tasks.Runner, sent renewal, err error) time.Duration {
 	o.counters.renewFailures.Inc(1)
 	if errs.Is(err, errs.Fenced) {
-		if request.Fence == r.Fence {
+		if sent.request.Fence == r.Fence {
 			o.endTerm("runner " + string(r.Info.ID) + " has seen a later leader")
 		}
 		return renewBackoff
 	}
 	if r.UnreachableSince.IsZero() {
-		o.noteUnreachable(r)
+		o.noteUnreachable(r, isSilent(sent.request, o.config.Clock.Since(sent.sentAt)))
 		o.config.Log.Warn().Err(err).Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("lease renewal failed; the leases of the runner's attempts are not extended until a renewal succeeds")
 	}
 	if errs.Is(err, errs.NotFound) {
--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -13,17 +13,21 @@
 const (
 	// suspectAge is how old a run may be for its task to count as a possible cause of its runner's crash. A crash that breaks no
 	// connection is noticed only when a lease renewal times out.
-	suspectAge = 2 * tasks.QuietTime
+	suspectAge = 3 * time.Second
 	// maxSuspects is how many tasks or gangs are suspected of one crash. Each of them keeps other starts off a runner for a while.
 	maxSuspects = 3
 	// lastingProofAge is how long a run of a service must have gone on for the loss of its runner not to count against it.
 	lastingProofAge = 10 * time.Second
-	// massWindow is the time before and after the loss of a runner in which other losses count as simultaneous.
-	massWindow = time.Second
+	// brokenWindow is the time before and after the loss of a runner in which other losses count as simultaneous, if their connections
+	// broke, which is noticed at once. silentWindow is that for runners that no longer answer.
+	brokenWindow = 150 * time.Millisecond
+	silentWindow = 2 * time.Second
 	// minMassLoss is how many simultaneous losses, and massLossDivisor which fraction of all runners, 1/massLossDivisor, have no
 	// task as their cause.
 	minMassLoss     = 4
-	massLossDivisor = 50
+	massLossDivisor = 16
+	// silentTimeout is how long a call that does not wait for results must have taken to count as unanswered.
+	silentTimeout = 300 * time.Millisecond
 	// lossMemory is how long losses are remembered.
 	lossMemory = 30 * time.Second
 )
@@ -31,29 +35,40 @@
 // runnerLoss is a runner that became unreachable.
 type runnerLoss struct {
 	at time.Time
+	// silent is set when the runner no longer answered, and its connections did not break.
+	silent bool
 	// explained is set when a task that may have crashed a runner before was on it.
 	explained bool
 }
 
+// isSilent reports whether a renewal that failed after the given time got no answer, in contrast to one whose connection broke.
+func isSilent(request agent.RenewRequest, took time.Duration) bool {
+	return took >= max(request.Wait, silentTimeout)
+}
+
 // noteUnreachable notes that the lease renewals of a runner have begun to fail. The caller must hold o.mu.
-func (o *Owner) noteUnreachable(r *tasks.Runner) {
+func (o *Owner) noteUnreachable(r *tasks.Runner, silent bool) {
 	now := o.config.Clock.Now()
-	r.UnreachableSince = now
+	r.UnreachableSince, r.Silent = now, silent
 	recent := o.losses[:0]
 	for _, l := range o.losses {
 		if now.Sub(l.at) < lossMemory {
 			recent = append(recent, l)
 		}
 	}
-	o.losses = append(recent, runnerLoss{at: now, explained: r.HasSuspect()})
+	o.losses = append(recent, runnerLoss{at: now, silent: silent, explained: r.HasSuspect()})
 }
 
-// unexplainedLosses returns how many runners without a suspected task were lost at about the given time. The caller must hold
-// o.mu.
-func (o *Owner) unexplainedLosses(at time.Time) int {
+// unexplainedLosses returns how many runners without a suspected task were lost at about the given time, as one that was silent or
+// one whose connections broke. The caller must hold o.mu.
+func (o *Owner) unexplainedLosses(at time.Time, silent bool) int {
 	n := 0
 	for _, l := range o.losses {
-		if !l.explained && l.at.Sub(at).Abs() <= massWindow {
+		window := brokenWindow
+		if silent || l.silent {
+			window = silentWindow
+		}
+		if !l.explained && l.at.Sub(at).Abs() <= window {
 			n++
 		}
 	}
@@ -95,7 +110,7 @@
 	if lostAt.IsZero() {
 		lostAt = now
 	}
-	unexplained := o.unexplainedLosses(lostAt)
+	unexplained := o.unexplainedLosses(lostAt, r.Silent)
 	isMass := unexplained >= max(minMassLoss, len(o.table.Runners)/massLossDivisor)
 	if r.Info.Draining || (isMass && !crashed) {
 		// A draining runner leaves as announced. Many runners at once are out of reach for another reason than their tasks.
--- a/internal/flow/owner/quota_property_test.go
+++ b/internal/flow/owner/quota_property_test.go
@@ -375,7 +375,7 @@
 	next, _, _ := o.nextRenewal(known)
 	o.mu.Lock()
 	if r.cutOff {
-		o.handleRenewFailure(known, next.request, errs.New(errs.Lost, "unreachable"))
+		o.handleRenewFailure(known, next, errs.New(errs.Lost, "unreachable"))
 		return
 	}
 	report, err := r.renew(m.clock.Now(), next.request)
@@ -383,7 +383,7 @@
 		err = errs.New(errs.Lost, "the answer was lost")
 	}
 	if err != nil {
-		o.handleRenewFailure(known, next.request, err)
+		o.handleRenewFailure(known, next, err)
 		return
 	}
 	o.applyReport(known, next.request, report, next.sentAt)
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -41,6 +41,9 @@
 		}
 	}
 	o.adoptRemainingRuns()
+	for _, t := range o.table.SuspectedTasks() {
+		t.NotBefore = o.config.Clock.Now()
+	}
 }
 
 // adoptStep adds a run for each placed task of the step to its runner. The caller must hold o.mu.
@@ -231,7 +234,7 @@
 	o.noteLeave(next)
 	former := maps.Clone(r.Runs)
 	if r.UnreachableSince.IsZero() {
-		o.noteUnreachable(r)
+		o.noteUnreachable(r, false)
 	}
 	o.removeLostRuns(r, true)
 	for _, run := range former {
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -1,6 +1,9 @@
 package tasks
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -10,7 +13,7 @@
 const (
 	// QuietTime is how long a runner gets no other start before and after that of a task that may crash it, so that a crash
 	// tells of that task alone.
-	QuietTime = 1500 * time.Millisecond
+	QuietTime = 500 * time.Millisecond
 
 	// minCrashes is how many runners must certainly have crashed under a task before it is given up.
 	minCrashes = 2
@@ -18,9 +21,10 @@
 	maxSharedLosses = 4
 	// maxLosses is after how many losses a task is given up though no crash is certain, since its runners do not come back.
 	maxLosses = 5
-	// quietLosses is from how many losses on a task waits for a runner without other recent starts. After fewer, a suspected task
-	// waits for maxQuietWait at most, since it may be innocent.
-	quietLosses  = 2
+	// suspectLosses is from how many losses on a task is suspected, whatever the latest one told of it.
+	suspectLosses = 2
+	// maxQuietWait is how long a suspected task waits for a runner that has had no other start for a while. Most suspected tasks are
+	// innocent, and after a series of crashes there may be more of them than such runners.
 	maxQuietWait = 2 * time.Second
 )
 
@@ -102,12 +106,38 @@
 // other starts.
 func (t *Task) IsSuspect() bool {
 	l := t.LossRecord()
-	return l.Suspect || l.Losses >= quietLosses
+	return l.Suspect || l.Losses >= suspectLosses
 }
 
-// MustStartApart reports whether a suspected task must wait for a runner that has had no other start for a while.
-func (t *Task) MustStartApart(now time.Time) bool {
-	return t.LossRecord().Losses >= quietLosses || now.Before(t.NotBefore.Add(maxQuietWait))
+// WaitsToStartApart reports whether a suspected task still waits for a runner that has had no other start for a while.
+func (t *Task) WaitsToStartApart(now time.Time) bool {
+	return now.Before(t.NotBefore.Add(maxQuietWait))
+}
+
+// SuspectedTasks returns the suspected tasks that wait, those that have waited for longest first. Members of gangs are left out.
+func (t *Table) SuspectedTasks() []*Task {
+	out := make([]*Task, 0, len(t.suspected))
+	for task := range t.suspected {
+		out = append(out, task)
+	}
+	slices.SortFunc(out, func(a, b *Task) int {
+		return cmp.Or(a.NotBefore.Compare(b.NotBefore), cmp.Compare(a.Ref.String(), b.Ref.String()))
+	})
+	return out
+}
+
+// updateSuspected keeps the set of suspected tasks up to date after a change of the task.
+func (t *Table) updateSuspected(task *Task) {
+	if task.State == Waiting && !task.Step.Spec.Gang && task.IsSuspect() {
+		t.suspected[task] = struct{}{}
+		return
+	}
+	delete(t.suspected, task)
+}
+
+// removeSuspected removes the tasks of a job that has ended from the set of suspected tasks.
+func (t *Table) removeSuspected(j *Job) {
+	maps.DeleteFunc(t.suspected, func(task *Task, _ struct{}) bool { return task.Step.Job == j })
 }
 
 // SameUnit reports whether two runs belong to one task or to one gang, which are to blame together.
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -78,6 +78,7 @@
 		step.Saved.Observe(c.Saved, c.SavedIn, time.Time{})
 	}
 	step.adjustCounts(task.State, 1)
+	t.updateSuspected(task)
 	step.Job.Attempted = step.Job.Attempted || c.Attempt > 0
 	step.Job.Ran = step.Job.Ran || c.State == Done || c.Failures > 0 || c.Saved != ""
 }
@@ -118,6 +119,7 @@
 func (t *Table) applyJobResult(result *JobResult) {
 	if j := t.Jobs[result.Job]; j != nil {
 		j.Ending = true
+		t.removeSuspected(j)
 	}
 	delete(t.Jobs, result.Job)
 	t.RecentResults = append(t.RecentResults, *result)
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -50,6 +50,8 @@
 		FencePending bool
 		// UnreachableSince is when the lease renewals of the runner began to fail; zero while they succeed.
 		UnreachableSince time.Time
+		// Silent is set when the first renewal that failed got no answer, in contrast to one whose connection broke.
+		Silent bool
 		// Replaced is set once another runner, or another boot, was found to answer at the runner's address.
 		Replaced bool
 		// LastStartAt is when a start on the runner was last decided, or found; zero when there was none.
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -140,6 +140,8 @@
 		Runners map[specs.RunnerID]*Runner
 		// ordered holds the runners in the order of their ids; nil after a change.
 		ordered []*Runner
+		// suspected holds the tasks that SuspectedTasks returns.
+		suspected map[*Task]struct{}
 		// addresses holds where the runners with durable runs can be reached.
 		addresses map[specs.RunnerID]RunnerAddress
 		// Organisations holds those that have jobs or runs, or that the catalog names.
@@ -159,6 +161,7 @@
 		Jobs:      make(map[specs.JobID]*Job),
 		EndedJobs: make(map[specs.JobID]EndedJob),
 		Runners:   make(map[specs.RunnerID]*Runner),
+		suspected: make(map[*Task]struct{}),
 		addresses: make(map[specs.RunnerID]RunnerAddress),
 
 		Organisations: make(map[specs.OrganisationName]*Organisation),
--- a/internal/plat/agent/memory.go
+++ b/internal/plat/agent/memory.go
@@ -146,6 +146,7 @@
 	defer f.mu.Unlock()
 	if s := f.runners[id]; s != nil {
 		delete(f.runners, id)
+		s.notifyWaiters()
 		for ref, run := range s.runs {
 			if run.gang != nil {
 				f.breakGang(run.gang, ref)
