Send no start to a runner whose capacity has shrunk below its use

An overcommitted runner also counted its lack of cores against the gauge of free cores and against the advice that may be requested.

Change: both are checked again before a start is sent; what runs on such a runner goes on. A change of a capacity is logged.

--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -288,7 +288,7 @@
 // most of the waiting steps would make some.
 func (p *pass) addToAskable(r *tasks.Runner) {
 	ahead := types.MilliCores(askAheadShare * float64(r.Info.Capacity.Cores))
-	p.askable[r.Info.Service] += r.Free().Cores + ahead
+	p.askable[r.Info.Service] += max(0, r.Free().Cores) + ahead
 }
 
 // capacityOf returns the capacity of an incarnation of a runner, or nil when it may not get tasks or is no longer the
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -209,6 +209,10 @@
 	if !r.Listed {
 		o.config.Log.Info().Str("Runner", string(info.ID)).Msg("runner is in the directory again")
 	}
+	if info.Capacity != r.Info.Capacity && r.Listed {
+		o.config.Log.Info().Str("Runner", string(info.ID)).Str("Former", r.Info.Capacity.String()).Str("Capacity", info.Capacity.String()).
+			Str("Used", r.Used.String()).Msg("capacity of a runner has changed")
+	}
 	r.Info = info
 	r.Listed = true
 	o.noteLeave(r)
@@ -283,7 +287,7 @@
 	for _, r := range o.table.Runners {
 		runs += int64(len(r.Runs))
 		if r.Usable(now) {
-			free += int64(r.Free().Cores / types.Core)
+			free += int64(max(0, r.Free().Cores) / types.Core)
 		}
 	}
 	waiting := 0
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -83,8 +83,8 @@
 }
 
 // dispatchStart sends the start of a durable intent, or discards the run when it is not wanted any more, when its
-// ticket is about to expire, when its organisation's quota was lowered, or when its runner is no longer usable or may be
-// draining. A newer catalog is applied first, since it may have arrived after the last plan. The caller must hold o.mu.
+// ticket is about to expire, when its organisation's quota was lowered, when its runner's capacity has shrunk, or when its runner
+// is no longer usable or may be draining. A newer catalog is applied first, since it may have arrived after the last plan. The caller must hold o.mu.
 func (o *Owner) dispatchStart(run *tasks.Run) {
 	o.applyCatalog()
 	r := run.Runner
@@ -94,7 +94,7 @@
 	now := o.config.Clock.Now()
 	stale := !run.TicketUntil.IsZero() && run.TicketUntil.Before(now.Add(ticketMargin/2))
 	isUnwanted := run.StartCancelled || o.isUnwanted(run) || o.isOverQuota(run)
-	mayStart := r.Usable(now) && o.knowsDirectory() && o.isLeadershipConfirmed()
+	mayStart := r.Usable(now) && !r.IsOvercommitted() && o.knowsDirectory() && o.isLeadershipConfirmed()
 	if isUnwanted || stale || !mayStart {
 		o.discardRun(run)
 		return
@@ -112,10 +112,7 @@
 func (o *Owner) sendStart(run *tasks.Run) {
 	r := run.Runner
 	now := o.config.Clock.Now()
-	request := agent.StartRequest{
-		Ref: run.Key.Ref, Attempt: run.Key.Attempt, Payload: run.Task.Step.Job.Spec.Payload,
-		Deadline: r.ExtendLease(now, leaseTTL), Fence: r.Fence, Checkpoint: run.StartCheckpoint, Ticket: run.Ticket,
-	}
+	request := o.startRequest(run)
 	if j := run.Task.Step.Job; j.Started.IsZero() {
 		j.Started = now
 		o.config.Log.Info().Str("Job", string(j.Spec.ID)).Str("Runner", string(r.Info.ID)).Int("Tasks", len(run.Task.Step.Tasks)).
@@ -148,6 +145,15 @@
 	})()
 }
 
+// startRequest returns the request to start a run, whose lease begins now. The caller must hold o.mu.
+func (o *Owner) startRequest(run *tasks.Run) agent.StartRequest {
+	r := run.Runner
+	return agent.StartRequest{
+		Ref: run.Key.Ref, Attempt: run.Key.Attempt, Payload: run.Task.Step.Job.Spec.Payload,
+		Deadline: r.ExtendLease(o.config.Clock.Now(), leaseTTL), Fence: r.Fence, Checkpoint: run.StartCheckpoint, Ticket: run.Ticket,
+	}
+}
+
 // applyStartAnswer applies the answer to a start. The caller must hold o.mu.
 func (o *Owner) applyStartAnswer(run *tasks.Run, request agent.StartRequest, err error) {
 	run.InFlight = false
@@ -181,7 +187,7 @@
 	}
 	o.config.Log.Info().Str("Task", run.Key.Ref.String()).Int("Attempt", int(run.Key.Attempt)).
 		Str("Runner", string(run.Runner.Info.ID)).Int("Tries", run.Tries).Msg("start was not answered; it is in doubt whether the attempt runs")
-	isWanted := !run.StartCancelled && !o.isUnwanted(run) && !o.isOverQuota(run)
+	isWanted := !run.StartCancelled && !o.isUnwanted(run) && !o.isOverQuota(run) && !run.Runner.IsOvercommitted()
 	if run.Tries < maxStartTries && isWanted && run.Runner.UnreachableSince.IsZero() && o.isLeadershipConfirmed() {
 		o.sendStart(run)
 		return
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -151,6 +151,11 @@
 	return r.Info.Capacity.Sub(r.Used)
 }
 
+// IsOvercommitted reports whether the runs take more than the runner has, as after its capacity has shrunk.
+func (r *Runner) IsOvercommitted() bool {
+	return !r.Used.Fits(r.Info.Capacity)
+}
+
 // Usable reports whether new tasks may be placed on the runner.
 func (r *Runner) Usable(now time.Time) bool {
 	return r.Synced && r.Orphans == 0 && r.Listed && !r.Info.Draining && r.UnreachableSince.IsZero() && !now.Before(r.Health.QuarantinedUntil) &&
