--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -19,7 +19,7 @@
 	MaxWidth   = 10_000
 	maxIDBytes = 64
 
-	// MaxTasks limits the tasks of a job in all its steps and occurrences. The leader holds all of them, at 161 bytes each;
+	// MaxTasks limits the tasks of a job in all its steps and occurrences. The leader holds all of them, at about 180 bytes each;
 	// without the limit one submission of 4 KB makes 2.56 million tasks, 394 MB, and a schedule makes any number.
 	MaxTasks = 50_000
 	// MaxScheduleSpan limits the time from the first occurrence of a schedule to the last, so that no due time overflows.
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -185,13 +185,17 @@
 	return a, ok
 }
 
-// addressRecords returns the addresses of the runners in the table that have runs.
+// addressRecords returns the addresses of the runners that have runs. It forgets all others, which are recorded again before the next
+// run on them, since a snapshot replaces all former records.
 func (t *Table) addressRecords() []Record {
 	var out []Record
-	for _, r := range t.OrderedRunners() {
-		if a, ok := t.addresses[r.Info.ID]; ok && len(r.Runs) > 0 {
-			out = append(out, Record{Runner: &a})
+	for id, a := range t.addresses {
+		r := t.Runners[id]
+		if r == nil || len(r.Runs) == 0 {
+			delete(t.addresses, id)
+			continue
 		}
+		out = append(out, Record{Runner: &a})
 	}
 	return out
 }
--- a/internal/flow/tasks/loss_test.go
+++ b/internal/flow/tasks/loss_test.go
@@ -79,3 +79,31 @@
 		t.Errorf("the runner is quiet: %v, want %v", got, want)
 	}
 }
+
+// TestSnapshotKeepsTheAddressesOfRunnersWithRuns guards against a snapshot that drops the address of a runner which the next leader needs,
+// and against one that keeps it from being recorded again.
+func TestSnapshotKeepsTheAddressesOfRunnersWithRuns(t *testing.T) {
+	table := New()
+	r := NewRunner(agent.Runner{ID: "w", Address: "w:1"}, 1)
+	table.SetRunner(r)
+	table.Apply(Record{Runner: &RunnerAddress{Runner: "w", Address: "w:1"}})
+	run := r.PlaceTask(table.AddJob(&specs.Job{ID: "j", Steps: []specs.Step{{Count: 1}}}).Occurrences[0].Steps[0].Tasks[0], 1)
+	checkAddress(t, table, true)
+	r.RemoveRun(run)
+	checkAddress(t, table, false)
+	if _, ok := table.Address("w"); ok {
+		t.Error("the address that no snapshot holds is still known, so it is not recorded again")
+	}
+}
+
+// checkAddress checks whether the records of a snapshot restore the address of the runner w.
+func checkAddress(t *testing.T, table *Table, want bool) {
+	t.Helper()
+	restored := New()
+	for _, r := range table.SnapshotRecords() {
+		restored.Apply(r)
+	}
+	if _, got := restored.Address("w"); got != want {
+		t.Errorf("the snapshot holds the address: %v, want %v", got, want)
+	}
+}
