--- a/internal/plat/agent/crash.go
+++ b/internal/plat/agent/crash.go
@@ -43,6 +43,16 @@
 	}
 	go func() {
 		<-f.clock.After(crashDelay)
+		f.mu.Lock()
+		isGone := f.runners[id] == nil
+		f.mu.Unlock()
+		if isGone {
+			return
+		}
+		if f.world.OnCrash != nil {
+			f.world.OnCrash(id)
+			return
+		}
 		f.Restart(id, f.world.RestartDelay)
 	}()
 }
--- a/internal/plat/agent/memory.go
+++ b/internal/plat/agent/memory.go
@@ -56,9 +56,10 @@
 		// Fails reports whether an attempt fails at its end; nil means never.
 		Fails func(runner specs.RunnerID, ref specs.Ref, attempt specs.Attempt) bool
 		// Crashes reports whether a task crashes each runner that begins it, shortly after that; nil means never. Another
-		// runner starts at the address RestartDelay later.
+		// runner starts at the address RestartDelay later, unless OnCrash is set, which then crashes the runner instead.
 		Crashes      func(ref specs.Ref) bool
 		RestartDelay time.Duration
+		OnCrash      func(runner specs.RunnerID)
 		// Takes returns the resources that a task occupies, for the check of capacities; nil turns the check off.
 		Takes func(ref specs.Ref) types.Resources
 		// GangSize returns the number of tasks of a gang step, or 0 for any other step; nil means that there are no
