Give a task up for two crashes only if it is certain to be their cause

For a gang, crashes under two different members counted as two under one task.

Change: two crashes suffice only if the last one followed the task's start within 250 ms, alone on its runner and without another loss; else the task must have been alone twice, or lost four times. Losses count for each task, also in gangs. Tasks beside a culprit are counted but not suspected, so that one that crashes its runner late is found as well.

--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -14,6 +14,9 @@
 	// suspectAge is how old a run may be for its task to count as a possible cause of its runner's crash. A crash that breaks no
 	// connection is noticed only when a lease renewal times out.
 	suspectAge = 3 * time.Second
+	// promptAge is how soon after its start a run must be lost for a crash to follow from it at once. That includes the time until a
+	// broken connection is noticed.
+	promptAge = 250 * time.Millisecond
 	// maxSuspects is how many tasks or gangs are suspected of one crash. Each of them keeps other starts off a runner for a while.
 	maxSuspects = 3
 	// lastingProofAge is how long a run of a service must have gone on for the loss of its runner not to count against it.
@@ -50,13 +53,8 @@
 func (o *Owner) noteUnreachable(r *tasks.Runner, silent bool) {
 	now := o.config.Clock.Now()
 	r.UnreachableSince, r.Silent = now, silent
-	recent := o.losses[:0]
-	for _, l := range o.losses {
-		if now.Sub(l.at) < lossMemory {
-			recent = append(recent, l)
-		}
-	}
-	o.losses = append(recent, runnerLoss{at: now, silent: silent, explained: r.HasSuspect()})
+	o.losses = slices.DeleteFunc(o.losses, func(l runnerLoss) bool { return now.Sub(l.at) >= lossMemory })
+	o.losses = append(o.losses, runnerLoss{at: now, silent: silent, explained: r.HasSuspect()})
 }
 
 // unexplainedLosses returns how many runners without a suspected task were lost at about the given time, as one that was silent or
@@ -110,8 +108,8 @@
 	if lostAt.IsZero() {
 		lostAt = now
 	}
-	unexplained := o.unexplainedLosses(lostAt, r.Silent)
-	isMass := unexplained >= max(minMassLoss, len(o.table.Runners)/massLossDivisor)
+	others := o.unexplainedLosses(lostAt, r.Silent)
+	isMass := others >= max(minMassLoss, len(o.table.Runners)/massLossDivisor)
 	if r.Info.Draining || (isMass && !crashed) {
 		// A draining runner leaves as announced. Many runners at once are out of reach for another reason than their tasks.
 		return nil
@@ -125,28 +123,29 @@
 		if !run.Sent || run.Task == nil || run.Task.Run != run || hasProvedItself(run, now) {
 			continue
 		}
-		isCulprit := culprit != nil && run.SameUnit(culprit)
-		if culprit != nil && !isCulprit {
-			continue
-		}
-		out[run] = tasks.Loss{Counts: true, Crashed: crashed, Alone: isCulprit, Isolated: unexplained == 0}
+		isAlone := culprit != nil && run.SameUnit(culprit)
+		isPrompt := isAlone && others == 0 && run.Age(now) <= promptAge
+		out[run] = tasks.Loss{Counts: true, Crashed: crashed, Alone: isAlone, Prompt: isPrompt}
 	}
 	if !isMass {
-		markSuspects(out, now)
+		markSuspects(out, culprit, now)
 	}
 	o.logLoss(r, out, crashed, isMass, culprit)
 	return out
 }
 
-// markSuspects marks the runs that are the most likely cause of a loss: those that were started last, up to maxSuspects tasks or
-// gangs, within suspectAge.
-func markSuspects(losses map[*tasks.Run]tasks.Loss, now time.Time) {
+// markSuspects marks the runs that are the most likely cause of a loss: the only possible one if there is one, else those that were
+// started last, up to maxSuspects tasks or gangs, within suspectAge.
+func markSuspects(losses map[*tasks.Run]tasks.Loss, culprit *tasks.Run, now time.Time) {
 	runs := slices.SortedFunc(maps.Keys(losses), func(a, b *tasks.Run) int { return b.SentAt.Compare(a.SentAt) })
 	var suspects []*tasks.Run
 	for _, run := range runs {
 		if run.SentAt.IsZero() || run.Age(now) > suspectAge {
 			return
 		}
+		if culprit != nil && !run.SameUnit(culprit) {
+			continue
+		}
 		if !slices.ContainsFunc(suspects, run.SameUnit) {
 			if len(suspects) == maxSuspects {
 				return
@@ -188,10 +187,7 @@
 			latest = run
 		}
 	}
-	if latest == nil || latest.Task == nil || latest.SentAt.IsZero() || latest.Age(now) > suspectAge {
-		return nil
-	}
-	if record := latest.Task.LossRecord(); record.Losses == 0 {
+	if latest == nil || latest.Task == nil || !latest.Task.WasLost() || latest.SentAt.IsZero() || latest.Age(now) > suspectAge {
 		return nil
 	}
 	for _, run := range r.Runs {
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -138,7 +138,6 @@
 	c := t.WaitingChange()
 	switch {
 	case end.loss.Counts:
-		c.Losses = t.LossRecord()
 		c.Losses.Add(end.loss, result.Attempt)
 		t.NotBefore = o.config.Clock.Now()
 	case end.age > tasks.QuietTime:
@@ -171,14 +170,13 @@
 // endJobIfFinished ends the job when all of its tasks are done, or when the task has no attempts left or has crashed too many
 // runners, the last one in the given loss. The caller must hold o.mu.
 func (o *Owner) endJobIfFinished(j *tasks.Job, t *tasks.Task, loss tasks.Loss) {
-	losses := t.LossRecord()
 	switch {
 	case j.Finished():
 		o.endJob(j, tasks.JobCompleted, "all tasks are done")
 	case t.State == tasks.Waiting && !t.Step.Spec.Service && t.OutOfAttempts():
 		o.endJob(j, tasks.JobFailed, "task "+t.Ref.String()+" has no attempts left")
-	case loss.Counts && t.State == tasks.Waiting && losses.IsGivenUp(loss):
+	case loss.Counts && t.State == tasks.Waiting && t.Losses.IsGivenUp(loss):
 		o.counters.jobsCrashing.Inc(1)
-		o.endJob(j, tasks.JobFailed, fmt.Sprintf("task %s was lost with %d runners, of which %d have crashed", t.Ref, losses.Losses, losses.Crashes))
+		o.endJob(j, tasks.JobFailed, fmt.Sprintf("task %s was lost with %d runners, of which %d have crashed", t.Ref, t.Losses.Losses, t.Losses.Crashes))
 	}
 }
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -15,9 +15,11 @@
 	// tells of that task alone.
 	QuietTime = 500 * time.Millisecond
 
-	// minCrashes is how many runners must certainly have crashed under a task before it is given up.
+	// minCrashes is how many runners must certainly have crashed under a task before it is given up, and minAlone how many of them
+	// while no other task could be the cause, unless the latest crash followed promptly: a runner may also crash for a reason of its own.
 	minCrashes = 2
-	// maxSharedLosses is after how many losses a task is given up that was never alone with its runner.
+	minAlone   = 2
+	// maxSharedLosses is after how many losses a task is given up that was not alone with its runners often enough.
 	maxSharedLosses = 4
 	// maxLosses is after how many losses a task is given up though no crash is certain, since its runners do not come back.
 	maxLosses = 5
@@ -29,12 +31,14 @@
 )
 
 type (
-	// LossRecord counts the attempts of a task, or of a gang, that ended with the loss of their runner. The fields are small, since
-	// the leader holds one for each task.
+	// LossRecord counts the attempts of a task that ended with the loss of their runner. The fields are small, since the leader holds
+	// one for each task.
 	LossRecord struct {
-		// Losses counts all of them, Crashes those whose runner has certainly crashed.
+		// Losses counts all of them, Crashes those whose runner has certainly crashed, and Alone those of the crashes of which no
+		// other task can be the cause.
 		Losses  int16 `json:"Losses,omitempty"`
 		Crashes int16 `json:"Crashes,omitempty"`
+		Alone   int16 `json:"Alone,omitempty"`
 		// Suspect is set when the latest of them ended so soon after its start that it may have been the cause.
 		Suspect bool `json:"Suspect,omitempty"`
 		// In is the latest attempt that was counted.
@@ -49,10 +53,10 @@
 		Crashed bool
 		// Suspect is set when the task may be the cause of the loss.
 		Suspect bool
-		// Alone is set when no other task can be the cause of the crash, Isolated when no other runner was lost at about the same
-		// time for a reason that is not known.
-		Alone    bool
-		Isolated bool
+		// Alone is set when no other task can be the cause of the crash. Prompt is set in addition when the crash followed the start at
+		// once, and no other runner was lost with it.
+		Alone  bool
+		Prompt bool
 	}
 
 	// RunnerAddress tells where a runner with runs can be reached, also when the directory does not list it any more.
@@ -73,40 +77,37 @@
 	if loss.Crashed {
 		l.Crashes++
 	}
+	if loss.Alone {
+		l.Alone++
+	}
 	l.Suspect = loss.Suspect
 }
 
-// IsGivenUp reports whether the task starts no more after the latest loss. Such a task crashes every runner that starts it, for
-// all that is known.
+// IsGivenUp reports whether the task starts no more after the latest loss. Such a task crashes every runner that starts it, for all that is known.
 func (l *LossRecord) IsGivenUp(latest Loss) bool {
 	if l.Crashes < minCrashes {
 		return l.Losses >= maxLosses
 	}
-	if latest.Alone && (latest.Isolated || l.Losses > minCrashes) {
-		return true
-	}
-	return l.Losses >= maxSharedLosses
+	return latest.Prompt || l.Alone >= minAlone || l.Losses >= maxSharedLosses
 }
 
-// LossRecord returns the losses of the task, or of its gang: those of the member with the latest.
-func (t *Task) LossRecord() LossRecord {
-	if !t.Step.Spec.Gang {
-		return t.Losses
-	}
-	var out LossRecord
-	for _, m := range t.Step.Tasks {
-		if m.Losses.In > out.In {
-			out = m.Losses
-		}
-	}
-	return out
+// IsSuspect reports whether the task, or a member of its gang, may have crashed a runner, so that the next attempt should start apart
+// from other starts.
+func (t *Task) IsSuspect() bool {
+	return t.anyOfUnit(func(m *Task) bool { return m.Losses.Suspect || m.Losses.Losses >= suspectLosses })
 }
 
-// IsSuspect reports whether the task, or its gang, may have crashed a runner, so that its next attempt should start apart from
-// other starts.
-func (t *Task) IsSuspect() bool {
-	l := t.LossRecord()
-	return l.Suspect || l.Losses >= suspectLosses
+// WasLost reports whether an attempt of the task, or of a member of its gang, ended with the loss of its runner.
+func (t *Task) WasLost() bool {
+	return t.anyOfUnit(func(m *Task) bool { return m.Losses.Losses > 0 })
+}
+
+// anyOfUnit reports whether the condition holds for the task, or for any member of its gang.
+func (t *Task) anyOfUnit(condition func(m *Task) bool) bool {
+	if !t.Step.Spec.Gang {
+		return condition(t)
+	}
+	return slices.ContainsFunc(t.Step.Tasks, condition)
 }
 
 // WaitsToStartApart reports whether a suspected task still waits for a runner that has had no other start for a while.
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -49,7 +49,7 @@
 		Failures int
 		// Faulted is the latest attempt of the gang whose failure was counted in this member.
 		Faulted specs.Attempt
-		// Losses counts the attempts that ended with the loss of their runner; for a member of a gang, see LossRecord.
+		// Losses counts the attempts that ended with the loss of their runner.
 		Losses LossRecord
 		// Runner is the runner on which the latest attempt was placed.
 		Runner specs.RunnerID
--- a/internal/plat/agent/crash.go
+++ b/internal/plat/agent/crash.go
@@ -66,3 +66,16 @@
 	}
 	return errs.New(errs.Lost, "runner %s is unreachable", to.ID)
 }
+
+// MostCrashes returns how many runners crashed under the task of the job under which the most did.
+func (f *Fleet) MostCrashes(job specs.JobID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for ref, n := range f.crashes {
+		if ref.Job == job {
+			most = max(most, n)
+		}
+	}
+	return most
+}
--- a/internal/plat/agent/memory.go
+++ b/internal/plat/agent/memory.go
@@ -35,6 +35,8 @@
 		lostStartDelay time.Duration
 		unreachable    map[specs.RunnerID]bool
 		gangs          map[gangKey]*gang
+		// crashes counts the crashes of runners under each task.
+		crashes map[specs.Ref]int
 		// restarts counts the runners that were started by Restart.
 		restarts int
 	}
@@ -109,7 +111,7 @@
 	return &Fleet{
 		clock: clock, world: w, runners: make(map[specs.RunnerID]*runnerState), changed: make(chan struct{}),
 		doneAt: make(map[specs.Ref]time.Time), acknowledged: make(map[specs.Ref]bool), lastStartAt: make(map[specs.Ref]time.Time),
-		unreachable: make(map[specs.RunnerID]bool), gangs: make(map[gangKey]*gang),
+		unreachable: make(map[specs.RunnerID]bool), gangs: make(map[gangKey]*gang), crashes: make(map[specs.Ref]int),
 	}
 }
 
@@ -149,6 +151,7 @@
 		delete(f.runners, id)
 		s.notifyWaiters()
 		for ref, run := range s.runs {
+			f.crashes[ref]++
 			if run.gang != nil {
 				f.breakGang(run.gang, ref)
 			}
