Count restarts of a worker against the tasks that it lost

Change: an attempt that a restarted worker has lost counts toward MaxAttempts, and delays the next one as a failure does.

Result: TestTaskThatCrashesWorkersIsGivenUp failed before (not within 5 minutes).

--- a/internal/sched/lead/attempts.go
+++ b/internal/sched/lead/attempts.go
@@ -154,7 +154,10 @@
 	case !a.reported:
 		l.enqueueStop(n, t.Attempt(), false)
 	default:
-		l.commitResult(t, l.resultOf(t, worker.PhaseLeaseExpired, false, "worker "+string(n.vm.ID)+" lost it"), nil)
+		end := l.resultOf(t, worker.PhaseLeaseExpired, false, "worker "+string(n.vm.ID)+" lost it")
+		// The worker has restarted, and the task may be the cause, so its attempts count toward the limit.
+		end.Failed = end.State == table.TaskWaiting
+		l.commitResult(t, end, nil)
 	}
 }
 
--- a/internal/sched/lead/failure_test.go
+++ b/internal/sched/lead/failure_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 )
@@ -212,6 +214,29 @@
 	f.wantState(jobs[0].ID, types.JobDone)
 }
 
+// TestTaskThatCrashesWorkersIsGivenUp guards against an idempotent task that is started again and again, and restarts each VM on which it
+// runs.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	f := newFixture(t, 3)
+	f.addDaemon(testDataCentre, "e1")
+	f.waitUntil(2*time.Second, "a leader", f.hasLeader)
+	j := f.job("crashing", func(*types.Job) {})
+	f.submitAll([]types.Job{j})
+	starts := 0
+	f.waitUntil(5*time.Minute, "the failure of the job", func() bool {
+		for _, w := range f.workers {
+			if runs := w.Record(); len(runs) > 0 && !runs[len(runs)-1].Phase.Ended() {
+				starts++
+				w.Crash()
+			}
+		}
+		return f.state(j.ID) == types.JobFailed
+	})
+	if most := envdoc.Default().Placement.MaxAttempts; starts > most {
+		t.Errorf("the task crashed %d workers, want at most %d", starts, most)
+	}
+}
+
 func TestCancellationWaveIsOneWrite(t *testing.T) {
 	f := newFixture(t, 4)
 	m := f.addDaemon(testDataCentre, "e1")
