Count a crash under every member of a gang in the stand-in

It counted while it ended the gang, which removed the other members first.

Change: all runs of the runner are counted before any gang is ended.

--- a/internal/flow/owner/loss_test.go
+++ b/internal/flow/owner/loss_test.go
@@ -173,3 +173,89 @@
 	f.checkGivenUp(o)
 	f.checkNoViolations()
 }
+
+// TestLossesThatBlameNoTask guards against tasks that are charged for runners that leave as announced, that are out of reach together, or
+// that crash under a service which has run for long.
+func TestLossesThatBlameNoTask(t *testing.T) {
+	for name, test := range map[string]struct {
+		change  func(o *Owner, r *tasks.Runner, run *tasks.Run)
+		crashed bool
+		counts  bool
+	}{
+		"OneRunnerOutOfReach": {counts: true},
+		"OneRunnerCrashed":    {crashed: true, counts: true},
+		"Draining":            {change: func(_ *Owner, r *tasks.Runner, _ *tasks.Run) { r.Info.Draining = true }, crashed: true},
+		"ManyOutOfReach": {change: func(o *Owner, _ *tasks.Runner, _ *tasks.Run) {
+			for i := range minMassLoss {
+				o.noteUnreachable(o.addRunner(runner(i+1)), true)
+			}
+		}},
+		"ManyCrashed": {crashed: true, counts: true, change: func(o *Owner, _ *tasks.Runner, _ *tasks.Run) {
+			for i := range minMassLoss {
+				o.noteUnreachable(o.addRunner(runner(i+1)), false)
+			}
+		}},
+		"ServiceThatHasRunForLong": {crashed: true, change: func(_ *Owner, r *tasks.Runner, run *tasks.Run) {
+			run.Task.Step.Spec.Service = true
+			run.SentAt = r.UnreachableSince.Add(-lastingProofAge)
+		}},
+		"ServiceThatHasJustStarted": {crashed: true, counts: true, change: func(_ *Owner, _ *tasks.Runner, run *tasks.Run) {
+			run.Task.Step.Spec.Service = true
+		}},
+		"NeverSent": {crashed: true, change: func(_ *Owner, _ *tasks.Runner, run *tasks.Run) { run.Sent = false }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, quickWorld())
+			o := f.newOwner()
+			t.Cleanup(o.Stop)
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			r := o.addRunner(runner(0))
+			run := r.PlaceTask(o.table.AddJob(job("j", step(1))).Occurrences[0].Steps[0].Tasks[0], 1)
+			run.Sent, run.SentAt = true, f.clock.Now()
+			o.noteUnreachable(r, true)
+			if test.change != nil {
+				test.change(o, r, run)
+			}
+			if got := o.assessLoss(r, test.crashed)[run].Counts; got != test.counts {
+				t.Errorf("the loss counts: %v, want %v", got, test.counts)
+			}
+		})
+	}
+}
+
+// TestSoleSuspectOfACrash guards against a task that is blamed for a crash of which another one may be the cause.
+func TestSoleSuspectOfACrash(t *testing.T) {
+	for name, test := range map[string]struct {
+		// lost is how often the task was lost before; age is how long it has run, and otherAge the task beside it.
+		lost          int16
+		age, otherAge time.Duration
+		want          bool
+	}{
+		"AloneAfterALoss":       {lost: 1, age: 10 * time.Millisecond, otherAge: time.Minute, want: true},
+		"NeverLost":             {age: 10 * time.Millisecond, otherAge: time.Minute},
+		"OtherStartedBefore":    {lost: 1, age: 10 * time.Millisecond, otherAge: tasks.QuietTime},
+		"OtherStartedAfter":     {lost: 1, age: 2 * time.Second, otherAge: 10 * time.Millisecond},
+		"StartedTooLongBefore":  {lost: 1, age: suspectAge + time.Second, otherAge: time.Minute},
+		"OtherStartedLongSince": {lost: 1, age: 10 * time.Millisecond, otherAge: tasks.QuietTime + 20*time.Millisecond, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, quickWorld())
+			o := f.newOwner()
+			t.Cleanup(o.Stop)
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			now := f.clock.Now()
+			r := o.addRunner(runner(0))
+			suspected := o.table.AddJob(job("j", step(1))).Occurrences[0].Steps[0].Tasks[0]
+			suspected.Losses.Losses = test.lost
+			run := r.PlaceTask(suspected, 1)
+			run.Sent, run.SentAt = true, now.Add(-test.age)
+			other := r.PlaceTask(o.table.AddJob(job("k", step(1))).Occurrences[0].Steps[0].Tasks[0], 1)
+			other.Sent, other.SentAt = true, now.Add(-test.otherAge)
+			if got := soleSuspect(r, now) == run; got != test.want {
+				t.Errorf("the task is the sole suspect: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/plat/agent/memory.go
+++ b/internal/plat/agent/memory.go
@@ -150,8 +150,10 @@
 	if s := f.runners[id]; s != nil {
 		delete(f.runners, id)
 		s.notifyWaiters()
-		for ref, run := range s.runs {
+		for ref := range s.runs {
 			f.crashes[ref]++
+		}
+		for ref, run := range s.runs {
 			if run.gang != nil {
 				f.breakGang(run.gang, ref)
 			}
