Move the placement of single tasks to a file of its own, and share a test set-up

Nothing but places changes: the functions that start a step's tasks one by one are in assign.go now. Five tests of single steps of the owner share their set-up.

--- /dev/null
+++ b/internal/flow/order/assign.go
@@ -0,0 +1,147 @@
+package order
+
+import (
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
+)
+
+// serve starts as many tasks of the step as fit.
+func (p *pass) serve(s *tasks.Step) {
+	clear(p.stepStarts)
+	p.releasePlace(s)
+	if s.Job.Spec.Queue.Advice != nil {
+		p.serveAdvised(s)
+		return
+	}
+	if runners := p.eligibleRunners(s); len(runners) > 0 {
+		p.placeTasks(s, runners)
+	}
+}
+
+// placeTasks starts as many tasks of the step as fit on the runners, and returns false when free capacity is lacking.
+func (p *pass) placeTasks(s *tasks.Step, runners []*runnerCapacity) bool {
+	if s.Spec.Gang {
+		return p.serveGang(s, runners)
+	}
+	return p.serveEach(s, runners)
+}
+
+// eligibleRunners returns the runners that could run a task of the step if they were empty.
+func (p *pass) eligibleRunners(s *tasks.Step) []*runnerCapacity {
+	var out []*runnerCapacity
+	for _, r := range p.runners[s.Job.Spec.Queue.Service] {
+		if canRun(s, r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// canRun reports whether the runner could run a task of the step if it were empty.
+func canRun(s *tasks.Step, r *runnerCapacity) bool {
+	if s.Spec.Label != "" && !r.runner.Has(s.Spec.Label) {
+		return false
+	}
+	return taskResources(s).Fits(r.runner.Info.Capacity)
+}
+
+// taskResources returns the resources that a task of the step takes from a runner's capacity.
+func taskResources(s *tasks.Step) types.Resources {
+	n := s.Spec.Resources
+	if s.Spec.Fills {
+		n.Cores = 0
+	}
+	return n
+}
+
+// serveEach places the waiting tasks of the step one by one, and returns false when free capacity is lacking.
+func (p *pass) serveEach(s *tasks.Step, runners []*runnerCapacity) bool {
+	c := stepPlacement{runners: runners}
+	for _, t := range s.Tasks {
+		if p.isDue(t) && !p.placeTask(t, &c) {
+			break
+		}
+	}
+	p.renewTickets(s, c.stale, runners)
+	return !c.lacksCapacity
+}
+
+// isDue reports whether the task waits and may start now.
+func (p *pass) isDue(t *tasks.Task) bool {
+	return t.State == tasks.Waiting && t.Run == nil && !p.now.Before(t.NotBefore)
+}
+
+// placeTask places one task, and returns false when free capacity or headroom is lacking.
+func (p *pass) placeTask(t *tasks.Task, c *stepPlacement) bool {
+	s := t.Step
+	if !p.hasHeadroom(s, 1) {
+		p.headroomOf(s).waits = true
+		return false
+	}
+	choice := p.chooseRunner(t, c.runners)
+	if choice.waits {
+		return true
+	}
+	r := choice.runner
+	if r == nil {
+		c.lacksCapacity = true
+		return false
+	}
+	ticket, ok := p.ticket(s, r)
+	if !ok {
+		// The capacity stays reserved for the task while a new ticket is requested.
+		c.stale = append(c.stale, r)
+		r.free = r.free.Sub(taskResources(s))
+		p.claimHeadroom(s, 1)
+	} else {
+		p.startTask(t, r, ticket, choice.quiet)
+	}
+	if choice.quiet {
+		p.keepQuiet(r)
+	}
+	return true
+}
+
+// startTask adds the start of the task to the plan.
+func (p *pass) startTask(t *tasks.Task, r *runnerCapacity, ticket agent.Ticket, quiet bool) {
+	r.free = r.free.Sub(taskResources(t.Step))
+	p.claimHeadroom(t.Step, 1)
+	p.stepStarts[r.runner]++
+	p.askable[r.runner.Info.Service] -= taskResources(t.Step).Cores
+	until := t.Step.Advice.Answers[r.runner.Incarnation()].Until
+	p.out.Starts = append(p.out.Starts, Start{Task: t, Runner: r.runner, Ticket: ticket, TicketUntil: until, Quiet: quiet})
+}
+
+// bestRunner returns the runner of the lowest cost that has free capacity for the task, or nil.
+func (p *pass) bestRunner(t *tasks.Task, runners []*runnerCapacity) *runnerCapacity {
+	var best *runnerCapacity
+	lowest := 0.0
+	for _, r := range runners {
+		if !p.fitsTask(t, r) {
+			continue
+		}
+		c := cost(t, r)
+		if best == nil || c < lowest {
+			best, lowest = r, c
+		}
+	}
+	return best
+}
+
+// atPerRunnerLimit reports whether the runner has as many tasks of the step as the step's PerRunner limit allows.
+func (p *pass) atPerRunnerLimit(s *tasks.Step, r *runnerCapacity) bool {
+	return s.Spec.PerRunner > 0 && p.countTasks(s, r) >= s.Spec.PerRunner
+}
+
+// countTasks returns the number of tasks of the step that is being served on the runner, including those planned in this
+// pass.
+func (p *pass) countTasks(s *tasks.Step, r *runnerCapacity) int {
+	n := 0
+	for key := range r.runner.Runs {
+		if key.Ref.StepRef == s.Ref {
+			n++
+		}
+	}
+	return n + p.stepStarts[r.runner]
+}
--- a/internal/flow/owner/capacity_test.go
+++ b/internal/flow/owner/capacity_test.go
@@ -32,10 +32,7 @@
 // after it because their write took long.
 func TestShrunkenRunnerGetsNoStartThatExceedsIt(t *testing.T) {
 	f := newFixture(t, quickWorld())
-	o := f.newOwner()
-	t.Cleanup(o.Stop)
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o := f.newLockedOwner()
 	o.directoryAt = f.clock.Now()
 	o.noteConfirmed(f.clock.Now())
 	runs := f.shrunken(o)
@@ -55,10 +52,7 @@
 // the first: if the first was lost, the second would begin the task.
 func TestUnansweredStartIsNotRepeatedOnAShrunkenRunner(t *testing.T) {
 	f := newFixture(t, quickWorld())
-	o := f.newOwner()
-	t.Cleanup(o.Stop)
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o := f.newLockedOwner()
 	o.directoryAt = f.clock.Now()
 	o.noteConfirmed(f.clock.Now())
 	for _, run := range f.shrunken(o) {
@@ -74,10 +68,7 @@
 // the gauge of all others.
 func TestOvercommittedRunnerCountsAsFull(t *testing.T) {
 	f := newFixture(t, quickWorld())
-	o := f.newOwner()
-	t.Cleanup(o.Stop)
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o := f.newLockedOwner()
 	f.shrunken(o)
 	other := o.addRunner(runner(1))
 	other.Synced = true
--- a/internal/flow/owner/fixture_test.go
+++ b/internal/flow/owner/fixture_test.go
@@ -91,6 +91,17 @@
 	})
 }
 
+// newLockedOwner returns the owner of a new term that does not run, with its lock held until the test ends, for tests of one step.
+func (f *fixture) newLockedOwner() *Owner {
+	o := f.newOwner()
+	o.mu.Lock()
+	f.t.Cleanup(func() {
+		o.mu.Unlock()
+		o.Stop()
+	})
+	return o
+}
+
 // startOwner runs the owner of a new term until the test or the returned function ends it.
 func (f *fixture) startOwner() (*Owner, func()) {
 	o := f.newOwner()
--- a/internal/flow/owner/loss_test.go
+++ b/internal/flow/owner/loss_test.go
@@ -206,10 +206,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, quickWorld())
-			o := f.newOwner()
-			t.Cleanup(o.Stop)
-			o.mu.Lock()
-			defer o.mu.Unlock()
+			o := f.newLockedOwner()
 			r := o.addRunner(runner(0))
 			run := r.PlaceTask(o.table.AddJob(job("j", step(1))).Occurrences[0].Steps[0].Tasks[0], 1)
 			run.Sent, run.SentAt = true, f.clock.Now()
@@ -241,10 +238,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, quickWorld())
-			o := f.newOwner()
-			t.Cleanup(o.Stop)
-			o.mu.Lock()
-			defer o.mu.Unlock()
+			o := f.newLockedOwner()
 			now := f.clock.Now()
 			r := o.addRunner(runner(0))
 			suspected := o.table.AddJob(job("j", step(1))).Occurrences[0].Steps[0].Tasks[0]
