--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -83,7 +83,8 @@
 	l.Suspect = loss.Suspect
 }
 
-// IsGivenUp reports whether the task starts no more after the latest loss. Such a task crashes every runner that starts it, for all that is known.
+// IsGivenUp reports whether the task starts no more after the latest loss. Such a task crashes every runner that starts it, for all
+// that is known.
 func (l *LossRecord) IsGivenUp(latest Loss) bool {
 	if l.Crashes < minCrashes {
 		return l.Losses >= maxLosses
