Try only the oldest write of the ledger while the store answers none

Cause: tries of a write that got no answer were repeated after 0.1, 0.2, 0.4 ... s with four unanswered at most, so the end of a silent outage was noticed up to 0.9 s late (a takeover came first), while a store that resets connections got a try from each of up to 20 writes every 120 ms. Change: the oldest write alone asks every 120 to 200 ms; its answer lets the others be tried at once.

--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -46,11 +46,15 @@
 	maxKeysPerBatch = store.MaxBatch - 3
 
 	// The first try of a write may take tryTimeoutFactor times as long as tries usually do, within minTryTimeout and
-	// maxTryTimeout, before another is sent in parallel; at most maxExtraTries+1 are unanswered at a time.
-	maxExtraTries    = 3
-	tryTimeoutFactor = 4
-	minTryTimeout    = 100 * time.Millisecond
-	maxTryTimeout    = 2 * time.Second
+	// maxTryTimeout, before another is sent in parallel. The time doubles with each further one, up to maxProbeInterval unless
+	// tries usually take longer: a store that does not answer is asked that often whether it is back. At most
+	// maxExtraTries+1 are unanswered at a time.
+	maxExtraTries       = 9
+	tryTimeoutFactor    = 4
+	minTryTimeout       = 100 * time.Millisecond
+	maxTryTimeout       = 2 * time.Second
+	maxTimeoutDoublings = 1
+	maxProbeInterval    = 200 * time.Millisecond
 	// latencyWeightDivisor gives one write the weight 1/latencyWeightDivisor in the moving average of the latency.
 	latencyWeightDivisor = 4
 	// initialLatency is the latency that is assumed before the first write.
@@ -95,6 +99,8 @@
 		snapshotSet           int
 		segmentsSinceSnapshot int
 		bytesSinceSnapshot    int
+		// progress tells which writes may be tried again.
+		progress *progress
 		// jobsToDelete holds ended jobs whose keys are still to be deleted.
 		jobsToDelete []specs.JobID
 
--- a/internal/flow/ledger/load.go
+++ b/internal/flow/ledger/load.go
@@ -32,6 +32,7 @@
 	l := &Ledger{
 		config: c, versions: make(map[store.Key]store.Version), partVersions: make(map[store.Key]store.Version),
 		resultKeys: make(map[store.Key]time.Time), nextSegment: 1, usualLatency: initialLatency,
+		progress: newProgress(),
 	}
 	stored, err := l.decode(page)
 	if err != nil {
--- a/internal/flow/ledger/write.go
+++ b/internal/flow/ledger/write.go
@@ -11,30 +11,28 @@
 
 // Run sends the write until its outcome is known or ctx ends. It returns an error of kind Fenced when another leader
 // took over, and Lost when ctx ended with the write in doubt. While a try is unanswered, another is sent in parallel:
-// the condition on the slot lets the write take effect only once, and the answer to any try counts, however late.
+// the condition on the slot lets the write take effect only once, and the answer to any try counts, however late. While the store
+// answers no write, only the oldest one is tried again.
 func (w *Write) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	w.ledger.progress.begin(w.segment.Number)
+	defer w.ledger.progress.end(w.segment.Number)
 	f := inFlightWrite{write: w, startedAt: w.ledger.config.Clock.Now(), results: make(chan tryResult, maxExtraTries+1)}
-	timeout := w.ledger.firstTryTimeout()
 	f.sendTry(runCtx)
 	for {
+		changed := w.ledger.progress.watch()
 		select {
 		case got := <-f.results:
-			f.unanswered--
-			done, err := f.handleResult(runCtx, got)
-			if done {
+			if done, err := f.handleResult(got); done {
 				return err
 			}
-		case <-w.ledger.config.Clock.After(timeout):
-			if f.unanswered > maxExtraTries {
-				continue
-			}
-			timeout = min(2*timeout, maxTryTimeout)
+		case <-f.nextTryDue():
+			f.sendTry(runCtx)
+		case <-changed:
 		case <-ctx.Done():
 			return errs.New(errs.Lost, "segment %d is in doubt, it may or may not be stored: %v", w.segment.Number, ctx.Err())
 		}
-		f.sendTry(runCtx)
 	}
 }
 
@@ -47,7 +45,12 @@
 		tries      int
 		failures   int
 		unanswered int
-		results    chan tryResult
+		// triedAt is when the latest try was sent, and nextTryAt when the next one may be.
+		triedAt   time.Time
+		nextTryAt time.Time
+		// retryAtOnce is set when the next try need not wait for an answer of the store to another write.
+		retryAtOnce bool
+		results     chan tryResult
 	}
 
 	// tryResult is the outcome of one try.
@@ -58,34 +61,51 @@
 	}
 )
 
+// nextTryDue returns a channel that receives when the next try is due, or nil while none may be sent.
+func (f *inFlightWrite) nextTryDue() <-chan time.Time {
+	l := f.write.ledger
+	if f.unanswered > maxExtraTries || (!f.retryAtOnce && !l.progress.mayRetry(f.write.segment.Number, f.triedAt)) {
+		return nil
+	}
+	return l.config.Clock.After(f.nextTryAt.Sub(l.config.Clock.Now()))
+}
+
 // sendTry starts one try; its result arrives on the results channel.
 func (f *inFlightWrite) sendTry(ctx context.Context) {
+	l := f.write.ledger
 	f.tries++
 	f.unanswered++
-	clock := f.write.ledger.config.Clock
+	f.retryAtOnce = false
+	f.triedAt = l.config.Clock.Now()
+	f.nextTryAt = f.triedAt.Add(l.tryTimeout(f.tries))
 	go func() {
-		began := clock.Now()
+		began := l.config.Clock.Now()
 		version, err := f.write.apply(ctx)
-		f.results <- tryResult{version: version, duration: clock.Since(began), err: err}
+		f.results <- tryResult{version: version, duration: l.config.Clock.Since(began), err: err}
 	}()
 }
 
-// handleResult handles the result of a try. It reports whether the write is done, with its error. After a failure, it
-// waits before the next try.
-func (f *inFlightWrite) handleResult(ctx context.Context, got tryResult) (bool, error) {
+// handleResult handles the result of a try. It reports whether the write is done, with its error.
+func (f *inFlightWrite) handleResult(got tryResult) (bool, error) {
 	l := f.write.ledger
+	f.unanswered--
+	now := l.config.Clock.Now()
 	if got.err == nil {
 		f.write.version = got.version
 		l.observeLatency(got.duration)
+		l.progress.noteAnswer(now)
 		return true, nil
 	}
 	if !errs.Is(got.err, errs.Lost, errs.Unavailable) {
 		return true, got.err
 	}
 	f.failures++
-	l.reportFailure(f.failures, l.config.Clock.Since(f.startedAt), got.err)
-	if err := l.backOff(ctx, f.failures, got.err); err != nil {
-		return true, err
+	l.reportFailure(f.failures, now.Sub(f.startedAt), got.err)
+	// Only a first lost answer is followed by a try at once, which finds out whether the write took effect.
+	f.retryAtOnce = f.failures == 1 && errs.Is(got.err, errs.Lost)
+	f.nextTryAt = now
+	if !f.retryAtOnce {
+		f.nextTryAt = now.Add(backoff(f.failures))
 	}
 	return false, nil
 }
@@ -119,11 +139,12 @@
 	return 0, errs.New(errs.Fenced, "epoch %d was superseded by that of another leader", w.segment.Epoch)
 }
 
-// firstTryTimeout returns how long the first try of a write may go unanswered before another is sent in parallel.
-func (l *Ledger) firstTryTimeout() time.Duration {
+// tryTimeout returns how long the given try of a write, counted from 1, may go unanswered before another is sent in parallel.
+func (l *Ledger) tryTimeout(try int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return min(max(tryTimeoutFactor*l.usualLatency, minTryTimeout), maxTryTimeout)
+	first := min(max(tryTimeoutFactor*l.usualLatency, minTryTimeout), maxTryTimeout)
+	return max(first, min(minTryTimeout<<min(try-1, maxTimeoutDoublings), maxProbeInterval))
 }
 
 // observeLatency adds the duration of an answered try to the moving average.
@@ -139,18 +160,8 @@
 	}
 }
 
-// backOff waits before the next try of a write, longer after each failure: while the store is down, many writes are tried.
-// Only a first lost answer is followed by a try at once, which finds out whether the write took effect. If ctx ends
-// meanwhile, the error is of kind Lost: another try may still be unanswered, or have taken effect although its answer was
-// lost.
-func (l *Ledger) backOff(ctx context.Context, failures int, cause error) error {
-	if failures == 1 && errs.Is(cause, errs.Lost) {
-		return nil
-	}
-	select {
-	case <-l.config.Clock.After(min(retryBackoff<<min(failures-1, maxBackoffDoublings), maxRetryBackoff)):
-		return nil
-	case <-ctx.Done():
-		return errs.New(errs.Lost, "the latest try of a write failed (%v), an earlier one may be stored: %v", cause, ctx.Err())
-	}
+// backoff returns the pause before the next try after a number of failed ones, which grows: while the store is down, a write is
+// tried many times.
+func backoff(failures int) time.Duration {
+	return min(retryBackoff<<min(failures-1, maxBackoffDoublings), maxRetryBackoff)
 }
