Let submissions wait for the end of an outage instead of using up their tries

Cause: while the store takes no write, callers were refused at once and returned by a Retry-After of 1 to 4 s, or their jobs were put into a write for another 0.6 s and so were in doubt. Callers have three seconds and five tries, so few were there at the moment when the store came back; without a known leader a call was given up after 0.35 s. Change: a submission that cannot be put into a write waits, at the leader while writes are stalled and at its entry while there is no leader, as long as the odds are over one in twenty (hold). Nothing is put into a write once a try has failed or taken twice as long as usual, so the refusal after a wait in vain is a definite one. What waited counts from its first submission.

--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -161,13 +161,14 @@
 // leaving them unanswered.
 func (o *Owner) handleWriteFailure(tries int, after time.Duration, err error) {
 	o.config.Log.Debug().Err(err).Int("Tries", tries).Dur("After", after).Msg("a try of a ledger write failed")
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failedTryAt = o.config.Clock.Now()
 	refused := errs.Is(err, errs.Unavailable) && tries >= takeoverRefusedTries
 	unanswered := tries >= takeoverUnansweredTries
 	if !refused && !unanswered {
 		return
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.requestTakeover(err, after)
 }
 
@@ -234,10 +235,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.noteConfirmed(w.beganAt)
+	o.committedAt = o.config.Clock.Now()
 	took := o.config.Clock.Since(w.beganAt)
 	o.counters.ledgerWrite.Update(took)
 	o.writeLatency = max(took, o.writeLatency-o.writeLatency/writeLatencyDecay)
 	o.inFlight = o.inFlight[1:]
+	o.resume()
 	for _, f := range w.pending.onDurable {
 		f()
 	}
