--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -45,25 +45,18 @@
 	// maxKeysPerBatch is how many keys one batch may write and delete besides its segment and its two conditions.
 	maxKeysPerBatch = store.MaxBatch - 3
 
-	// The first try of a write may take tryTimeoutFactor times as long as tries usually do, within minTryTimeout and
-	// maxTryTimeout, before another is sent in parallel. The time doubles with each further one, up to maxProbeInterval unless
-	// tries usually take longer: a store that does not answer is asked that often whether it is back. At most
-	// maxExtraTries+1 are unanswered at a time.
-	maxExtraTries       = 9
-	tryTimeoutFactor    = 4
-	minTryTimeout       = 100 * time.Millisecond
-	maxTryTimeout       = 2 * time.Second
-	maxTimeoutDoublings = 1
-	maxProbeInterval    = 200 * time.Millisecond
+	// A try of a write may take tryTimeoutFactor times as long as tries usually do, within minTryTimeout and maxTryTimeout,
+	// before another is sent in parallel; at most maxExtraTries+1 are unanswered at a time.
+	maxExtraTries    = 19
+	tryTimeoutFactor = 4
+	minTryTimeout    = 100 * time.Millisecond
+	maxTryTimeout    = 2 * time.Second
 	// latencyWeightDivisor gives one write the weight 1/latencyWeightDivisor in the moving average of the latency.
 	latencyWeightDivisor = 4
 	// initialLatency is the latency that is assumed before the first write.
 	initialLatency = 60 * time.Millisecond
-	// retryBackoff is the wait after the first failed try of a write. It doubles with each further one, up to
-	// maxRetryBackoff.
-	retryBackoff        = 60 * time.Millisecond
-	maxBackoffDoublings = 1
-	maxRetryBackoff     = 120 * time.Millisecond
+	// retryBackoff is the pause between a failed try of a write and the next one.
+	retryBackoff = 50 * time.Millisecond
 )
 
 type (
--- a/internal/flow/ledger/write.go
+++ b/internal/flow/ledger/write.go
@@ -41,8 +41,7 @@
 	inFlightWrite struct {
 		write     *Write
 		startedAt time.Time
-		// tries counts the tries that were sent, failures those that failed, unanswered those without an answer yet.
-		tries      int
+		// failures counts the tries that failed, unanswered those without an answer yet.
 		failures   int
 		unanswered int
 		// triedAt is when the latest try was sent, and nextTryAt when the next one may be.
@@ -73,11 +72,10 @@
 // sendTry starts one try; its result arrives on the results channel.
 func (f *inFlightWrite) sendTry(ctx context.Context) {
 	l := f.write.ledger
-	f.tries++
 	f.unanswered++
 	f.retryAtOnce = false
 	f.triedAt = l.config.Clock.Now()
-	f.nextTryAt = f.triedAt.Add(l.tryTimeout(f.tries))
+	f.nextTryAt = f.triedAt.Add(l.tryTimeout())
 	go func() {
 		began := l.config.Clock.Now()
 		version, err := f.write.apply(ctx)
@@ -105,7 +103,7 @@
 	f.retryAtOnce = f.failures == 1 && errs.Is(got.err, errs.Lost)
 	f.nextTryAt = now
 	if !f.retryAtOnce {
-		f.nextTryAt = now.Add(backoff(f.failures))
+		f.nextTryAt = now.Add(retryBackoff)
 	}
 	return false, nil
 }
@@ -139,12 +137,11 @@
 	return 0, errs.New(errs.Fenced, "epoch %d was superseded by that of another leader", w.segment.Epoch)
 }
 
-// tryTimeout returns how long the given try of a write, counted from 1, may go unanswered before another is sent in parallel.
-func (l *Ledger) tryTimeout(try int) time.Duration {
+// tryTimeout returns how long a try of a write may go unanswered before another is sent in parallel.
+func (l *Ledger) tryTimeout() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	first := min(max(tryTimeoutFactor*l.usualLatency, minTryTimeout), maxTryTimeout)
-	return max(first, min(minTryTimeout<<min(try-1, maxTimeoutDoublings), maxProbeInterval))
+	return min(max(tryTimeoutFactor*l.usualLatency, minTryTimeout), maxTryTimeout)
 }
 
 // observeLatency adds the duration of an answered try to the moving average.
@@ -159,9 +156,3 @@
 		l.config.OnFailure(failures, after, err)
 	}
 }
-
-// backoff returns the pause before the next try after a number of failed ones, which grows: while the store is down, a write is
-// tried many times.
-func backoff(failures int) time.Duration {
-	return min(retryBackoff<<min(failures-1, maxBackoffDoublings), maxRetryBackoff)
-}
