Answer jobs that are submitted again without the store once their acceptance is durable

Cause: a caller that submitted an accepted job again got 504 when the store was away, since the leader waited for a further write. Change: only a job whose acceptance is not durable yet waits for a write; writes count as stalled from the last commit on.

--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -23,10 +23,8 @@
 	if !o.open {
 		return errs.New(errs.Unavailable, "the leader has not read the ledger yet")
 	}
-	_, ended := o.table.EndedJobs[job.ID]
-	known := o.table.Jobs[job.ID] != nil
-	if ended || known {
-		o.onDurable(durable)
+	if o.isKnown(job.ID) {
+		o.onAcceptanceDurable(job.ID, durable)
 		return nil
 	}
 	if age := o.stalledFor(); age > 0 {
@@ -37,10 +35,27 @@
 		return err
 	}
 	o.accept(job)
+	o.onDurable(func() { delete(o.acceptedNotDurable, job.ID) })
 	o.onDurable(durable)
 	return nil
 }
 
+// isKnown reports whether a job was accepted, and has perhaps ended. The caller must hold o.mu.
+func (o *Owner) isKnown(id specs.JobID) bool {
+	_, ended := o.table.EndedJobs[id]
+	return ended || o.table.Jobs[id] != nil
+}
+
+// onAcceptanceDurable runs f once the acceptance of a known job is durable, at once if it is: a caller that submits a job again
+// must not wait for a store that is away. The caller must hold o.mu.
+func (o *Owner) onAcceptanceDurable(id specs.JobID, f func()) {
+	if _, pending := o.acceptedNotDurable[id]; pending {
+		o.onDurable(f)
+		return
+	}
+	f()
+}
+
 // accept puts an admitted job into the tables and into the next write. The caller must hold o.mu.
 func (o *Owner) accept(job *specs.Job) {
 	now := o.config.Clock.Now()
@@ -48,6 +63,7 @@
 		job.Accepted = now
 	}
 	o.table.AddJob(job)
+	o.acceptedNotDurable[job.ID] = struct{}{}
 	o.pending.entry.Jobs = append(o.pending.entry.Jobs, job)
 	o.counters.jobsAccepted.Inc(1)
 	o.config.Log.Info().Str("Job", string(job.ID)).Str("Queue", string(job.Queue.Name)).Func(organisationFields(job)).
--- a/internal/flow/owner/outage.go
+++ b/internal/flow/owner/outage.go
@@ -116,10 +116,14 @@
 	return errs.After(errs.Unavailable, hold.RetryDelay(age), "%s", errs.Of(cause).Message)
 }
 
-// stalledFor returns how long the oldest write has been in flight if that is so long, or tries of it have failed in such a way,
-// that new jobs are put into no further write; else 0. The caller must hold o.mu.
+// stalledFor returns for how long no write was committed though some are in flight, if that is so long, or a try has failed
+// since, that new jobs are put into no further write; else 0. The caller must hold o.mu.
 func (o *Owner) stalledFor() time.Duration {
 	age := o.oldestWriteAge()
+	if age > 0 {
+		// After an outage the writes in flight are old, but are committed one after the other.
+		age = min(age, o.config.Clock.Since(o.committedAt))
+	}
 	if age > o.stallTimeout() || (age > 0 && o.failedTryAt.After(o.committedAt)) {
 		return age
 	}
--- a/internal/flow/owner/outage_test.go
+++ b/internal/flow/owner/outage_test.go
@@ -184,3 +184,51 @@
 		t.Errorf("the job counts as submitted %s ago, want a minute", age)
 	}
 }
+
+// A caller that submits a job a second time, seconds after it was accepted, must not get an answer in doubt because the store is
+// away at that moment.
+func TestAcceptedJobSubmittedAgainIsAnsweredWithoutTheStore(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := newOwnerInOutage(t, f)
+	if err := o.Submit(t.Context(), job("before", step(1))); err != nil {
+		t.Errorf("submitting an accepted job again: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), holdSlice/2)
+	defer cancel()
+	if err := o.Submit(ctx, job("first", step(1))); !errs.Is(err, errs.Lost) {
+		t.Errorf("submitting a job in doubt again: %v, want kind Lost", err)
+	}
+}
+
+// A slow store must not cost the leader its term: the oldest write in flight is always old there, but writes are committed.
+func TestTakeoverIsRequestedOnlyWhileNoWriteIsCommitted(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	now := f.clock.Now()
+	cases := map[string]struct {
+		committedAt time.Time
+		want        bool
+	}{
+		"Stalled": {committedAt: now.Add(-2 * minStallTimeout), want: true},
+		"Slow":    {committedAt: now.Add(-minStallTimeout / 4), want: false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			o := f.newOwner()
+			defer o.cancel()
+			requested := make(chan struct{}, 1)
+			o.config.OnWritesStalled = func(func() bool) { requested <- struct{}{} }
+			o.inFlight = []*inFlightWrite{{beganAt: now.Add(-2 * minStallTimeout)}}
+			o.committedAt = c.committedAt
+			o.tick()
+			got := false
+			select {
+			case <-requested:
+				got = true
+			case <-time.After(minStallTimeout / 4):
+			}
+			if got != c.want {
+				t.Errorf("takeover requested: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -146,6 +146,8 @@
 		// notYetDurable holds the ended jobs whose result is not durable yet, with the state that is still reported to
 		// callers.
 		notYetDurable map[specs.JobID]tasks.JobState
+		// acceptedNotDurable holds the accepted jobs whose acceptance is not durable yet.
+		acceptedNotDurable map[specs.JobID]struct{}
 		// renewLoops holds the runners that have a lease renewal loop.
 		renewLoops map[*tasks.Runner]struct{}
 		// rates tells which jobs are within the weights of the catalog with the version ratesVersion; it is nil until a
@@ -175,8 +177,11 @@
 		rescuer:       rescue.New(c.Log, c.Metrics),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
-		renewLoops:    make(map[*tasks.Runner]struct{}),
-		usualPace:     make(map[types.ServiceName]float64),
+
+		acceptedNotDurable: make(map[specs.JobID]struct{}),
+
+		renewLoops: make(map[*tasks.Runner]struct{}),
+		usualPace:  make(map[types.ServiceName]float64),
 
 		organisationCounters: newOrganisationCounters(c.Metrics),
 	}
