--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -31,7 +31,7 @@
 	memberPrefix  store.Key = controlPrefix + "Member/"
 
 	// DefaultTTL is the default duration of a lease: how long a daemon counts as alive without a renewal.
-	DefaultTTL = 1400 * time.Millisecond
+	DefaultTTL = time.Second
 	// renewalsPerTTL is how many times a lease is renewed within its TTL.
 	renewalsPerTTL = 4
 	// callTimeout limits one call to the store, and renewTimeout one renewal, so that a lost call can be retried.
