Ask for a takeover as soon as writes are stalled

Cause: a leader that alone could not reach the store asked the others after 0.6 s and gave itself another 0.4 s. Change: 0.2 s without a committed write, and 0.25 s more; a slow store, whose writes are old but committed, does not count.

--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -44,7 +44,7 @@
 	takeoverTimeout = 600 * time.Millisecond
 	// takeoverDelay is the time that this daemon gets for its stalled writes after the store has answered a peer, before
 	// it requests a takeover. It is longer than the pause between two tries of a write.
-	takeoverDelay = 400 * time.Millisecond
+	takeoverDelay = 250 * time.Millisecond
 	// peerQueryTimeout limits one call that asks a peer for leader and catalog.
 	peerQueryTimeout = 250 * time.Millisecond
 )
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -19,8 +19,7 @@
 	takeoverRefusedTries    = 3
 	takeoverUnansweredTries = 4
 	takeoverRequestInterval = 500 * time.Millisecond
-	// takeoverWriteTimeout is how long a write must have been in flight for the writes to count as stalled, so that the
-	// other daemons are asked to take over.
+	// takeoverWriteTimeout is how long the writes must have been stalled for the other daemons to be asked to take over.
 	takeoverWriteTimeout = 200 * time.Millisecond
 	// maxInFlight limits the writes that wait to be committed.
 	maxInFlight = 20
@@ -172,10 +171,10 @@
 	o.requestTakeover(err, after)
 }
 
-// checkUnansweredWrites asks the other daemons to take over when the oldest write has got no answer for so long that new
-// jobs are rejected: the store may be unreachable for this daemon only. The caller must hold o.mu.
+// checkUnansweredWrites asks the other daemons to take over when the writes have got no answer for so long that new jobs are
+// put into none: the store may be unreachable for this daemon only. The caller must hold o.mu.
 func (o *Owner) checkUnansweredWrites() {
-	if age := o.oldestWriteAge(); age > admitWriteTimeout {
+	if age := o.stalledFor(); age > takeoverWriteTimeout {
 		o.requestTakeover(errs.New(errs.Lost, "the store has not answered"), age)
 	}
 }
@@ -192,22 +191,27 @@
 	go o.config.OnWritesStalled(o.hasStalledWrites)
 }
 
-// hasStalledWrites reports whether a write has been in flight for longer than takeoverWriteTimeout.
+// hasStalledWrites reports whether no write has been committed for longer than takeoverWriteTimeout though some are in flight.
 func (o *Owner) hasStalledWrites() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.ctx.Err() == nil && o.oldestWriteAge() > takeoverWriteTimeout
+	return o.ctx.Err() == nil && o.stalledFor() > takeoverWriteTimeout
 }
 
-// runWrites runs the writes one after the other and sends the result to done.
+// runWrites runs the writes at the same time and sends the first error, or nil, to done once all have ended. After an outage one
+// entry holds the jobs of seconds, and so has many writes.
 func (w *inFlightWrite) runWrites(ctx context.Context) {
+	outcomes := make(chan error, len(w.writes))
 	for _, segment := range w.writes {
-		if err := segment.Run(ctx); err != nil {
-			w.done <- err
-			return
+		go func() { outcomes <- segment.Run(ctx) }()
+	}
+	var first error
+	for range w.writes {
+		if err := <-outcomes; err != nil && first == nil {
+			first = err
 		}
 	}
-	w.done <- nil
+	w.done <- first
 }
 
 // commitLoop commits the writes in the order in which they began, each once it is durable, and then writes the
