Let weak daemons wait for strong ones also after all have restarted

A longer loss of power would have shown the same with longer leases. Change: the epoch record, which no lease bounds, holds the highest strength that the leader knew; a daemon that starts remembers it.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -93,6 +93,9 @@
 		Epoch types.Epoch `json:"Epoch"`
 		// Nonce distinguishes the claims of different daemons, and those of successive processes of one daemon.
 		Nonce store.Nonce `json:"Nonce"`
+		// Strength is the highest election weight that the leader knew when its term began. It tells a weak daemon to let
+		// others claim leadership first when all have restarted and none is listed.
+		Strength Strength `json:"Strength,omitempty"`
 	}
 
 	// Config holds the dependencies and settings of an Elector.
@@ -364,6 +367,7 @@
 	}
 	if entry.Version > e.epochVersion {
 		e.epochRecord, e.epochVersion = record, entry.Version
+		e.rememberStrength(record.Strength)
 	}
 }
 
--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -336,3 +336,18 @@
 		t.Errorf("the weak daemon waits %s long after the strong one was listed, want none", got)
 	}
 }
+
+// When all daemons have restarted and their leases have expired, none is listed. A weak daemon that starts first must still let the
+// strong ones claim leadership: as the leader of a large fleet it would serve almost nobody.
+func TestWeakDaemonLetsStrongOnesClaimAfterAllHaveRestarted(t *testing.T) {
+	f := newClusterFixture(t)
+	former := f.joinWithStrength("former", 1)
+	f.awaitLeader(former)
+	former.StepDown(context.Background())
+	began := time.Now()
+	weak := f.joinWithStrength("weak", 0.2)
+	f.eventually("the weak daemon leads, as no other does", func() bool { return f.termOf(weak) != nil })
+	if took := time.Since(began); took < 2*weakDelayStep {
+		t.Errorf("the weak daemon claimed leadership after %s, want at least %s", took, 2*weakDelayStep)
+	}
+}
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -184,10 +184,9 @@
 	}
 }
 
-// weakDelay returns the delay during which this daemon lets stronger ones claim leadership first, also ones that were
-// listed until recently. The caller must hold
-// e.mu.
-func (e *Elector) weakDelay() time.Duration {
+// knownStrength returns the highest Strength of this daemon, those listed, and those that were listed until recently. The caller
+// must hold e.mu.
+func (e *Elector) knownStrength() Strength {
 	strongest := e.config.Strength
 	for _, m := range e.members {
 		strongest = max(strongest, m.Strength)
@@ -196,6 +195,12 @@
 	if e.config.Clock.Since(e.strongestAt) <= strengthMemory {
 		strongest = max(strongest, e.strongest)
 	}
+	return strongest
+}
+
+// weakDelay returns the delay during which this daemon lets stronger ones claim leadership first. The caller must hold e.mu.
+func (e *Elector) weakDelay() time.Duration {
+	strongest := e.knownStrength()
 	switch {
 	case e.config.Strength >= strongShare*strongest:
 		return 0
@@ -223,7 +228,7 @@
 // claim tries to become leader under a new epoch.
 func (e *Elector) claim(ctx context.Context) {
 	e.mu.Lock()
-	next := epochRecord{Epoch: e.epochRecord.Epoch + 1, Nonce: e.nonce}
+	next := epochRecord{Epoch: e.epochRecord.Epoch + 1, Nonce: e.nonce, Strength: e.knownStrength()}
 	lease, leaderVersion, epochVersion := e.lease, e.leaderVersion, e.epochVersion
 	e.mu.Unlock()
 	leader := Leader{Target: e.config.Self, Epoch: next.Epoch}
@@ -292,7 +297,7 @@
 	}
 	leader.Deleted = leader.Version == store.Absent
 	e.applyLeader(leader)
-	isOwn := e.epochRecord == next && e.leader.Epoch == next.Epoch && e.leader.Target.VM == e.config.Self.VM
+	isOwn := e.epochRecord.Epoch == next.Epoch && e.epochRecord.Nonce == next.Nonce && e.leader.Epoch == next.Epoch && e.leader.Target.VM == e.config.Self.VM
 	if isOwn {
 		return store.Outcome{Applied: true, Version: epoch.Version}, nil
 	}
