Test what blames a task for a lost runner, and forget losses after an attempt that lasted

Three mutations were caught by no test: a task alone on a runner of a mass loss is blamed, a crash counts as prompt though another runner went with it, and old runs are suspected. Each fails a test now. Cause of the change: losses were never forgotten, so a batch task of hours that meets four crashes of its runners was given up. Change: an attempt that has gone on for ten minutes clears the earlier losses.

--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -21,6 +21,9 @@
 	maxSuspects = 3
 	// lastingProofAge is how long a run of a service must have gone on for the loss of its runner not to count against it.
 	lastingProofAge = 10 * time.Second
+	// clearingAge is how long an attempt must have gone on for the earlier losses of its task not to count any more. A task that
+	// crashes its runners later than that costs one in each such time.
+	clearingAge = 10 * time.Minute
 	// brokenWindow is the time before and after the loss of a runner in which other losses count as simultaneous, if their connections
 	// broke, which is noticed at once. silentWindow is that for runners that no longer answer.
 	brokenWindow = 150 * time.Millisecond
@@ -125,7 +128,9 @@
 		}
 		isAlone := culprit != nil && run.SameUnit(culprit)
 		isPrompt := isAlone && others == 0 && run.Age(now) <= promptAge
-		out[run] = tasks.Loss{Counts: true, Crashed: crashed, Alone: isAlone, Prompt: isPrompt}
+		out[run] = tasks.Loss{
+			Counts: true, Crashed: crashed, Alone: isAlone, Prompt: isPrompt, Lasted: run.Age(now) >= clearingAge,
+		}
 	}
 	if !isMass {
 		markSuspects(out, culprit, now)
--- a/internal/flow/owner/loss_test.go
+++ b/internal/flow/owner/loss_test.go
@@ -253,3 +253,88 @@
 		})
 	}
 }
+
+// lossFixture is an owner with a run on a runner that is about to be lost, and that is alone there after an earlier loss.
+func lossFixture(t *testing.T, age time.Duration) (*Owner, *tasks.Runner, *tasks.Run) {
+	t.Helper()
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	r := o.addRunner(runner(0))
+	task := o.table.AddJob(job("j", step(1))).Occurrences[0].Steps[0].Tasks[0]
+	task.Losses = tasks.LossRecord{Losses: 1, Crashes: 1, Suspect: true}
+	run := r.PlaceTask(task, 2)
+	run.Sent, run.SentAt = true, f.clock.Now().Add(-age)
+	return o, r, run
+}
+
+// loseOthers lets further runners become unreachable at this moment.
+func loseOthers(o *Owner, count int) {
+	for i := range count {
+		o.noteUnreachable(o.addRunner(runner(i+1)), false)
+	}
+}
+
+// TestBlameForACrashDependsOnOtherLosses guards against a task that is blamed because it was alone on its runner, though other
+// runners were lost with it: then the cause is likely to be another one.
+func TestBlameForACrashDependsOnOtherLosses(t *testing.T) {
+	for name, test := range map[string]struct {
+		others        int
+		alone, prompt bool
+	}{
+		"NoOther":  {alone: true, prompt: true},
+		"OneOther": {others: 1, alone: true},
+		"Many":     {others: minMassLoss},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, r, run := lossFixture(t, 10*time.Millisecond)
+			loseOthers(o, test.others)
+			o.noteUnreachable(r, false)
+			if got := o.assessLoss(r, true)[run]; got.Alone != test.alone || got.Prompt != test.prompt {
+				t.Errorf("alone %v and prompt %v, want %v and %v", got.Alone, got.Prompt, test.alone, test.prompt)
+			}
+		})
+	}
+}
+
+// TestOnlyRecentStartsAreSuspected guards against tasks that wait for a runner of their own after each crash, though they had gone on
+// for long.
+func TestOnlyRecentStartsAreSuspected(t *testing.T) {
+	for name, test := range map[string]struct {
+		age  time.Duration
+		want bool
+	}{
+		"Recent": {age: suspectAge / 2, want: true},
+		"Old":    {age: suspectAge + time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, r, run := lossFixture(t, test.age)
+			o.noteUnreachable(r, false)
+			if got := o.assessLoss(r, true)[run].Suspect; got != test.want {
+				t.Errorf("the task is suspected: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestLongAttemptsClearEarlierLosses guards against a batch task of hours that is given up because four of its runners crash over
+// its life.
+func TestLongAttemptsClearEarlierLosses(t *testing.T) {
+	for name, test := range map[string]struct {
+		age     time.Duration
+		givenUp bool
+	}{
+		"Short": {age: time.Minute, givenUp: true},
+		"Long":  {age: clearingAge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, r, run := lossFixture(t, test.age)
+			o.noteUnreachable(r, false)
+			record := tasks.LossRecord{Losses: 3, Crashes: 3, In: 1}
+			loss := o.assessLoss(r, true)[run]
+			record.Add(loss, run.Key.Attempt)
+			if got := record.IsGivenUp(loss); got != test.givenUp {
+				t.Errorf("given up after a fourth loss at the age of %s: %v, want %v", test.age, got, test.givenUp)
+			}
+		})
+	}
+}
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -51,6 +51,8 @@
 		Counts bool
 		// Crashed is set when the runner has certainly crashed, and is not just out of reach.
 		Crashed bool
+		// Lasted is set when the attempt had gone on for so long that the earlier losses tell nothing of its task any more.
+		Lasted bool
 		// Suspect is set when the task may be the cause of the loss.
 		Suspect bool
 		// Alone is set when no other task can be the cause of the crash. Prompt is set in addition when the crash followed the start at
@@ -67,11 +69,15 @@
 	}
 )
 
-// Add counts a loss in which the given attempt ended, once for each attempt.
+// Add counts a loss in which the given attempt ended, once for each attempt. It forgets the earlier ones if the attempt lasted:
+// over hours, an innocent task meets several runners that crash for reasons of their own.
 func (l *LossRecord) Add(loss Loss, attempt specs.Attempt) {
 	if !loss.Counts || attempt <= l.In {
 		return
 	}
+	if loss.Lasted {
+		*l = LossRecord{}
+	}
 	l.In = attempt
 	l.Losses++
 	if loss.Crashed {
