Do not quarantine runner after runner for a task that never makes progress

Cause: a task that stands still wherever it runs was stopped every 1.5 s, and each time its runner got no new work for 3 s. Change: from the third stopped attempt on the task counts as the cause unless another task stalls on the same runner, and its time without progress doubles with each. The count is the leader's own and starts anew with the next one. The test failed before (the third runner is quarantined, the fifth attempt is stopped after 1.5 s).

--- a/internal/flow/owner/health.go
+++ b/internal/flow/owner/health.go
@@ -9,6 +9,10 @@
 const (
 	// stallTimeout is how long a task may make no progress before it is stopped to start elsewhere; stallLimit extends it.
 	stallTimeout = 1500 * time.Millisecond
+	// suspectStalls is after how many stopped attempts the task, and not the runner, counts as the cause of a further one. From
+	// then on its time without progress doubles with each, up to maxStallDoublings times.
+	suspectStalls     = 2
+	maxStallDoublings = 5
 	// stallQuarantine is how long a runner whose tasks make no progress gets no new ones.
 	stallQuarantine = 3 * time.Second
 	// progressCheckInterval is the minimum time between two checks of how fast a runner works.
@@ -83,9 +87,18 @@
 	for _, stalled := range stalledRunners(run, now) {
 		stalled.Health.QuarantinedUntil = now.Add(stallQuarantine)
 	}
+	stallCounter(run).Stalls++
 	o.stopWithGang(run, tasks.EndedStalled)
 }
 
+// stallCounter returns the task that counts the stalled attempts of the run's task, or of its gang.
+func stallCounter(run *tasks.Run) *tasks.Task {
+	if run.Task.Step.Spec.Gang {
+		return run.Task.Step.Tasks[0]
+	}
+	return run.Task
+}
+
 // projectedRunTime returns how long the whole task takes at the speed of its progress so far; false means that it is
 // too early to tell. The caller must hold o.mu.
 func (o *Owner) projectedRunTime(run *tasks.Run, now time.Time) (time.Duration, bool) {
--- a/internal/flow/owner/health_test.go
+++ b/internal/flow/owner/health_test.go
@@ -90,6 +90,39 @@
 	}
 }
 
+// A task that makes no progress on any runner must not quarantine one after the other, and must not be started again and again
+// after the same time.
+func TestTaskThatStallsEverywhereQuarantinesNoFurtherRunner(t *testing.T) {
+	for name, c := range map[string]struct {
+		// stalls is how often the task has stalled before, count the number of tasks that stall on the runner.
+		stalls, count int
+		quarantined   bool
+		limit         time.Duration
+	}{
+		"First":  {count: 1, quarantined: true, limit: stallTimeout},
+		"Second": {stalls: 1, count: 1, quarantined: true, limit: stallTimeout},
+		"Third":  {stalls: suspectStalls, count: 1, limit: stallTimeout},
+		"Fifth":  {stalls: suspectStalls + 2, count: 1, limit: 4 * stallTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newHealthFixture(t, c.count)
+			f.runs[0].Task.Stalls = c.stalls
+			f.reportProgress(30, 0)
+			f.reportProgress(30, c.limit-progressCheckInterval)
+			if got := f.stoppedCount(); got != 0 {
+				t.Fatalf("%d tasks are stopped before %s", got, c.limit)
+			}
+			f.reportProgress(30, c.limit+progressCheckInterval)
+			if got := f.stoppedCount(); got != c.count {
+				t.Errorf("%d tasks are stopped after %s, want %d", got, c.limit, c.count)
+			}
+			if got := f.runner.Health.QuarantinedUntil.After(f.began.Add(c.limit)); got != c.quarantined {
+				t.Errorf("the runner is quarantined: %v, want %v", got, c.quarantined)
+			}
+		})
+	}
+}
+
 // TestTasksMoveAwayFromASlowRunner checks that the tasks on a slow runner are stopped, not that they start elsewhere.
 func TestTasksMoveAwayFromASlowRunner(t *testing.T) {
 	f := newHealthFixture(t, 3)
--- a/internal/flow/owner/slow.go
+++ b/internal/flow/owner/slow.go
@@ -100,7 +100,7 @@
 		lost := now.Sub(run.LatestSave()) - now.Sub(run.ProgressAt)
 		limit = max(limit, gangMoveOverhead+lost)
 	}
-	return limit
+	return limit << min(max(0, stallCounter(run).Stalls-suspectStalls), maxStallDoublings)
 }
 
 // remainingHere returns how long a run, or the slowest member of its gang, still takes on its present runner, given how long
@@ -161,7 +161,8 @@
 }
 
 // stalledRunners returns the runners on which a run, or its gang, is stalled: for a gang those of its members on which other
-// tasks are stalled too, since one runner holds up the whole gang. If there are none, it is the runner of the run.
+// tasks are stalled too, since one runner holds up the whole gang. If there are none, it is the runner of the run, unless the task
+// has stalled on others before: a task that never makes progress must not quarantine runner after runner.
 func stalledRunners(run *tasks.Run, now time.Time) []*tasks.Runner {
 	var out []*tasks.Runner
 	if run.Task.Step.Spec.Gang {
@@ -171,7 +172,8 @@
 			}
 		}
 	}
-	if len(out) == 0 {
+	isRunnerSuspect := stallCounter(run).Stalls < suspectStalls || hasOtherStalledRun(run, now)
+	if len(out) == 0 && isRunnerSuspect {
 		return []*tasks.Runner{run.Runner}
 	}
 	return out
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -51,6 +51,8 @@
 		Faulted specs.Attempt
 		// Losses counts the attempts that ended with the loss of their runner.
 		Losses LossRecord
+		// Stalls counts the attempts that this leader stopped for lack of progress; for a gang its first member counts them.
+		Stalls int
 		// Runner is the runner on which the latest attempt was placed.
 		Runner specs.RunnerID
 		// Checkpoint is the state from which the next attempt continues. For a member of a gang it is the one with which its
