Count copies, wake loops and tick in one place each

How often an amount of resources fits within another stood three times (order, table, envdoc), the signal that wakes a loop seven times, and the loop that ticks or is woken three times in lend and lead. No decision changes.

--- a/internal/conf/envdoc/envdoc.go
+++ b/internal/conf/envdoc/envdoc.go
@@ -234,18 +234,8 @@
 
 // tasksPerWorker returns how many tasks fit on one empty worker, at most types.MaxTasks.
 func tasksPerWorker(task, capacity types.Resources) int {
-	if task.IsZero() || !task.Fits(capacity) {
+	if task.IsZero() {
 		return 0
 	}
-	tasks := int64(types.MaxTasks)
-	if task.Cores > 0 {
-		tasks = min(tasks, int64(capacity.Cores/task.Cores))
-	}
-	if task.Memory > 0 {
-		tasks = min(tasks, int64(capacity.Memory/task.Memory))
-	}
-	if task.Accelerators > 0 {
-		tasks = min(tasks, int64(capacity.Accelerators/task.Accelerators))
-	}
-	return int(tasks)
+	return task.CountIn(capacity, types.MaxTasks)
 }
--- a/internal/conf/spread/feed.go
+++ b/internal/conf/spread/feed.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
@@ -149,10 +150,7 @@
 		Actor: record.By, Verb: audit.VerbInForce, Subject: string(record.Environment),
 		Revision: record.Revision, Cause: source,
 	})
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
+	every.Wake(s.changed)
 }
 
 // forwardLoop forwards each new record until ctx ends.
--- a/internal/core/every/every.go
+++ b/internal/core/every/every.go
@@ -1,4 +1,4 @@
-// Package every runs a function at a fixed interval until a context ends.
+// Package every runs functions at a fixed interval, or when they are woken, until a context ends.
 package every
 
 import (
@@ -11,6 +11,14 @@
 // Run runs the step once per interval until ctx ends, and then returns nil. The first run is after one interval; runs
 // don't overlap.
 func Run(ctx context.Context, clock clockwork.Clock, interval time.Duration, step func(ctx context.Context)) error {
+	return RunWoken(ctx, clock, interval, step, nil, nil)
+}
+
+// RunWoken is Run that also runs woken for each signal on wake. No two runs of either function overlap.
+func RunWoken(
+	ctx context.Context, clock clockwork.Clock, interval time.Duration, step func(ctx context.Context),
+	wake <-chan struct{}, woken func(ctx context.Context),
+) error {
 	ticker := clock.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -19,6 +27,16 @@
 			return nil
 		case <-ticker.Chan():
 			step(ctx)
+		case <-wake:
+			woken(ctx)
 		}
 	}
 }
+
+// Wake sends a signal on a channel of capacity one, unless one is pending.
+func Wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/internal/core/types/units.go
+++ b/internal/core/types/units.go
@@ -64,6 +64,24 @@
 	return r.Cores <= within.Cores && r.Memory <= within.Memory && r.Accelerators <= within.Accelerators
 }
 
+// CountIn returns how many times the amount fits within the given resources, at most limit.
+func (r Resources) CountIn(within Resources, limit int) int {
+	if !r.Fits(within) {
+		return 0
+	}
+	count := int64(limit)
+	if r.Cores > 0 {
+		count = min(count, int64(within.Cores/r.Cores))
+	}
+	if r.Memory > 0 {
+		count = min(count, int64(within.Memory/r.Memory))
+	}
+	if r.Accelerators > 0 {
+		count = min(count, int64(within.Accelerators/r.Accelerators))
+	}
+	return int(count)
+}
+
 // IsZero reports whether every resource is zero.
 func (r Resources) IsZero() bool {
 	return r == Resources{}
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -190,35 +190,13 @@
 
 // countFitting returns how many more tasks of the step fit on the runner now.
 func (p *pass) countFitting(s *tasks.Step, r *runnerCapacity) int {
-	need := taskResources(s)
-	if !need.Fits(r.free) {
-		return 0
-	}
-	n := maxCopies(need, r.free)
+	n := taskResources(s).CountIn(r.free, specs.MaxWidth)
 	if s.Spec.PerRunner > 0 {
 		n = min(n, s.Spec.PerRunner-p.countTasks(s, r))
 	}
 	return max(n, 0)
 }
 
-// maxCopies returns how many times need fits within the given resources, at most maxGangWidth.
-func maxCopies(need, within types.Resources) int {
-	n := maxGangWidth
-	if need.Cores > 0 {
-		n = min(n, int64(within.Cores/need.Cores))
-	}
-	if need.Memory > 0 {
-		n = min(n, int64(within.Memory/need.Memory))
-	}
-	if need.Accelerators > 0 {
-		n = min(n, int64(within.Accelerators/need.Accelerators))
-	}
-	return int(n)
-}
-
-// maxGangWidth is the largest number of tasks that a gang can have.
-const maxGangWidth = int64(specs.MaxWidth)
-
 // subtractShares takes the resources of the shares from the capacity that is free for other steps in this pass.
 func (p *pass) subtractShares(s *tasks.Step, shares []gangShare) {
 	for _, sh := range shares {
@@ -255,7 +233,7 @@
 	slices.SortStableFunc(sorted, func(a, b *runnerCapacity) int { return cmp.Compare(b.free.Cores, a.free.Cores) })
 	left := len(s.Tasks)
 	for _, r := range sorted {
-		n := min(left, maxCopies(taskResources(s), r.runner.Info.Capacity))
+		n := min(left, taskResources(s).CountIn(r.runner.Info.Capacity, specs.MaxWidth))
 		r.free = r.free.Sub(taskResources(s).Times(n))
 		left -= n
 		if left == 0 {
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
@@ -144,10 +145,7 @@
 	if s.Spec.Gang {
 		return p.wantedMembers(s, h, available)
 	}
-	if !counted(s, 1).Fits(available) {
-		return 0
-	}
-	return min(s.WaitingTasks, maxCopies(counted(s, 1), available))
+	return counted(s, 1).CountIn(available, s.WaitingTasks)
 }
 
 // wantedMembers is wantedTasks for a gang, which needs advice for all of its tasks or for none. One that holds its
@@ -209,7 +207,7 @@
 		if !canRun(s, r) {
 			continue
 		}
-		n := maxCopies(taskResources(s), r.runner.Info.Capacity)
+		n := taskResources(s).CountIn(r.runner.Info.Capacity, specs.MaxWidth)
 		if s.Spec.PerRunner > 0 {
 			n = min(n, s.Spec.PerRunner)
 		}
--- a/internal/flow/owner/advice.go
+++ b/internal/flow/owner/advice.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -57,7 +58,7 @@
 			o.table.Shares.Learn(s.Job.Spec.Queue.Name, len(incarnations), len(permits))
 		}
 		s.Advice.RecordAnswer(incarnations, permits, now.Add(policy.Validity-answerMargin))
-		wake(o.planWake)
+		every.Wake(o.planWake)
 	})()
 }
 
@@ -84,7 +85,7 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.collectingAdvice = false
-		wake(o.planWake)
+		every.Wake(o.planWake)
 	})
 }
 
@@ -117,5 +118,5 @@
 			t.Step.Advice.RecordAnswer(c.Asked, c.Permits, now.Add(c.Left-answerMargin))
 		}
 	}
-	wake(o.planWake)
+	every.Wake(o.planWake)
 }
--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/hold"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -68,7 +69,7 @@
 	o.counters.jobsAccepted.Inc(1)
 	o.config.Log.Info().Str("Job", string(job.ID)).Str("Queue", string(job.Queue.Name)).Func(organisationFields(job)).
 		Dur("Waited", now.Sub(job.Accepted)).Int("Steps", len(job.Steps)).Int("Waiting", len(o.table.Jobs)).Msg("job accepted")
-	wake(o.planWake)
+	every.Wake(o.planWake)
 }
 
 // awaitDurable waits until a change is durable. An error of kind Lost means that the change is in doubt.
@@ -210,7 +211,7 @@
 		Dur("After", at.Sub(j.Spec.Accepted)).Dur("Advised", elapsed(j.Advised, j.Spec.Accepted)).
 		Dur("Started", elapsed(j.Started, j.Spec.Accepted)).Dur("Allowance", j.Allowance()).
 		Str("Reason", reason).Msg("job ended")
-	wake(o.planWake)
+	every.Wake(o.planWake)
 }
 
 // elapsed returns the time from one moment to another, or 0 when at is zero.
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
@@ -174,7 +175,7 @@
 	o.removeMissingRuns(r, listed, request.Fence, sentAt)
 	o.checkProgress(r, madeAt)
 	if len(report.Results) > 0 || !r.Synced {
-		wake(o.planWake)
+		every.Wake(o.planWake)
 	}
 	if request.Fence == r.Fence {
 		r.Synced = true
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -269,10 +269,3 @@
 func (o *Owner) Stop() {
 	o.cancel()
 }
-
-func wake(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
@@ -98,7 +99,7 @@
 		o.stopOtherMembers(t, result.Attempt)
 	}
 	o.endJobIfFinished(t.Step.Job, t, end.loss)
-	wake(o.planWake)
+	every.Wake(o.planWake)
 }
 
 // recordDone records that a task, or with it its whole gang, is done. The caller must hold o.mu.
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -278,7 +279,7 @@
 	o.updateOrganisations(now)
 	o.applyWeights()
 	o.organisationCounters.updateWaiting(o.table.Jobs)
-	wake(o.planWake)
+	every.Wake(o.planWake)
 }
 
 // updateGauges updates the gauges of the jobs, the runs and the free cores. The caller must hold o.mu.
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
@@ -59,7 +60,7 @@
 	if f != nil {
 		o.pending.onDurable = append(o.pending.onDurable, f)
 	}
-	wake(o.writeWake)
+	every.Wake(o.writeWake)
 }
 
 // writeLoop makes the recorded changes durable. Several writes may be in flight; the functions that wait for them run
--- a/internal/flow/relay/link.go
+++ b/internal/flow/relay/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 )
@@ -102,8 +103,8 @@
 		go l.dispatchLoop()
 		go l.collectLoop()
 	}
-	wake(l.queued)
-	wake(l.expecting)
+	every.Wake(l.queued)
+	every.Wake(l.expecting)
 	return o.ID
 }
 
@@ -339,10 +340,3 @@
 	case <-c.config.Clock.After(d):
 	}
 }
-
-func wake(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
@@ -178,10 +179,7 @@
 
 // wakeRun makes Run tick at TickInterval, because a request has begun to wait.
 func (e *Entry) wakeRun() {
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
+	every.Wake(e.wake)
 }
 
 // Tick applies the environment document, rejects requests that have waited too long and assigns free slots to the
--- a/internal/route/lend/holder.go
+++ b/internal/route/lend/holder.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
@@ -93,17 +94,7 @@
 
 // Run trades with the leaders until ctx ends. It always returns nil.
 func (o *Holder) Run(ctx context.Context) error {
-	ticker := o.config.Clock.NewTicker(TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-		case <-o.wakeup:
-		}
-		o.Tick(ctx)
-	}
+	return every.RunWoken(ctx, o.config.Clock, TickInterval, o.Tick, o.wakeup, o.Tick)
 }
 
 // Tick frees the slots in doubt whose time has passed and starts a call to each leader that is due one. It does not
--- a/internal/route/lend/lender.go
+++ b/internal/route/lend/lender.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
@@ -139,18 +140,7 @@
 
 // Run calls Tick once per TradeInterval and notifies entries on request until ctx ends. It always returns nil.
 func (l *Lender) Run(ctx context.Context) error {
-	ticker := l.config.Clock.NewTicker(TradeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			l.Tick(ctx)
-		case <-l.notify:
-			l.notifyHolders(ctx)
-		}
-	}
+	return every.RunWoken(ctx, l.config.Clock, TradeInterval, l.Tick, l.notify, l.notifyHolders)
 }
 
 // Tick reads the lists of runners and entries, and asks the entries that have not stated yet what they hold. It does
--- a/internal/route/lend/notify.go
+++ b/internal/route/lend/notify.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 )
@@ -17,10 +18,7 @@
 
 // requestNotify makes Run notify the entries that hold more than their fair share.
 func (l *Lender) requestNotify() {
-	select {
-	case l.notify <- struct{}{}:
-	default:
-	}
+	every.Wake(l.notify)
 }
 
 // notifyHolders asks the entries that hold more than their fair share to call now: the reply to that call recalls the
--- a/internal/route/lend/pool.go
+++ b/internal/route/lend/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
 )
@@ -236,10 +237,7 @@
 }
 
 func (o *Holder) wake() {
-	select {
-	case o.wakeup <- struct{}{}:
-	default:
-	}
+	every.Wake(o.wakeup)
 }
 
 // Held returns how many slots of a service are held within the distance, busy or not. Barred runners do not count.
--- a/internal/sched/lead/lead.go
+++ b/internal/sched/lead/lead.go
@@ -17,6 +17,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
@@ -186,18 +187,7 @@
 
 // Run ticks, and applies results as they arrive, until ctx ends. It always returns nil.
 func (l *Leader) Run(ctx context.Context) error {
-	ticker := l.cfg.Clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			l.Tick(ctx)
-		case <-l.wake:
-			l.processInbox(ctx)
-		}
-	}
+	return every.RunWoken(ctx, l.cfg.Clock, tickInterval, l.Tick, l.wake, l.processInbox)
 }
 
 // Tick applies the results that have arrived, runs the periodic work of the current role, and starts the
@@ -272,10 +262,7 @@
 	l.inbox.mu.Lock()
 	l.inbox.ready = append(l.inbox.ready, asyncResult{term: term, apply: apply})
 	l.inbox.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	every.Wake(l.wake)
 }
 
 func (l *Leader) applyInbox() {
--- a/internal/sched/table/reserve.go
+++ b/internal/sched/table/reserve.go
@@ -59,20 +59,7 @@
 
 // Fit returns how many times need fits into within, at most types.MaxTasks.
 func Fit(need, within types.Resources) int {
-	if !need.Fits(within) {
-		return 0
-	}
-	count := int64(types.MaxTasks)
-	if need.Cores > 0 {
-		count = min(count, int64(within.Cores/need.Cores))
-	}
-	if need.Memory > 0 {
-		count = min(count, int64(within.Memory/need.Memory))
-	}
-	if need.Accelerators > 0 {
-		count = min(count, int64(within.Accelerators/need.Accelerators))
-	}
-	return int(count)
+	return need.CountIn(within, types.MaxTasks)
 }
 
 // Rooms returns the free capacity of the workers that may be given tasks, rounded down to whole cores and GiB
