Refuse submissions at once again while the store takes no write

Why: callers' own retries are dense enough to meet the store's return, and what waited comes back in one rush, in which fresh work is late. What stays of it: nothing is put into a write while the store takes none, so refusals are definite, and accepted jobs are answered without the store.

--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -15,7 +15,6 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/uptime"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/feed"
-	"github.com/magnoliawalk/magnoliawalk/internal/flow/hold"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/owner"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/relay"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -32,12 +31,13 @@
 	leaderTimeout = 350 * time.Millisecond
 	// minCallTime is the least time left with which a call to the leader is begun.
 	minCallTime = 100 * time.Millisecond
-	// retryBackoff is the pause before a call to the leader is retried. It doubles with each retry, up to maxRetryBackoff.
-	retryBackoff    = 40 * time.Millisecond
-	maxRetryBackoff = 160 * time.Millisecond
+	// retryBackoff is the pause before a call to the leader is retried.
+	retryBackoff = 40 * time.Millisecond
 	// firstCatalogTimeout is how long a call waits for the first catalog. When all daemons start at once, callers reach them
 	// before they have read it, and a refusal would cost the caller one of its few tries.
 	firstCatalogTimeout = 700 * time.Millisecond
+	// retryAfter is the time after which callers may retry: by then a new leader should have taken over.
+	retryAfter = time.Second
 	// peerQueryInterval is how often a daemon asks a peer for leader and catalog while the store does not answer it.
 	peerQueryInterval = 300 * time.Millisecond
 	// takeoverTimeout limits a call that asks peers for a store check or for a takeover.
@@ -89,8 +89,6 @@
 		relays      *relay.Server
 		feed        *feed.Feed
 		rescuer     *rescue.Rescuer
-		// outage is how long no leader has decided on this daemon's calls.
-		outage hold.Outage
 
 		mu       sync.Mutex
 		ctx      context.Context
--- a/internal/flow/front/leader.go
+++ b/internal/flow/front/leader.go
@@ -7,69 +7,28 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
-	"github.com/magnoliawalk/magnoliawalk/internal/flow/hold"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 )
 
 // callLeader calls the leader and retries until it answers. Before a call is in doubt, it retries for leaderTimeout at
-// most, and a submission as long as it is worthwhile to wait for the end of the outage; after that, until the caller's deadline.
-// All calls can be repeated safely, since a job is identified by its id. No call is begun so late that its answer would miss the
-// caller's deadline: the call would then be in doubt, where without it the caller gets a definite refusal.
+// most; after that, until the caller's deadline. All calls can be repeated safely, since a job is identified by its id.
+// No call is begun so late that its answer would miss the caller's deadline: the call would then be in doubt, where
+// without it the caller gets a definite refusal.
 func (f *Front) callLeader(ctx context.Context, method peer.Method, args, reply any) error {
 	began := f.config.Clock.Now()
 	inDoubt := false
-	backoff := retryBackoff
 	for {
-		err := f.tryLeader(ctx, method, f.withPatience(ctx, args, began), reply)
+		err := f.tryLeader(ctx, method, args, reply)
 		if err == nil || isFinal(err) {
-			f.outage.End()
 			return f.callerError(inDoubt, err)
 		}
-		age := f.outage.Fail(f.config.Clock.Now())
 		inDoubt = inDoubt || errs.Is(err, errs.Lost)
-		mayRetry := inDoubt || f.config.Clock.Since(began) < leaderTimeout || f.mayWait(ctx, method, began, age)
+		mayRetry := inDoubt || f.config.Clock.Since(began) < leaderTimeout
 		if !mayRetry || f.isDeadlineNear(ctx) {
-			return f.callerError(inDoubt, withRetryAfter(err, age))
+			return f.callerError(inDoubt, err)
 		}
-		f.sleep(ctx, backoff)
-		backoff = min(2*backoff, maxRetryBackoff)
-	}
-}
-
-// mayWait reports whether a call that no leader has decided on waits for the end of an outage of the given age. Only
-// submissions do: a caller who asks about a job asks again anyway.
-func (f *Front) mayWait(ctx context.Context, method peer.Method, began time.Time, age time.Duration) bool {
-	return method == methodSubmit && hold.IsWorthwhile(age, f.patience(ctx, began).Left)
-}
-
-// patience returns how long the caller of a request that began at the given time has waited, and for how long it may wait on.
-func (f *Front) patience(ctx context.Context, began time.Time) hold.Patience {
-	now := f.config.Clock.Now()
-	p := hold.Patience{Waited: now.Sub(began)}
-	if deadline, ok := ctx.Deadline(); ok {
-		p.Left = min(deadline.Sub(now)-minCallTime, hold.MaxWait-p.Waited)
+		f.sleep(ctx, retryBackoff)
 	}
-	return p
-}
-
-// withPatience returns the arguments of the next call; those of a submission say for how long its caller can wait. They are
-// copied, since a call that has timed out may still be reading its own.
-func (f *Front) withPatience(ctx context.Context, args any, began time.Time) any {
-	submission, ok := args.(*SubmitArgs)
-	if !ok {
-		return args
-	}
-	next := *submission
-	next.Patience = f.patience(ctx, began)
-	return &next
-}
-
-// withRetryAfter adds to a refusal without a RetryAfter the one for an outage of the given age.
-func withRetryAfter(err error, age time.Duration) error {
-	if !errs.Is(err, errs.Unavailable) || errs.Of(err).RetryAfter > 0 {
-		return err
-	}
-	return errs.After(errs.Unavailable, hold.RetryDelay(age), "%s", errs.Of(err).Message)
 }
 
 // isDeadlineNear reports whether the time left until the deadline of ctx is too short for another call.
@@ -95,6 +54,9 @@
 	case inDoubt:
 		f.callMetrics.lost.Inc(1)
 		return errs.New(errs.Lost, "the leader's answer did not arrive: %v", err)
+	case errs.Of(err).RetryAfter == 0 && errs.Is(err, errs.Unavailable):
+		f.callMetrics.refused.Inc(1)
+		return errs.After(errs.Unavailable, retryAfter, "%s", errs.Of(err).Message)
 	default:
 		f.callMetrics.refused.Inc(1)
 		return err
--- a/internal/flow/front/service.go
+++ b/internal/flow/front/service.go
@@ -9,7 +9,6 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
-	"github.com/magnoliawalk/magnoliawalk/internal/flow/hold"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/owner"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -41,8 +40,6 @@
 	SubmitArgs struct {
 		Job    specs.Job
 		Caller *specs.Caller
-		// Patience is how long the caller has waited so far and can still wait, as of when the call is made.
-		Patience hold.Patience
 	}
 
 	// JobArgs names a job.
--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -12,8 +12,6 @@
 const (
 	// fullRetryDelay is the time after which callers should retry when the limit of jobs was reached.
 	fullRetryDelay = 2 * time.Second
-	// admitWriteTimeout is the longest time that a ledger write may be in flight before new jobs are put into no further write.
-	admitWriteTimeout = 600 * time.Millisecond
 	// minBacklogDelay and maxBacklogDelay bound the time after which callers of rejected jobs should retry, before it is
 	// spread over up to twice as long.
 	minBacklogDelay = time.Second
@@ -28,7 +26,8 @@
 )
 
 // admit returns nil when a new job may be accepted, and marks it when it is surplus. Otherwise the error is of kind
-// QuotaExceeded (the job can never run), Overloaded (too many jobs) . The caller must hold o.mu.
+// QuotaExceeded (the job can never run), Overloaded (too many jobs) or Unavailable (writes are stalled). The caller must
+// hold o.mu.
 func (o *Owner) admit(job *specs.Job) error {
 	o.applyCatalog()
 	o.applyWeights()
@@ -41,6 +40,9 @@
 	if err := o.admitByCount(job, now); err != nil {
 		return err
 	}
+	if age := o.stalledFor(); age > 0 {
+		return errs.After(errs.Unavailable, outageRetryDelay(age), "the store has not confirmed a write for %s", age)
+	}
 	if err := o.admitByBacklog(job, now); err != nil {
 		return err
 	}
--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -6,7 +6,6 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
-	"github.com/magnoliawalk/magnoliawalk/internal/flow/hold"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
@@ -14,10 +13,18 @@
 // Submit accepts a job and waits until that is durable. A nil error means that the job is durable; kind QuotaExceeded,
 // Overloaded or Unavailable that it will not run; kind Lost that it is in doubt.
 func (o *Owner) Submit(ctx context.Context, job *specs.Job) error {
-	return o.SubmitWaiting(ctx, job, hold.Patience{})
+	began := o.config.Clock.Now()
+	done := make(chan struct{})
+	if err := o.submit(job, func() { close(done) }); err != nil {
+		return err
+	}
+	if err := o.awaitDurable(ctx, done); err != nil {
+		return err
+	}
+	o.counters.acceptToDurable.UpdateSince(began)
+	return nil
 }
 
-// submit puts a job into the next write. An error of kind Unavailable means that no write can be made now.
 func (o *Owner) submit(job *specs.Job, durable func()) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -28,15 +35,11 @@
 		o.onAcceptanceDurable(job.ID, durable)
 		return nil
 	}
-	if age := o.stalledFor(); age > 0 {
-		return errs.New(errs.Unavailable, "the store has not confirmed a write for %s", age)
-	}
 	if err := o.admit(job); err != nil {
 		o.counters.jobsRejected.Inc(1)
 		return err
 	}
 	o.accept(job)
-	o.onDurable(func() { delete(o.acceptedNotDurable, job.ID) })
 	o.onDurable(durable)
 	return nil
 }
@@ -59,16 +62,14 @@
 
 // accept puts an admitted job into the tables and into the next write. The caller must hold o.mu.
 func (o *Owner) accept(job *specs.Job) {
-	now := o.config.Clock.Now()
-	if job.Accepted.IsZero() {
-		job.Accepted = now
-	}
+	job.Accepted = o.config.Clock.Now()
 	o.table.AddJob(job)
 	o.acceptedNotDurable[job.ID] = struct{}{}
+	o.onDurable(func() { delete(o.acceptedNotDurable, job.ID) })
 	o.pending.entry.Jobs = append(o.pending.entry.Jobs, job)
 	o.counters.jobsAccepted.Inc(1)
 	o.config.Log.Info().Str("Job", string(job.ID)).Str("Queue", string(job.Queue.Name)).Func(organisationFields(job)).
-		Dur("Waited", now.Sub(job.Accepted)).Int("Steps", len(job.Steps)).Int("Waiting", len(o.table.Jobs)).Msg("job accepted")
+		Int("Steps", len(job.Steps)).Int("Waiting", len(o.table.Jobs)).Msg("job accepted")
 	every.Wake(o.planWake)
 }
 
--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -6,7 +6,6 @@
 type counters struct {
 	jobsAccepted     metrics.Counter
 	jobsRejected     metrics.Counter
-	jobsHeld         metrics.Counter
 	jobsEnded        metrics.Counter
 	starts           metrics.Counter
 	startsRejected   metrics.Counter
@@ -46,7 +45,7 @@
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("Owner."+name, r) }
 	return counters{
 		jobs: gauge("Jobs"), jobsWaiting: gauge("JobsWaiting"), runs: gauge("Runs"), coresFree: gauge("CoresFree"),
-		jobsAccepted: count("JobsAccepted"), jobsRejected: count("JobsRefused"), jobsHeld: count("JobsHeld"), jobsEnded: count("JobsEnded"),
+		jobsAccepted: count("JobsAccepted"), jobsRejected: count("JobsRefused"), jobsEnded: count("JobsEnded"),
 		starts: count("Starts"), startsRejected: count("StartsRejected"), startsUnanswered: count("StartsUnanswered"),
 		runsLost: count("RunsLost"), stops: count("Stops"), stopsBeforeLeave: count("StopsBeforeLeave"), runsFailed: count("RunsFailed"),
 		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -125,10 +125,6 @@
 		// failedTryAt is when a try of a write last failed, and committedAt when a write was last committed.
 		failedTryAt time.Time
 		committedAt time.Time
-		// resumed is closed, and replaced, when submissions that wait may be accepted: the ledger was read, or a write committed.
-		resumed chan struct{}
-		// held counts the submissions that wait.
-		held int
 		// takeoverRequestedAt is when the other daemons were last asked to take over.
 		takeoverRequestedAt time.Time
 		// writeLatency is the recent latency of ledger writes: a slower write raises it at once, a faster one lowers it
@@ -170,7 +166,6 @@
 		cancel:        cancel,
 		planWake:      make(chan struct{}, 1),
 		writeWake:     make(chan struct{}, 1),
-		resumed:       make(chan struct{}),
 		counters:      newCounters(c.Metrics),
 		organisations: newOrganisationMetrics(c.Metrics),
 		waste:         newWasteCounters(c.Metrics),
@@ -225,7 +220,6 @@
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			o.table, o.open = table, true
-			o.resume()
 			o.counters.ledgerLoad.UpdateSince(began)
 			o.config.Log.Info().Int("Jobs", len(table.Jobs)).Int("Ended", len(table.EndedJobs)).
 				Dur("Took", o.config.Clock.Since(began)).Msg("ledger read")
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -245,7 +245,6 @@
 	o.counters.ledgerWrite.Update(took)
 	o.writeLatency = max(took, o.writeLatency-o.writeLatency/writeLatencyDecay)
 	o.inFlight = o.inFlight[1:]
-	o.resume()
 	for _, f := range w.pending.onDurable {
 		f()
 	}
