--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -387,6 +387,11 @@
 	e.rememberStrength(m.Strength)
 }
 
+// isSameClaim reports whether two records are of one claim. A later write of the leader record does not repeat the strength.
+func (r epochRecord) isSameClaim(o epochRecord) bool {
+	return r.Epoch == o.Epoch && r.Nonce == o.Nonce
+}
+
 // rememberStrength updates the highest Strength that was listed recently. The caller must hold e.mu.
 func (e *Elector) rememberStrength(strength Strength) {
 	now := e.config.Clock.Now()
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -297,7 +297,7 @@
 	}
 	leader.Deleted = leader.Version == store.Absent
 	e.applyLeader(leader)
-	isOwn := e.epochRecord.Epoch == next.Epoch && e.epochRecord.Nonce == next.Nonce && e.leader.Epoch == next.Epoch && e.leader.Target.VM == e.config.Self.VM
+	isOwn := e.epochRecord.isSameClaim(next) && e.leader.Epoch == next.Epoch && e.leader.Target.VM == e.config.Self.VM
 	if isOwn {
 		return store.Outcome{Applied: true, Version: epoch.Version}, nil
 	}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -172,12 +172,10 @@
 		rescuer:       rescue.New(c.Log, c.Metrics),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
+		renewLoops:    make(map[*tasks.Runner]struct{}),
+		usualPace:     make(map[types.ServiceName]float64),
 
-		acceptedNotDurable: make(map[specs.JobID]struct{}),
-
-		renewLoops: make(map[*tasks.Runner]struct{}),
-		usualPace:  make(map[types.ServiceName]float64),
-
+		acceptedNotDurable:   make(map[specs.JobID]struct{}),
 		organisationCounters: newOrganisationCounters(c.Metrics),
 	}
 }
