--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -40,10 +40,18 @@
 	// snapshotSets is the number of key sets that successive snapshots alternate between, so that writing one leaves
 	// the former whole.
 	snapshotSets = 2
-	// recordsPerPart is the largest number of records in one part of a snapshot.
+	// recordsPerPart is the largest number of records in one part of a snapshot, and maxValueBytes the largest size of a part or
+	// of a list of results unless a single record is larger. The store refuses values of 1 MiB.
 	recordsPerPart = 4000
+	maxValueBytes  = 512 << 10
+	// maxListBytes leaves room in a part for its fields beside the records.
+	maxListBytes = maxValueBytes - 256
 	// maxKeysPerBatch is how many keys one batch may write and delete besides its segment and its two conditions.
 	maxKeysPerBatch = store.MaxBatch - 3
+	// reservedSlots is how many slots are kept free for one entry; a snapshot needs none.
+	reservedSlots = maxKeysPerBatch
+	// MaxEntryJobs is the largest number of jobs of one entry: its segments must fit the reserved slots.
+	MaxEntryJobs = reservedSlots * maxKeysPerBatch
 
 	// A try of a write may take tryTimeoutFactor times as long as tries usually do, within minTryTimeout and maxTryTimeout,
 	// before another is sent in parallel; at most maxExtraTries+1 are unanswered at a time.
@@ -55,6 +63,10 @@
 	latencyWeightDivisor = 4
 	// initialLatency is the latency that is assumed before the first write.
 	initialLatency = 60 * time.Millisecond
+	// A try of a value of a snapshot, which may be large, may go unanswered for snapshotTryTimeout before another is sent beside it;
+	// at most maxExtraSnapshotTries+1 are unanswered at a time.
+	snapshotTryTimeout    = 500 * time.Millisecond
+	maxExtraSnapshotTries = 2
 	// retryBackoff is the pause between a failed try of a write and the next one.
 	retryBackoff = 50 * time.Millisecond
 )
@@ -72,6 +84,8 @@
 		// OnFailure, if set, is called after each failed try of a write, with the number of failed tries of that
 		// write, the time since its start, and the error.
 		OnFailure func(tries int, after time.Duration, err error)
+		// OnSnapshotFailure is OnFailure for the values of snapshots.
+		OnSnapshotFailure func(tries int, after time.Duration, err error)
 		// OnMalformed, if set, is called for each stored job that cannot be read; the ledger goes on without it.
 		OnMalformed func(key store.Key, err error)
 	}
@@ -112,6 +126,28 @@
 		// segments and bytes are the part of the ledger's counts that the snapshot covers.
 		segments int
 		bytes    int
+		// encoded is set once values holds what is still to be written, in this order.
+		encoded bool
+		values  []snapshotValue
+	}
+
+	// snapshotValue is one value of a snapshot: a list of results or a part.
+	snapshotValue struct {
+		key   store.Key
+		value json.RawMessage
+		// latest is the time of the latest result of a list of results; zero for a part.
+		latest time.Time
+		// removesExpired is set if stored results that are past their retention are deleted with this write.
+		removesExpired bool
+	}
+
+	// encodedPart is a part whose records are encoded.
+	encodedPart struct {
+		Base    uint64          `json:"Base"`
+		Epoch   types.Epoch     `json:"Epoch"`
+		Index   int             `json:"Index"`
+		Total   int             `json:"Total"`
+		Records json.RawMessage `json:"Records"`
 	}
 
 	// Write is the write of one segment.
@@ -245,11 +281,17 @@
 	return snapshotPrefix + store.Key(fmt.Sprintf("%d/%03d", set, index))
 }
 
-// SnapshotRequired reports whether the ring is so full that no segment may follow before a snapshot was written.
+// SnapshotRequired reports whether the ring is so full that no entry may follow before a snapshot was written. Until then there
+// is room for one entry of up to MaxEntryJobs jobs.
 func (l *Ledger) SnapshotRequired() bool {
-	return l.segmentsSinceSnapshot >= slotCount-maxKeysPerBatch
+	return l.segmentsSinceSnapshot >= slotCount-reservedSlots
 }
 
-func resultsKey(base uint64) store.Key {
-	return resultsPrefix + store.Key(fmt.Sprintf("%012d", base))
+// resultsKey returns the key of a list of results; index counts the lists of one snapshot.
+func resultsKey(base uint64, index int) store.Key {
+	key := resultsPrefix + store.Key(fmt.Sprintf("%012d", base))
+	if index > 0 {
+		key += store.Key(fmt.Sprintf("/%03d", index))
+	}
+	return key
 }
--- a/internal/flow/ledger/load.go
+++ b/internal/flow/ledger/load.go
@@ -14,10 +14,16 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
 )
 
+// storedSegment is a segment with its encoded size.
+type storedSegment struct {
+	segment
+	size int
+}
+
 // contents holds the decoded values of the ledger's keys.
 type contents struct {
 	jobs     []*specs.Job
-	segments []segment
+	segments []storedSegment
 	parts    map[int][]part
 	results  map[store.Key][]tasks.JobResult
 }
@@ -73,7 +79,7 @@
 			return contents{}, errs.New(errs.Internal, "%s in the store is malformed: %v", e.Key, err)
 		}
 	}
-	slices.SortFunc(out.segments, func(a, b segment) int { return cmp.Compare(a.Number, b.Number) })
+	slices.SortFunc(out.segments, func(a, b storedSegment) int { return cmp.Compare(a.Number, b.Number) })
 	return out, nil
 }
 
@@ -102,7 +108,7 @@
 		if err := json.Unmarshal(e.Value, &s); err != nil {
 			return err
 		}
-		c.segments = append(c.segments, s)
+		c.segments = append(c.segments, storedSegment{segment: s, size: len(e.Value)})
 	case strings.HasPrefix(key, string(resultsPrefix)):
 		var results []tasks.JobResult
 		if err := json.Unmarshal(e.Value, &results); err != nil {
@@ -182,6 +188,8 @@
 			table.Apply(r)
 		}
 		l.nextSegment = s.Number + 1
-		l.segmentsSinceSnapshot++
+		l.bytesSinceSnapshot += s.size
 	}
+	// A slot belongs to a number, so a missing segment uses one as well.
+	l.segmentsSinceSnapshot = int(l.nextSegment - 1 - base)
 }
--- a/internal/flow/ledger/snapshot.go
+++ b/internal/flow/ledger/snapshot.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -38,40 +39,74 @@
 	return len(s.results)
 }
 
-// Run writes the snapshot. A failure leaves the former snapshot and all segments as they are. The results come
-// first: they have keys of their own, so that they are written once and not with each snapshot.
+// Run writes the snapshot. A failure leaves the former snapshot and all segments as they are, and a further Run goes on where
+// it occurred. The results come first: they have keys of their own, so that they are written once and not with each snapshot.
 func (s *Snapshot) Run(ctx context.Context) error {
-	if err := s.putResults(ctx); err != nil {
-		return err
-	}
-	total := max(1, (len(s.records)+recordsPerPart-1)/recordsPerPart)
-	for n := range total {
-		end := min(len(s.records), (n+1)*recordsPerPart)
-		p := part{
-			Base: s.base, Epoch: s.ledger.config.Epoch, Index: n, Total: total, Records: s.records[n*recordsPerPart : end],
+	if !s.encoded {
+		values, err := s.encode()
+		if err != nil {
+			return err
 		}
-		if err := s.put(ctx, partKey(s.set, p.Index), p, nil); err != nil {
+		s.values, s.encoded = values, true
+	}
+	for len(s.values) > 0 {
+		if err := s.put(ctx, s.values[0]); err != nil {
 			return err
 		}
+		s.values = s.values[1:]
 	}
 	return nil
 }
 
-// putResults writes the job results and deletes stored ones that are past their retention.
-func (s *Snapshot) putResults(ctx context.Context) error {
-	if len(s.results) == 0 {
-		return nil
+// encode returns the values of the snapshot in the order in which they are written.
+func (s *Snapshot) encode() ([]snapshotValue, error) {
+	results, err := splitBySize(s.results)
+	if err != nil {
+		return nil, err
 	}
-	expired := s.ledger.expiredResultKeys()
-	key := resultsKey(s.base)
-	if err := s.put(ctx, key, s.results, expired); err != nil {
-		return err
+	var out []snapshotValue
+	latest := latestResultTime(s.results)
+	for i, value := range results {
+		out = append(out, snapshotValue{key: resultsKey(s.base, i), value: value, latest: latest, removesExpired: i == 0})
+	}
+	records, err := splitBySize(s.records)
+	if err != nil {
+		return nil, err
 	}
-	s.ledger.resultKeys[key] = latestResultTime(s.results)
-	for _, o := range expired {
-		delete(s.ledger.resultKeys, o)
+	if len(records) == 0 {
+		records = []json.RawMessage{json.RawMessage("[]")}
 	}
-	return nil
+	for i, chunk := range records {
+		value, err := json.Marshal(encodedPart{Base: s.base, Epoch: s.ledger.config.Epoch, Index: i, Total: len(records), Records: chunk})
+		if err != nil {
+			return nil, errs.New(errs.Internal, "encoding a snapshot: %v", err)
+		}
+		out = append(out, snapshotValue{key: partKey(s.set, i), value: value})
+	}
+	return out, nil
+}
+
+// splitBySize encodes the items as lists of at most maxValueBytes and recordsPerPart items each. A single larger item has a list
+// of its own.
+func splitBySize[T any](items []T) ([]json.RawMessage, error) {
+	if len(items) == 0 {
+		return nil, nil
+	}
+	if len(items) <= recordsPerPart {
+		value, err := json.Marshal(items)
+		if err != nil {
+			return nil, errs.New(errs.Internal, "encoding a snapshot: %v", err)
+		}
+		if len(value) <= maxListBytes || len(items) == 1 {
+			return []json.RawMessage{value}, nil
+		}
+	}
+	first, err := splitBySize(items[:len(items)/2])
+	if err != nil {
+		return nil, err
+	}
+	second, err := splitBySize(items[len(items)/2:])
+	return append(first, second...), err
 }
 
 // expiredResultKeys returns keys whose results are all past their retention, at most maxKeysPerBatch of them.
@@ -99,30 +134,59 @@
 	return latest
 }
 
-func (s *Snapshot) put(ctx context.Context, key store.Key, value any, deletes []store.Key) error {
+// put writes one value until it is known to be stored. A part whose answer was lost is found in the store by the next try.
+func (s *Snapshot) put(ctx context.Context, v snapshotValue) error {
 	l := s.ledger
-	encoded, err := json.Marshal(value)
+	var deletes []store.Key
+	if v.removesExpired {
+		deletes = l.expiredResultKeys()
+	}
+	expect := l.partVersions[v.key]
+	version, err := l.retry(ctx, retryConfig{
+		what:       string(v.key),
+		apply:      func(ctx context.Context) (store.Version, error) { return l.applyPart(ctx, v, expect, deletes) },
+		mayRetry:   func(time.Time) bool { return true },
+		tryTimeout: func() time.Duration { return snapshotTryTimeout },
+		maxExtra:   maxExtraSnapshotTries,
+		onFailure:  l.config.OnSnapshotFailure,
+	})
+	if err == nil || errs.Is(err, errs.Conflict) {
+		// After a conflict, a further Run overwrites what was found.
+		l.partVersions[v.key] = version
+	}
 	if err != nil {
-		return errs.New(errs.Internal, "encoding a snapshot: %v", err)
+		return err
 	}
+	if !v.latest.IsZero() {
+		l.resultKeys[v.key] = v.latest
+	}
+	for _, key := range deletes {
+		delete(l.resultKeys, key)
+	}
+	return nil
+}
+
+// applyPart makes one try to write a value of a snapshot over the expected version of its key.
+func (l *Ledger) applyPart(ctx context.Context, v snapshotValue, expect store.Version, deletes []store.Key) (store.Version, error) {
 	callCtx, cancel := context.WithTimeout(ctx, maxTryTimeout)
 	defer cancel()
 	out, err := l.config.Store.Apply(callCtx, store.Batch{
-		Conditions: []store.Condition{l.epochCondition(), {Key: key, Expect: l.partVersions[key]}},
-		Puts:       []store.Put{{Key: key, Value: encoded}},
+		Conditions: []store.Condition{l.epochCondition(), {Key: v.key, Expect: expect}},
+		Puts:       []store.Put{{Key: v.key, Value: v.value}},
 		Deletes:    deletes,
 	})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if out.Applied {
-		l.partVersions[key] = out.Version
-		return nil
+		return out.Version, nil
 	}
 	if out.Find(EpochKey).Version != l.config.EpochVersion {
-		return errs.New(errs.Fenced, "epoch %d was superseded by that of another leader", l.config.Epoch)
+		return 0, errs.New(errs.Fenced, "epoch %d was superseded by that of another leader", l.config.Epoch)
+	}
+	found := out.Find(v.key)
+	if bytes.Equal(found.Value, v.value) {
+		return found.Version, nil
 	}
-	// An earlier try took effect although its answer was lost; the next write of the key overwrites it.
-	l.partVersions[key] = out.Find(key).Version
-	return errs.New(errs.Conflict, "%s was already written by an earlier try", key)
+	return found.Version, errs.New(errs.Conflict, "%s has another value than was written last", v.key)
 }
