--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -43,6 +43,9 @@
 	if age := o.stalledFor(); age > 0 {
 		return errs.After(errs.Unavailable, outageRetryDelay(age), "the store has not confirmed a write for %s", age)
 	}
+	if len(o.pending.entry.Jobs) >= ledger.MaxEntryJobs {
+		return errs.After(errs.Unavailable, minOutageDelay, "%d jobs wait for the next write of the ledger", ledger.MaxEntryJobs)
+	}
 	if err := o.admitByBacklog(job, now); err != nil {
 		return err
 	}
@@ -90,12 +93,3 @@
 	o.reportRefusal(job, refusedByOverload, excess, err)
 	return err
 }
-
-// oldestWriteAge returns how long the oldest ledger write has been in flight, or 0 when there is none. The caller
-// must hold o.mu.
-func (o *Owner) oldestWriteAge() time.Duration {
-	if len(o.inFlight) == 0 {
-		return 0
-	}
-	return o.config.Clock.Since(o.inFlight[0].beganAt)
-}
--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -23,6 +23,8 @@
 	lossSuspects     metrics.Counter
 	quietStarts      metrics.Counter
 	jobsCrashing     metrics.Counter
+	// stalls counts the terms that ended for want of progress.
+	stalls metrics.Counter
 	// Current amounts.
 	jobs        metrics.Gauge
 	jobsWaiting metrics.Gauge
@@ -52,6 +54,7 @@
 		renewals: count("Holds"), renewFailures: count("HoldFailures"),
 		clocksWentBack: count("RunnerClocksWentBack"), runnersReplaced: count("RunnersReplaced"),
 		lossSuspects: count("LossSuspects"), quietStarts: count("QuietStarts"), jobsCrashing: count("JobsCrashing"),
+		stalls:     count("Stalls"),
 		ledgerLoad: timer("LedgerLoad"), ledgerWrite: timer("LedgerWrite"), ledgerSnapshot: timer("LedgerImage"), acceptToDurable: timer("AcceptToDurable"),
 		adviceLatency: timer("Advice"), startLatency: timer("StartAnswer"), dueToStart: timer("HandInToStart"), planDuration: timer("Plan"),
 	}
--- a/internal/flow/owner/outage.go
+++ b/internal/flow/owner/outage.go
@@ -21,15 +21,30 @@
 	return min(max(stalled, minOutageDelay), maxOutageDelay)
 }
 
-// stalledFor returns for how long no write was committed though some are in flight, if that is so long, or a try has failed
-// since, that new jobs are put into no further write; else 0. What is in no write is not in doubt: its refusal is a definite one.
-// The caller must hold o.mu.
+// stalledFor returns for how long no write was committed though some are in flight, or none could be begun as the ring is full, if
+// that is so long, or a try has failed since, that new jobs are put into no further write; else 0. What is in no write is not in doubt: its refusal is
+// a definite one. The caller must hold o.mu.
 func (o *Owner) stalledFor() time.Duration {
-	age := o.oldestWriteAge()
-	if age > 0 {
-		// After an outage the writes in flight are old, but are committed one after the other.
-		age = min(age, o.config.Clock.Since(o.committedAt))
+	if age := o.unansweredFor(); age > 0 {
+		return age
+	}
+	if o.ringFullSince.IsZero() {
+		return 0
+	}
+	if age := o.config.Clock.Since(o.ringFullSince); age > o.stallTimeout() {
+		return age
+	}
+	return 0
+}
+
+// unansweredFor is stalledFor for writes in flight alone: the store has not confirmed them. The caller must hold o.mu.
+func (o *Owner) unansweredFor() time.Duration {
+	if len(o.inFlight) == 0 {
+		return 0
 	}
+	now := o.config.Clock.Now()
+	// After an outage the writes in flight are old, but are committed one after the other.
+	age := min(now.Sub(o.inFlight[0].beganAt), now.Sub(o.committedAt))
 	if age > o.stallTimeout() || (age > 0 && o.failedTryAt.After(o.committedAt)) {
 		return age
 	}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/stall"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
@@ -108,6 +109,8 @@
 		organisationCounters organisationCounters
 		waste                wasteCounters
 		rescuer              *rescue.Rescuer
+		// turns holds what the loops do or wait for.
+		turns *stall.Watch
 		// ledgerMu guards the ledger; running its writes does not require it.
 		ledgerMu sync.Mutex
 
@@ -125,6 +128,8 @@
 		// failedTryAt is when a try of a write last failed, and committedAt when a write was last committed.
 		failedTryAt time.Time
 		committedAt time.Time
+		// ringFullSince is when the ring of segments became full; zero while it is not.
+		ringFullSince time.Time
 		// takeoverRequestedAt is when the other daemons were last asked to take over.
 		takeoverRequestedAt time.Time
 		// writeLatency is the recent latency of ledger writes: a slower write raises it at once, a faster one lowers it
@@ -170,6 +175,7 @@
 		organisations: newOrganisationMetrics(c.Metrics),
 		waste:         newWasteCounters(c.Metrics),
 		rescuer:       rescue.New(c.Log, c.Metrics),
+		turns:         stall.New(),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]struct{}),
@@ -191,11 +197,17 @@
 	if jobLedger == nil {
 		return
 	}
+	o.runLoops(jobLedger)
+}
+
+// runLoops does the leader's work on the tables of an open ledger until the term ends.
+func (o *Owner) runLoops(jobLedger *ledger.Ledger) {
 	o.guarded("adoption of placed tasks", func() {
 		o.adoptPlacedTasks()
 		o.collectCachedAdvice()
 	})()
-	for _, loop := range []func(){func() { o.writeLoop(jobLedger) }, o.planLoop, o.tickLoop, o.directoryLoop} {
+	loops := []func(){func() { o.writeLoop(jobLedger) }, o.planLoop, o.tickLoop, o.directoryLoop, o.watchdogLoop}
+	for _, loop := range loops {
 		o.loops.Go(o.guarded("loop of the leader", loop))
 	}
 	o.loops.Wait()
@@ -209,7 +221,7 @@
 		jobLedger, err := ledger.Open(o.ctx, ledger.Config{
 			Store: o.config.Store, Clock: o.config.Clock,
 			Epoch: o.config.Term.Epoch, EpochVersion: o.config.Term.Version,
-			Retention: o.config.Bounds.StatusRetention, OnFailure: o.handleWriteFailure,
+			Retention: o.config.Bounds.StatusRetention, OnFailure: o.handleWriteFailure, OnSnapshotFailure: o.logSnapshotFailure,
 			OnMalformed: func(key store.Key, err error) {
 				o.config.Log.Error().Err(err).Str("Key", string(key)).Msg("stored job is malformed; going on without it")
 			},
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -258,6 +258,7 @@
 }
 
 func (o *Owner) tick() {
+	defer o.turns.Begin(turnTick)()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Clock.Now()
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -39,6 +39,7 @@
 
 // executePlan plans once, and begins the starts and the calls for advice of the plan. It returns how long that took.
 func (o *Owner) executePlan() time.Duration {
+	defer o.turns.Begin(turnPlan)()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.knowsDirectory() {
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -33,7 +33,8 @@
 	// inFlightWrite is a write of the ledger that is in flight.
 	inFlightWrite struct {
 		pending pending
-		writes  []*ledger.Write
+		// writes is empty for a snapshot alone.
+		writes []*ledger.Write
 		// snapshot is written once this write is committed; nil when none is due.
 		snapshot *ledger.Snapshot
 		beganAt  time.Time
@@ -69,6 +70,7 @@
 	toCommit := make(chan *inFlightWrite, maxInFlight)
 	o.loops.Go(o.guarded("ledger commit", func() { o.commitLoop(jobLedger, toCommit) }))
 	defer close(toCommit)
+	o.wakeIfSnapshotDue(jobLedger)
 	for {
 		select {
 		case <-o.ctx.Done():
@@ -91,9 +93,18 @@
 	}
 }
 
+// wakeIfSnapshotDue lets the first write begin at once if a snapshot is due: former terms may have been too short for theirs.
+func (o *Owner) wakeIfSnapshotDue(jobLedger *ledger.Ledger) {
+	o.ledgerMu.Lock()
+	defer o.ledgerMu.Unlock()
+	if jobLedger.SnapshotDue() {
+		every.Wake(o.writeWake)
+	}
+}
+
 // beginWrite begins to write the pending changes, with a snapshot of the tables when one is due.
 func (o *Owner) beginWrite(jobLedger *ledger.Ledger, toCommit chan<- *inFlightWrite) error {
-	if err := o.waitForFreeSlots(jobLedger); err != nil {
+	if err := o.waitForFreeSlots(jobLedger, toCommit); err != nil {
 		return err
 	}
 	o.ledgerMu.Lock()
@@ -104,11 +115,17 @@
 		return err
 	}
 	go w.runWrites(o.ctx)
+	o.enqueue(w, toCommit)
+	return nil
+}
+
+// enqueue hands a write to the commit loop, which takes them in this order.
+func (o *Owner) enqueue(w *inFlightWrite, toCommit chan<- *inFlightWrite) {
+	defer o.turns.Begin(waitInFlight)()
 	select {
 	case toCommit <- w:
 	case <-o.ctx.Done():
 	}
-	return nil
 }
 
 // takePending returns a write of the pending changes, and what a snapshot holds when one is due.
@@ -141,22 +158,54 @@
 	return nil
 }
 
-// waitForFreeSlots waits while the ring of segments is full, until a snapshot has freed slots.
-func (o *Owner) waitForFreeSlots(jobLedger *ledger.Ledger) error {
+// waitForFreeSlots waits while the ring of segments is full, until a snapshot has freed slots. It begins one if none is under way,
+// since the write that would otherwise begin it cannot be begun.
+func (o *Owner) waitForFreeSlots(jobLedger *ledger.Ledger, toCommit chan<- *inFlightWrite) error {
+	defer o.turns.Begin(waitFreeSlots)()
 	for {
 		o.ledgerMu.Lock()
-		full := jobLedger.SnapshotRequired()
+		full, snapshotDue := jobLedger.SnapshotRequired(), jobLedger.SnapshotDue()
 		o.ledgerMu.Unlock()
+		o.noteRing(full)
 		if !full {
 			return nil
 		}
 		if o.ctx.Err() != nil {
 			return errs.New(errs.Unavailable, "the term ended while the ledger was full")
 		}
+		if snapshotDue {
+			o.beginSnapshotAlone(jobLedger, toCommit)
+		}
 		o.sleep(minWriteInterval)
 	}
 }
 
+// noteRing records since when the ring of segments has been full.
+func (o *Owner) noteRing(full bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !full {
+		o.ringFullSince = time.Time{}
+	} else if o.ringFullSince.IsZero() {
+		o.ringFullSince = o.config.Clock.Now()
+	}
+}
+
+// beginSnapshotAlone begins a snapshot that is written once all writes begun so far are committed. It may hold changes that are in
+// no write yet: they are durable before their callers are told so, and are written once more.
+func (o *Owner) beginSnapshotAlone(jobLedger *ledger.Ledger, toCommit chan<- *inFlightWrite) {
+	o.config.Log.Warn().Msg("the ledger's ring is full; no change is durable until a snapshot is written")
+	o.mu.Lock()
+	records, results := o.table.SnapshotRecords(), slices.Clone(o.table.RecentResults)
+	o.mu.Unlock()
+	w := &inFlightWrite{done: make(chan error, 1)}
+	w.done <- nil
+	o.ledgerMu.Lock()
+	w.snapshot = jobLedger.BeginSnapshot(records, results)
+	o.ledgerMu.Unlock()
+	o.enqueue(w, toCommit)
+}
+
 // handleWriteFailure asks the other daemons to take over when the store keeps refusing this daemon's writes, or keeps
 // leaving them unanswered.
 func (o *Owner) handleWriteFailure(tries int, after time.Duration, err error) {
@@ -172,10 +221,18 @@
 	o.requestTakeover(err, after)
 }
 
+// logSnapshotFailure logs the first failed try of each value of a snapshot. The writes tell whether the store is away, so a
+// snapshot's failures ask nobody to take over.
+func (o *Owner) logSnapshotFailure(tries int, after time.Duration, err error) {
+	if tries == 1 {
+		o.config.Log.Warn().Err(err).Dur("After", after).Msg("a try to write a part of a snapshot failed; trying again")
+	}
+}
+
 // checkUnansweredWrites asks the other daemons to take over when the writes have got no answer for so long that new jobs are
 // put into none: the store may be unreachable for this daemon only. The caller must hold o.mu.
 func (o *Owner) checkUnansweredWrites() {
-	if age := o.stalledFor(); age > takeoverWriteTimeout {
+	if age := o.unansweredFor(); age > takeoverWriteTimeout {
 		o.requestTakeover(errs.New(errs.Lost, "the store has not answered"), age)
 	}
 }
@@ -196,7 +253,7 @@
 func (o *Owner) hasStalledWrites() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.ctx.Err() == nil && o.stalledFor() > takeoverWriteTimeout
+	return o.ctx.Err() == nil && o.unansweredFor() > takeoverWriteTimeout
 }
 
 // runWrites runs the writes at the same time and sends the first error, or nil, to done once all have ended. After an outage one
@@ -219,22 +276,30 @@
 // snapshot that belongs to it.
 func (o *Owner) commitLoop(jobLedger *ledger.Ledger, toCommit <-chan *inFlightWrite) {
 	for w := range toCommit {
-		if err := <-w.done; err != nil {
+		if err := o.awaitWrite(w); err != nil {
 			o.ledgerFailed(err)
 			return
 		}
-		o.ledgerMu.Lock()
-		for _, segment := range w.writes {
-			jobLedger.Finish(segment)
+		if len(w.writes) > 0 {
+			o.ledgerMu.Lock()
+			for _, segment := range w.writes {
+				jobLedger.Finish(segment)
+			}
+			o.ledgerMu.Unlock()
+			o.commitWrite(w)
 		}
-		o.ledgerMu.Unlock()
-		o.commitWrite(w)
 		if w.snapshot != nil {
 			o.loops.Go(o.guarded("snapshot", func() { o.writeSnapshot(jobLedger, w.snapshot) }))
 		}
 	}
 }
 
+// awaitWrite waits until a write has ended and returns its error.
+func (o *Owner) awaitWrite(w *inFlightWrite) error {
+	defer o.turns.Begin(waitOldestWrite)()
+	return <-w.done
+}
+
 // commitWrite records the latency of a durable write and runs the functions that waited for it.
 func (o *Owner) commitWrite(w *inFlightWrite) {
 	o.mu.Lock()
@@ -260,7 +325,7 @@
 			o.counters.ledgerSnapshot.UpdateSince(began)
 			return
 		}
-		o.config.Log.Warn().Err(err).Msg("writing a snapshot of the ledger failed; retrying")
+		o.config.Log.Warn().Err(err).Dur("After", o.config.Clock.Since(began)).Msg("writing a snapshot of the ledger failed; retrying")
 		o.sleep(ledgerBackoff)
 	}
 }
