Let a leader without progress stand back for another daemon

Its lease in the store lives on, so no other daemon found leadership vacant, and the daemon that gave its term up claimed the next one itself. It now deletes the leader record and claims again only after 2 s (TestLeaderThatStandsBackIsReplaced).

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -37,6 +37,8 @@
 	// callTimeout limits one call to the store, and renewTimeout one renewal, so that a lost call can be retried.
 	callTimeout  = 800 * time.Millisecond
 	renewTimeout = 400 * time.Millisecond
+	// abstainTimeout is how long a daemon that stood back lets the others claim leadership first.
+	abstainTimeout = 2 * time.Second
 	// suspectTimeout is how long a leader stays suspected.
 	suspectTimeout = 1500 * time.Millisecond
 	// listTimeout limits the reading of all records. The list grows with the number of daemons, so the time depends on the
@@ -138,6 +140,8 @@
 		strongestAt time.Time
 		term        *Term
 		steppedDown bool
+		// abstainUntil is when this daemon may claim leadership again after it stood back.
+		abstainUntil time.Time
 		// vacantSince is when leadership was first found to be vacant; zero while it is not.
 		vacantSince time.Time
 		// suspectEpoch is the epoch of the leader that was marked as suspected at suspectedAt.
@@ -241,19 +245,41 @@
 	e.steppedDown = true
 	term := e.term
 	e.mu.Unlock()
-	if err := e.deleteRecords(ctx, term); err != nil {
+	if err := e.deleteRecords(ctx, term, e.memberKey()); err != nil {
 		e.config.Log.Warn().Err(err).Msg("could not delete the member and leader records; they expire with the lease")
 	}
 	e.endTerm("retired")
 }
 
-// deleteRecords deletes the member record, and with it the leader record while that is the one of the term. It tries
+// StandBack ends this daemon's term, deletes the leader record, and claims leadership again only after abstainTimeout, so that
+// another daemon takes over if there is one. The reason is for the log.
+func (e *Elector) StandBack(ctx context.Context, reason string) {
+	e.mu.Lock()
+	term := e.term
+	e.abstainUntil = e.config.Clock.Now().Add(abstainTimeout)
+	batch := e.recordDeletes(term)
+	e.mu.Unlock()
+	e.endTerm(reason)
+	if len(batch.Deletes) == 0 {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := e.config.Store.Apply(limited, batch); err != nil {
+		e.config.Log.Warn().Err(err).Msg("could not delete the leader record; this daemon claims leadership again after its abstention")
+	}
+}
+
+// deleteRecords deletes the given keys, and with them the leader record while that is the one of the term. It tries
 // again when the leader record has changed meanwhile, for example by a write of this daemon whose answer was late.
-func (e *Elector) deleteRecords(ctx context.Context, term *Term) error {
+func (e *Elector) deleteRecords(ctx context.Context, term *Term, keys ...store.Key) error {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	for range maxDeleteTries {
-		out, err := e.config.Store.Apply(limited, e.recordDeletes(term))
+		e.mu.Lock()
+		batch := e.recordDeletes(term, keys...)
+		e.mu.Unlock()
+		out, err := e.config.Store.Apply(limited, batch)
 		if err != nil || out.Applied {
 			return err
 		}
@@ -266,11 +292,10 @@
 	return errs.New(errs.Conflict, "the leader record changed before each of %d tries", maxDeleteTries)
 }
 
-// recordDeletes returns the batch that deletes this daemon's records.
-func (e *Elector) recordDeletes(term *Term) store.Batch {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	batch := store.Batch{Deletes: []store.Key{e.memberKey()}}
+// recordDeletes returns the batch that deletes the given keys, and the leader record while that is the one of the term. The caller
+// must hold e.mu.
+func (e *Elector) recordDeletes(term *Term, keys ...store.Key) store.Batch {
+	batch := store.Batch{Deletes: keys}
 	leads := term != nil && e.leaderVersion != store.Absent &&
 		e.leader.Target.VM == e.config.Self.VM && e.leader.Epoch == term.Epoch
 	if leads {
--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -351,3 +351,28 @@
 		t.Errorf("the weak daemon claimed leadership after %s, want at least %s", took, 2*weakDelayStep)
 	}
 }
+
+// A leader that makes no progress must not succeed itself while another daemon can lead, even though its lease in the store is
+// alive. Without another one it leads again after its abstention.
+func TestLeaderThatStandsBackIsReplaced(t *testing.T) {
+	t.Run("AnotherLeads", func(t *testing.T) {
+		f := newClusterFixture(t)
+		leader, other := f.awaitLeaderOf(f.join("a"), f.join("b"))
+		leader.StandBack(t.Context(), "no progress")
+		f.eventually("the other daemon leads", func() bool { return f.termOf(other) != nil })
+		if f.termOf(leader) != nil {
+			t.Error("the daemon that stood back leads again")
+		}
+	})
+	t.Run("Alone", func(t *testing.T) {
+		f := newClusterFixture(t)
+		alone := f.join("a")
+		f.awaitLeader(alone)
+		first := f.termOf(alone).Epoch
+		alone.StandBack(t.Context(), "no progress")
+		f.eventually("the daemon leads under a new epoch", func() bool {
+			term := f.termOf(alone)
+			return term != nil && term.Epoch > first
+		})
+	})
+}
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -80,7 +80,7 @@
 	e.observeLatency(latency)
 	e.mu.Unlock()
 	if e.hasSteppedDown() {
-		return e.deleteRecords(ctx, nil)
+		return e.deleteRecords(ctx, nil, e.memberKey())
 	}
 	return nil
 }
@@ -165,7 +165,8 @@
 	e.mu.Lock()
 	term := e.term
 	overtaken := term != nil && (e.epochRecord.Epoch > term.Epoch || e.leader.Epoch > term.Epoch)
-	vacant := e.listed && !e.steppedDown && e.lease != 0 && e.isVacant()
+	mayClaim := !e.steppedDown && e.lease != 0 && !e.config.Clock.Now().Before(e.abstainUntil)
+	vacant := e.listed && mayClaim && e.isVacant()
 	if !vacant {
 		e.vacantSince = time.Time{}
 	} else if e.vacantSince.IsZero() {
--- a/internal/flow/owner/fixture_test.go
+++ b/internal/flow/owner/fixture_test.go
@@ -87,6 +87,7 @@
 		AdviceBudget: func() specs.AdviceBudget { return specs.AdviceBudget{Short: time.Second, Long: time.Second} },
 		Catalog:      func() *specs.Catalog { return nil },
 		OnFenced:     func(string) {},
+		OnStalled:    func(string) {},
 		Bounds:       Bounds{MaxLeaseTTL: 6 * time.Second, StopTimeout: 20 * time.Millisecond, StatusRetention: time.Minute},
 	})
 }
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -76,6 +76,8 @@
 		Catalog func() *specs.Catalog
 		// OnFenced is called when the term ends because a runner or the ledger shows that another daemon leads.
 		OnFenced func(reason string)
+		// OnStalled is called when the term ends because this leader makes no progress although the store answers it.
+		OnStalled func(reason string)
 		// OnWritesStalled, when set, is called in a goroutine of its own while the store does not accept this leader's
 		// writes; stillStalled reports whether that is still the case.
 		OnWritesStalled func(stillStalled func() bool)
--- a/internal/flow/owner/ring_test.go
+++ b/internal/flow/owner/ring_test.go
@@ -118,7 +118,7 @@
 	fillRing(t, f)
 	o := f.newOwner()
 	ended := make(chan string, 1)
-	o.config.OnFenced = func(reason string) { ended <- reason }
+	o.config.OnStalled = func(reason string) { ended <- reason }
 	jobLedger := o.openLedger()
 	// A snapshot that is begun and never run frees no slot.
 	jobLedger.BeginSnapshot(nil, nil)
--- a/internal/flow/owner/watchdog.go
+++ b/internal/flow/owner/watchdog.go
@@ -34,7 +34,8 @@
 		}
 		o.counters.stalls.Inc(1)
 		o.config.Log.Error().Str("What", what).Dur("For", age).Msg("the leader makes no progress; ending the term")
-		o.endTerm(fmt.Sprintf("no progress for %s: %s", age, what))
+		o.config.OnStalled(fmt.Sprintf("no progress for %s: %s", age, what))
+		o.cancel()
 	}
 }
 
