--- a/internal/flow/owner/snapshot_test.go
+++ b/internal/flow/owner/snapshot_test.go
@@ -113,3 +113,29 @@
 		}
 	}
 }
+
+// A result names the runs that had not ended with their job, for the next leader to count. In a snapshot, those that have ended
+// since would make the results many times larger, and the next leader would hold their room and quota without a reason.
+func TestSnapshotNamesOnlyRunsThatGoOn(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	r := o.addRunner(runner(0))
+	goesOn := tasks.RemainingRun{Ref: specs.Ref{StepRef: specs.StepRef{Job: "j"}, Index: 0}, Attempt: 1, Runner: r.Info.ID}
+	ended := goesOn
+	ended.Ref.Index = 1
+	r.AddRun(&tasks.Run{Key: tasks.RunKey{Ref: goesOn.Ref, Attempt: 1}, Runner: r, Sent: true})
+	o.table.RecentResults = []tasks.JobResult{
+		{Job: "j", Largest: oneCore(), Runs: []tasks.RemainingRun{goesOn, ended}},
+		{Job: "k", Largest: oneCore(), Runs: []tasks.RemainingRun{ended}},
+	}
+	got := o.snapshotResults()
+	if len(got) != 2 || len(got[0].Runs) != 1 || got[0].Runs[0] != goesOn || got[0].Largest.IsZero() {
+		t.Errorf("got %+v, want the run that goes on alone", got)
+	}
+	if len(got[1].Runs) != 0 || !got[1].Largest.IsZero() {
+		t.Errorf("got %+v, want no run", got[1])
+	}
+	if len(o.table.RecentResults[0].Runs) != 2 {
+		t.Error("the results in the tables were changed")
+	}
+}
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
@@ -138,7 +139,7 @@
 	if !snapshotDue {
 		return w, nil, nil
 	}
-	return w, o.table.SnapshotRecords(), slices.Clone(o.table.RecentResults)
+	return w, o.table.SnapshotRecords(), o.snapshotResults()
 }
 
 // beginWrites begins the writes in the ledger, which gives them their segments, and the snapshot when one is due.
@@ -196,7 +197,7 @@
 func (o *Owner) beginSnapshotAlone(jobLedger *ledger.Ledger, toCommit chan<- *inFlightWrite) {
 	o.config.Log.Warn().Msg("the ledger's ring is full; no change is durable until a snapshot is written")
 	o.mu.Lock()
-	records, results := o.table.SnapshotRecords(), slices.Clone(o.table.RecentResults)
+	records, results := o.table.SnapshotRecords(), o.snapshotResults()
 	o.mu.Unlock()
 	w := &inFlightWrite{done: make(chan error, 1)}
 	w.done <- nil
@@ -330,6 +331,29 @@
 	}
 }
 
+// snapshotResults returns the job results that the next snapshot stores, in the order of the tables. Of the runs that had not ended
+// with their job, those that have ended since are left out: each new leader would read them, and count them until their runners
+// have reported. The caller must hold o.mu.
+func (o *Owner) snapshotResults() []tasks.JobResult {
+	out := slices.Clone(o.table.RecentResults)
+	for i := range out {
+		if len(out[i].Runs) == 0 {
+			continue
+		}
+		out[i].Runs = slices.DeleteFunc(slices.Clone(out[i].Runs), o.hasEnded)
+		if len(out[i].Runs) == 0 {
+			out[i].Largest = types.Resources{}
+		}
+	}
+	return out
+}
+
+// hasEnded reports whether a run that had not ended with its job has ended since. The caller must hold o.mu.
+func (o *Owner) hasEnded(remaining tasks.RemainingRun) bool {
+	r := o.table.Runners[remaining.Runner]
+	return r == nil || r.Runs[tasks.RunKey{Ref: remaining.Ref, Attempt: remaining.Attempt}] == nil
+}
+
 // finishSnapshot records that a snapshot ran, and with which error. The stored results are removed before the ledger
 // may begin the next snapshot: that one would otherwise store them again, and the second removal, which goes by their
 // count, would remove newer results that no snapshot holds.
