Learn from the runners' answers how long to wait for the next ones

A start was tried again after 250 ms and given up for a new fence after 600 ms more, and a lost answer to a wait for results was noticed after 1.9 s only: of the late jobs of the first seconds, most had no unanswered start at all, but 164 renewals were lost in 8 s (trial with the daemons' lines).

The time-out of a start is learned like a retransmission time-out, within 60 and 250 ms, doubles with each try, and there are three tries. That of a renewal is learned within 150 and 700 ms beyond its wait. While answers of live runners are being lost, busy ones are asked every 300 ms instead of 1.2 s. A runner that answers again no longer counts as a loss that clears tasks of suspicion.

The first second of a loss is as before: waits that are open then run out.

--- /dev/null
+++ b/internal/flow/owner/answers.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/timing"
+)
+
+const (
+	// minAnswerTimeout and maxAnswerTimeout bound the learned time that a runner may take to answer a start, or a renewal beyond the
+	// time for which it waits. The least covers pauses of the daemons on the way.
+	minAnswerTimeout = 60 * time.Millisecond
+	maxAnswerTimeout = 250 * time.Millisecond
+	// minRenewMargin and maxRenewMargin are these bounds for renewals: an answer that is taken as lost keeps new tasks off its runner
+	// until the next one, so it is given more time.
+	minRenewMargin = 150 * time.Millisecond
+	maxRenewMargin = 700 * time.Millisecond
+	// lossWindow is the time in which minLostAnswers answers of runners that go on answering must be lost for more to be expected,
+	// and lossHold for how long after that.
+	lossWindow     = 2 * time.Second
+	minLostAnswers = 4
+	lossHold       = 3 * time.Second
+	// maxLostAnswerAge is how long a runner may be silent for its lost answer to count: a longer silence is that of the runner.
+	maxLostAnswerAge = 3 * time.Second
+)
+
+// answers learns from the answers of the runners how long to wait for the next ones, and whether answers are being lost. The
+// methods require Owner.mu.
+type answers struct {
+	times timing.Estimator
+	// lostAt holds when answers were found to be lost within lossWindow, the oldest first.
+	lostAt []time.Time
+	// expectLossUntil is until when further answers are expected to be lost.
+	expectLossUntil time.Time
+}
+
+// noteStart records that the given try of a start was answered. After the first one, the answers to the earlier ones were lost.
+func (a *answers) noteStart(now time.Time, tries int) {
+	if tries > 1 {
+		a.noteLost(now)
+	}
+}
+
+// noteReachable records that a runner answers that did not at silentSince.
+func (a *answers) noteReachable(now, silentSince time.Time) {
+	if now.Sub(silentSince) <= maxLostAnswerAge {
+		a.noteLost(now)
+	}
+}
+
+func (a *answers) noteLost(now time.Time) {
+	a.lostAt = slices.DeleteFunc(a.lostAt, func(at time.Time) bool { return now.Sub(at) > lossWindow })
+	a.lostAt = append(a.lostAt, now)
+	if len(a.lostAt) >= minLostAnswers {
+		a.expectLossUntil = now.Add(lossHold)
+	}
+}
+
+// expectLoss reports whether answers of the runners are likely to be lost.
+func (a *answers) expectLoss(now time.Time) bool {
+	return now.Before(a.expectLossUntil)
+}
+
+// startTimeout returns how long a try of a start may go unanswered before the next. It doubles with each, so that runners which have
+// become slower are noticed by their answers. The caller must hold o.mu.
+func (o *Owner) startTimeout(try int) time.Duration {
+	first := o.answers.times.Timeout(minAnswerTimeout, maxAnswerTimeout)
+	return min(first<<(try-1), requestTimeout)
+}
+
+// renewMargin returns how much longer than it waits for results a runner may take to answer a renewal. For a runner that has
+// not answered it grows with its silence, so that one which is away is called seldom. The caller must hold o.mu.
+func (o *Owner) renewMargin(silentSince time.Time) time.Duration {
+	margin := o.answers.times.Timeout(minRenewMargin, maxRenewMargin)
+	if silentSince.IsZero() {
+		return margin
+	}
+	return min(max(margin, o.config.Clock.Since(silentSince)), renewTimeout)
+}
+
+// pollTimeout returns how long a runner may wait for results before it answers a renewal. Results are noticed with the answer alone,
+// so while answers are being lost a busy runner is asked more often. The caller must hold o.mu.
+func (o *Owner) pollTimeout(busy bool) time.Duration {
+	if busy && o.answers.expectLoss(o.config.Clock.Now()) {
+		return shortPollTimeout
+	}
+	return longPollTimeout
+}
--- /dev/null
+++ b/internal/flow/owner/answers_test.go
@@ -0,0 +1,146 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
+)
+
+// lossyAgent loses the answer to each request that losePeriod divides; the runner has carried it out.
+type lossyAgent struct {
+	agent.Agent
+	calls      atomic.Int64
+	renewals   atomic.Int64
+	losePeriod int64
+}
+
+func (a *lossyAgent) isLost() bool {
+	return a.losePeriod > 0 && a.calls.Add(1)%a.losePeriod == 0
+}
+
+func (a *lossyAgent) Start(ctx context.Context, to agent.Runner, r agent.StartRequest) error {
+	err := a.Agent.Start(ctx, to, r)
+	if !a.isLost() {
+		return err
+	}
+	<-ctx.Done()
+	return errs.New(errs.Lost, "the answer was lost")
+}
+
+func (a *lossyAgent) RenewLeases(ctx context.Context, to agent.Runner, r agent.RenewRequest) (agent.Report, error) {
+	a.renewals.Add(1)
+	report, err := a.Agent.RenewLeases(ctx, to, r)
+	if !a.isLost() {
+		return report, err
+	}
+	<-ctx.Done()
+	return agent.Report{}, errs.New(errs.Lost, "the answer was lost")
+}
+
+// While one answer in twelve is lost, callers of short work must get their results about as soon as otherwise. A fixed time-out of
+// 250 ms for a start, and of 1.9 s for a wait for results, made one job in five late by a second or more. No attempt may run twice.
+func TestShortWorkIsInTimeWhileAnswersAreLost(t *testing.T) {
+	const (
+		jobs = 140
+		// warmUp is the number of jobs until it is known that answers are lost, and until the waits that were open then are over.
+		warmUp = 40
+		aim    = 1200 * time.Millisecond
+	)
+	w := quickWorld()
+	w.RunTime = func(specs.Ref) time.Duration { return 250 * time.Millisecond }
+	f := newFixture(t, w)
+	f.addRunners(24)
+	o := f.newOwner()
+	lossy := &lossyAgent{Agent: f.fleet, losePeriod: 12}
+	o.config.Agents = lossy
+	f.runOwner(o)
+	f.submit(o, job("first", step(1)))
+	durations := make(chan time.Duration, jobs)
+	for i := range jobs {
+		go func() {
+			began := time.Now()
+			id := specs.JobID(fmt.Sprint("j", i))
+			_ = o.Submit(t.Context(), job(string(id), step(3)))
+			for state := tasks.JobState(""); state != tasks.JobCompleted && time.Since(began) < waitTimeout; {
+				time.Sleep(5 * time.Millisecond)
+				state, _ = o.State(t.Context(), specs.Caller{}, id)
+			}
+			if i >= warmUp {
+				durations <- time.Since(began)
+			}
+		}()
+		time.Sleep(40 * time.Millisecond)
+	}
+	var all []time.Duration
+	for range jobs - warmUp {
+		all = append(all, <-durations)
+	}
+	slices.Sort(all)
+	late := 0
+	for _, d := range all {
+		if d > aim {
+			late++
+		}
+	}
+	t.Logf("median %s, slowest %s, %d of %d late", all[len(all)/2], all[len(all)-1], late, len(all))
+	if late > len(all)/20 {
+		t.Errorf("%d of %d jobs took longer than %s, want at most one in twenty", late, len(all), aim)
+	}
+	f.checkNoViolations()
+}
+
+// A short poll costs a call, so it must end soon after the answers arrive again, and a runner that is away must not cause it.
+func TestPollsAreShortOnlyWhileAnswersAreLost(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	now := f.clock.Now()
+	checkPoll := func(what string, want time.Duration) {
+		t.Helper()
+		if got := o.pollTimeout(true); got != want {
+			t.Errorf("%s: poll of %s, want %s", what, got, want)
+		}
+	}
+	checkPoll("nothing lost", longPollTimeout)
+	for range minLostAnswers {
+		o.answers.noteReachable(now, now.Add(-maxLostAnswerAge-time.Second))
+	}
+	checkPoll("runners that were away are back", longPollTimeout)
+	for range minLostAnswers {
+		o.answers.noteStart(now, 2)
+	}
+	checkPoll("answers are lost", shortPollTimeout)
+	if got := o.pollTimeout(false); got != longPollTimeout {
+		t.Errorf("poll of an idle runner: %s, want %s", got, longPollTimeout)
+	}
+	for range minLostAnswers - 1 {
+		o.answers.noteStart(now.Add(lossWindow+time.Second), 2)
+	}
+	o.answers.expectLossUntil = now.Add(-time.Millisecond)
+	checkPoll("after lossHold", longPollTimeout)
+}
+
+// A runner that was only silent is no loss: counted as one, it would let a task that crashes runners pass for innocent.
+func TestRunnerThatAnswersAgainIsNoLoss(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	var runners []*tasks.Runner
+	for i := range minMassLoss {
+		r := o.addRunner(runner(i))
+		runners = append(runners, r)
+		o.noteUnreachable(r, true)
+	}
+	for _, r := range runners[1:] {
+		o.applyReport(r, agent.RenewRequest{Fence: r.Fence}, agent.Report{}, f.clock.Now())
+	}
+	if got := o.unexplainedLosses(f.clock.Now(), true); got != 1 {
+		t.Errorf("%d losses, want that of the runner that does not answer", got)
+	}
+}
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -12,13 +12,13 @@
 
 const (
 	// leaseTTL is how long tasks keep running without a renewal by the leader. A new leader must renew their leases
-	// within it. It exceeds longPollTimeout plus longPollMargin, the longest time of one renewal, so that the failure
+	// within it. It exceeds longPollTimeout plus maxRenewMargin, the longest time of one renewal, so that the failure
 	// of one does not end the tasks.
 	leaseTTL = 5 * time.Second
-	// longPollTimeout is how long a runner may wait for a result before it answers a renewal.
-	longPollTimeout = 1200 * time.Millisecond
-	// longPollMargin is how much longer than longPollTimeout the answer may take.
-	longPollMargin = 700 * time.Millisecond
+	// longPollTimeout is how long a runner may wait for a result before it answers a renewal, and shortPollTimeout that for a busy
+	// runner while answers are being lost.
+	longPollTimeout  = 1200 * time.Millisecond
+	shortPollTimeout = 300 * time.Millisecond
 	// renewTimeout limits a renewal that does not wait for results.
 	renewTimeout = 900 * time.Millisecond
 	// renewBackoff is the pause after a failed renewal, and between checks of whether the store answers again.
@@ -43,6 +43,8 @@
 	to      agent.Runner
 	request agent.RenewRequest
 	sentAt  time.Time
+	// timeout limits the time until the answer.
+	timeout time.Duration
 }
 
 // renewLoop renews the leases on a runner until the term ends, or the runner is replaced, or has left the directory and
@@ -89,19 +91,19 @@
 	default:
 		next.request.Deadline = r.ExtendLease(now, leaseTTL)
 		if !r.FencePending {
-			next.request.Wait = longPollTimeout
+			next.request.Wait = o.pollTimeout(len(r.Runs) > 0)
 		}
 	}
+	next.timeout = renewTimeout
+	if r.Synced {
+		next.timeout = next.request.Wait + o.renewMargin(r.UnreachableSince)
+	}
 	return next, true, true
 }
 
 // renewLeases sends one renewal and returns the delay before the next.
 func (o *Owner) renewLeases(r *tasks.Runner, next renewal) time.Duration {
-	timeout := renewTimeout
-	if next.request.Wait > 0 {
-		timeout = next.request.Wait + longPollMargin
-	}
-	ctx, cancel := context.WithTimeout(o.ctx, timeout)
+	ctx, cancel := context.WithTimeout(o.ctx, next.timeout)
 	defer cancel()
 	o.counters.renewals.Inc(1)
 	report, err := o.config.Agents.RenewLeases(ctx, next.to, next.request)
@@ -153,6 +155,8 @@
 	r.Replaced = false
 	if !r.UnreachableSince.IsZero() {
 		o.config.Log.Info().Str("Runner", string(r.Info.ID)).Dur("Silent", now.Sub(r.UnreachableSince)).Msg("runner is reachable again; the leases of its attempts are extended again")
+		o.answers.noteReachable(now, r.UnreachableSince)
+		o.forgetLoss(r)
 		r.UnreachableSince = time.Time{}
 	}
 	if r.ObserveClock(report.Clock, sentAt, now) {
--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
@@ -40,7 +41,8 @@
 
 // runnerLoss is a runner that became unreachable.
 type runnerLoss struct {
-	at time.Time
+	runner specs.RunnerID
+	at     time.Time
 	// silent is set when the runner no longer answered, and its connections did not break.
 	silent bool
 	// explained is set when a task that may have crashed a runner before was on it.
@@ -57,7 +59,14 @@
 	now := o.config.Clock.Now()
 	r.UnreachableSince, r.Silent = now, silent
 	o.losses = slices.DeleteFunc(o.losses, func(l runnerLoss) bool { return now.Sub(l.at) >= lossMemory })
-	o.losses = append(o.losses, runnerLoss{at: now, silent: silent, explained: r.HasSuspect()})
+	o.losses = append(o.losses, runnerLoss{runner: r.Info.ID, at: now, silent: silent, explained: r.HasSuspect()})
+}
+
+// forgetLoss removes the latest loss of a runner that answers again: it was only silent. The caller must hold o.mu.
+func (o *Owner) forgetLoss(r *tasks.Runner) {
+	o.losses = slices.DeleteFunc(o.losses, func(l runnerLoss) bool {
+		return l.runner == r.Info.ID && l.at.Equal(r.UnreachableSince)
+	})
 }
 
 // unexplainedLosses returns how many runners without a suspected task were lost at about the given time, as one that was silent or
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -159,6 +159,8 @@
 		ratesVersion specs.CatalogVersion
 		// usualPace is the median pace of the runners of each service at the latest tick.
 		usualPace map[types.ServiceName]float64
+		// answers tells how long to wait for an answer of a runner.
+		answers answers
 		// losses holds the runners that became unreachable within lossMemory, the oldest first.
 		losses []runnerLoss
 	}
--- a/internal/flow/owner/runners_test.go
+++ b/internal/flow/owner/runners_test.go
@@ -46,7 +46,7 @@
 	f.fleet.Add(runner(1))
 	f.eventually("the tasks run elsewhere", func() bool { return f.fleet.StartCount() == 4 })
 	// The last renewal that the runner received may be as old as one wait for results.
-	if earliest := leaseTTL - longPollTimeout - longPollMargin; time.Since(unreachableSince) < earliest {
+	if earliest := leaseTTL - longPollTimeout - maxRenewMargin; time.Since(unreachableSince) < earliest {
 		t.Errorf("the tasks run elsewhere %s after the runner was last reached, want %s or more", time.Since(unreachableSince), earliest)
 	}
 	f.checkNoViolations()
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -11,14 +11,13 @@
 )
 
 const (
-	// firstStartTimeout limits how long a runner may take to answer the first try of a start, and requestTimeout any
-	// later try and stops.
-	firstStartTimeout = 250 * time.Millisecond
-	requestTimeout    = 600 * time.Millisecond
+	// requestTimeout limits how long a runner may take to answer a stop, and any try of a start.
+	requestTimeout = 600 * time.Millisecond
 	// ticketMargin is the part of a ticket's validity that is reserved for the transmission of a start to its runner.
 	ticketMargin = 60 * time.Millisecond
-	// maxStartTries is how often an unanswered start is sent before the fence is raised.
-	maxStartTries = 2
+	// maxStartTries is how often an unanswered start is sent before the fence is raised. A further try has no effect on a runner that
+	// has executed an earlier one, and costs far less time than a new fence.
+	maxStartTries = 3
 	// stopRetryInterval is the time after which a stop is sent again if the run still goes on.
 	stopRetryInterval = 700 * time.Millisecond
 )
@@ -129,10 +128,7 @@
 	run.Tries++
 	o.counters.starts.Inc(1)
 	info := r.Info
-	timeout := firstStartTimeout
-	if run.Tries > 1 {
-		timeout = requestTimeout
-	}
+	timeout := o.startTimeout(run.Tries)
 	go o.guarded("answer of a runner", func() {
 		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		defer cancel()
@@ -140,7 +136,11 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		if o.ctx.Err() == nil {
-			o.counters.startLatency.Update(o.config.Clock.Since(now))
+			took := o.config.Clock.Since(now)
+			o.counters.startLatency.Update(took)
+			if err == nil {
+				o.answers.times.Observe(took)
+			}
 			o.applyStartAnswer(run, request, err)
 		}
 	})()
@@ -164,6 +164,7 @@
 	}
 	switch {
 	case err == nil:
+		o.answers.noteStart(o.config.Clock.Now(), run.Tries)
 		if !run.Confirmed {
 			run.Confirm(o.config.Clock.Now())
 		}
