--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -62,7 +62,10 @@
 	}
 	t.Cleanup(func() { removeLogs(t, directory) })
 	c.Command, c.Directory = []string{os.Args[0], "platform"}, directory
-	c.Daemons, c.Runners, c.Callers = soak.DefaultDaemons, soak.DefaultRunners, soak.DefaultCallers
+	c.Daemons, c.Runners = soak.DefaultDaemons, soak.DefaultRunners
+	if c.Callers == 0 {
+		c.Callers = soak.DefaultCallers
+	}
 	report, err := soak.Run(t.Context(), c)
 	if err != nil {
 		t.Fatal(err)
@@ -120,9 +123,10 @@
 	runWith(t, soak.Config{Seed: 4, Length: shortLength, LargeCatalogs: true})
 }
 
-// Leaders whose terms are shorter than a snapshot leave a full ring to their successors.
+// Leaders whose terms are shorter than a snapshot leave a full ring to their successors. The ring fills only under many callers and
+// over many terms.
 func TestSoakWithShortTerms(t *testing.T) {
-	runWith(t, soak.Config{Seed: 5, Length: shortLength, ShortTerms: true})
+	runWith(t, soak.Config{Seed: 5, Length: 20 * time.Second, Callers: 24, ShortTerms: true})
 }
 
 // The seeds that failed in the past run at full length.
