Claim vacant leadership as soon as its delays are over

The delays before a claim (28 to 150 ms) were checked every 100 ms, with a new random part each time. The loop now wakes when the records change and when the delay ends, and draws the random part once.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
@@ -51,7 +52,8 @@
 	retryBackoff = 150 * time.Millisecond
 	// maxDeleteTries limits the tries to delete this daemon's records when it steps down.
 	maxDeleteTries = 3
-	// decideInterval is how often a daemon checks whether it should claim leadership or end its term.
+	// decideInterval is how often a daemon checks whether it should claim leadership or end its term, unless a change of the records
+	// or the end of its delay before a claim comes earlier.
 	decideInterval = 100 * time.Millisecond
 	// A daemon waits for rankDelayFactor times its latency to the store, at most maxRankDelay, before it claims
 	// leadership, so that the daemon nearest to the store leads.
@@ -121,6 +123,8 @@
 	Elector struct {
 		config Config
 		nonce  store.Nonce
+		// recordsChanged wakes decideLoop when leadership may have become vacant.
+		recordsChanged chan struct{}
 
 		mu    sync.Mutex
 		lease store.LeaseID
@@ -145,6 +149,8 @@
 		abstainUntil time.Time
 		// vacantSince is when leadership was first found to be vacant; zero while it is not.
 		vacantSince time.Time
+		// claimJitter is the random part of the delay before a claim, drawn when leadership is found to be vacant.
+		claimJitter time.Duration
 		// suspectEpoch is the epoch of the leader that was marked as suspected at suspectedAt.
 		suspectEpoch types.Epoch
 		suspectedAt  time.Time
@@ -156,7 +162,9 @@
 	if c.TTL <= 0 {
 		c.TTL = DefaultTTL
 	}
-	return &Elector{config: c, nonce: store.Nonce(uuid.NewString()), members: make(map[types.VMID]Member)}
+	return &Elector{
+		config: c, nonce: store.Nonce(uuid.NewString()), members: make(map[types.VMID]Member), recordsChanged: make(chan struct{}, 1),
+	}
 }
 
 // Run takes part in the election until ctx ends.
@@ -218,6 +226,7 @@
 			Str("Reason", reason).Msg("leader marked as suspected")
 	}
 	e.suspectEpoch, e.suspectedAt = epoch, now
+	every.Wake(e.recordsChanged)
 }
 
 // CheckStore renews the daemon's lease, or registers the daemon if it has none, and returns an error unless the store
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
 )
@@ -78,6 +79,7 @@
 	e.mu.Lock()
 	e.lease = lease
 	e.observeLatency(latency)
+	every.Wake(e.recordsChanged)
 	e.mu.Unlock()
 	if e.hasSteppedDown() {
 		return e.deleteRecords(ctx, nil, e.memberKey())
@@ -126,6 +128,7 @@
 	}
 	e.listed = true
 	e.lastContact = e.config.Clock.Now()
+	every.Wake(e.recordsChanged)
 	return page.Version, nil
 }
 
@@ -148,20 +151,28 @@
 		e.applyEntry(entry)
 	}
 	e.lastContact = e.config.Clock.Now()
+	if e.leaderVersion == store.Absent {
+		every.Wake(e.recordsChanged)
+	}
 	return page.Version, nil
 }
 
 // decideLoop claims leadership when it is vacant, and ends this daemon's term when another daemon leads.
 func (e *Elector) decideLoop(ctx context.Context) {
+	wait := decideInterval
 	for ctx.Err() == nil {
-		e.sleep(ctx, decideInterval)
-		e.decide(ctx)
+		select {
+		case <-ctx.Done():
+		case <-e.recordsChanged:
+		case <-e.config.Clock.After(wait):
+		}
+		wait = e.decide(ctx)
 	}
 }
 
 // decide makes one round of decideLoop. It claims, or reasserts, vacant leadership only after the delays for the
-// latency to the store and for a weaker VM, and a random one.
-func (e *Elector) decide(ctx context.Context) {
+// latency to the store and for a weaker VM, and a random one. It returns the time until the next round.
+func (e *Elector) decide(ctx context.Context) time.Duration {
 	e.mu.Lock()
 	term := e.term
 	overtaken := term != nil && (e.epochRecord.Epoch > term.Epoch || e.leader.Epoch > term.Epoch)
@@ -170,10 +181,11 @@
 	if !vacant {
 		e.vacantSince = time.Time{}
 	} else if e.vacantSince.IsZero() {
-		e.vacantSince = e.config.Clock.Now()
+		e.vacantSince, e.claimJitter = e.config.Clock.Now(), rand.N(maxJitter)
 	}
-	delay := min(rankDelayFactor*e.storeLatency, maxRankDelay) + e.weakDelay() + rand.N(maxJitter)
-	delayPassed := vacant && e.config.Clock.Since(e.vacantSince) >= delay
+	delay := min(rankDelayFactor*e.storeLatency, maxRankDelay) + e.weakDelay() + e.claimJitter
+	left := delay - e.config.Clock.Since(e.vacantSince)
+	delayPassed := vacant && left <= 0
 	e.mu.Unlock()
 	switch {
 	case overtaken:
@@ -182,7 +194,10 @@
 		e.reassertLeadership(ctx, *term)
 	case delayPassed:
 		e.claim(ctx)
+	case vacant:
+		return min(left, decideInterval)
 	}
+	return decideInterval
 }
 
 // knownStrength returns the highest Strength of this daemon, those listed, and those that were listed until recently. The caller
