--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -25,9 +25,9 @@
 	// EpochKey holds the epoch of the latest leader. It is bound to no lease and so outlives them all.
 	EpochKey store.Key = "Flow/Control/Epoch"
 
-	dataPrefix     store.Key = "Flow/Data/"
-	jobPrefix      store.Key = dataPrefix + "Job/"
-	logPrefix      store.Key = dataPrefix + "Log/"
+	dataPrefix store.Key = "Flow/Data/"
+	jobPrefix  store.Key = dataPrefix + "Job/"
+	logPrefix  store.Key = dataPrefix + "Log/"
 	// SnapshotPrefix is the prefix of the keys of snapshots.
 	SnapshotPrefix store.Key = dataPrefix + "Image/"
 	resultsPrefix  store.Key = dataPrefix + "Ends/"
@@ -144,10 +144,7 @@
 
 	// encodedPart is a part whose records are encoded.
 	encodedPart struct {
-		Base    uint64          `json:"Base"`
-		Epoch   types.Epoch     `json:"Epoch"`
-		Index   int             `json:"Index"`
-		Total   int             `json:"Total"`
+		partHeader
 		Records json.RawMessage `json:"Records"`
 	}
 
@@ -174,13 +171,18 @@
 		Records []tasks.Record `json:"Records,omitempty"`
 	}
 
+	// partHeader names one part of a snapshot.
+	partHeader struct {
+		// Base is the number of the last segment that the snapshot covers.
+		Base  uint64      `json:"Base"`
+		Epoch types.Epoch `json:"Epoch"`
+		Index int         `json:"Index"`
+		Total int         `json:"Total"`
+	}
+
 	// part is one part of a snapshot, the value of one key.
 	part struct {
-		// Base is the number of the last segment that the snapshot covers.
-		Base    uint64         `json:"Base"`
-		Epoch   types.Epoch    `json:"Epoch"`
-		Index   int            `json:"Index"`
-		Total   int            `json:"Total"`
+		partHeader
 		Records []tasks.Record `json:"Records"`
 	}
 )
--- a/internal/flow/ledger/ledger_test.go
+++ b/internal/flow/ledger/ledger_test.go
@@ -195,17 +195,17 @@
 }
 
 func TestIncompleteSnapshotIsNotUsed(t *testing.T) {
-	whole1 := part{Base: 7, Epoch: 1, Index: 0, Total: 2}
-	whole2 := part{Base: 7, Epoch: 1, Index: 1, Total: 2}
-	other := part{Base: 9, Epoch: 1, Index: 0, Total: 2}
-	longer := part{Base: 3, Epoch: 1, Index: 2, Total: 3}
-	if got := completeParts([]part{whole2, whole1, longer}); len(got) != 2 {
+	whole1 := storedPart{partHeader: partHeader{Base: 7, Epoch: 1, Index: 0, Total: 2}}
+	whole2 := storedPart{partHeader: partHeader{Base: 7, Epoch: 1, Index: 1, Total: 2}}
+	other := storedPart{partHeader: partHeader{Base: 9, Epoch: 1, Index: 0, Total: 2}}
+	longer := storedPart{partHeader: partHeader{Base: 3, Epoch: 1, Index: 2, Total: 3}}
+	if got := completeParts([]storedPart{whole2, whole1, longer}); len(got) != 2 {
 		t.Errorf("the complete snapshot has %d parts, want 2", len(got))
 	}
-	if got := completeParts([]part{other, whole2}); got != nil {
+	if got := completeParts([]storedPart{other, whole2}); got != nil {
 		t.Error("parts of two snapshots were used as one")
 	}
-	if got := completeParts([]part{whole1}); got != nil {
+	if got := completeParts([]storedPart{whole1}); got != nil {
 		t.Error("a snapshot with a missing part was used")
 	}
 }
--- a/internal/flow/ledger/load.go
+++ b/internal/flow/ledger/load.go
@@ -14,19 +14,30 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
 )
 
-// storedSegment is a segment with its encoded size.
-type storedSegment struct {
-	segment
-	size int
-}
+type (
+	// contents holds the decoded values of the ledger's keys. Of segments and parts, only the headers are decoded: the ring holds many
+	// segments that the snapshot covers, and one of the two snapshots is outdated.
+	contents struct {
+		jobs     []*specs.Job
+		segments []storedSegment
+		parts    map[int][]storedPart
+		results  map[store.Key][]tasks.JobResult
+	}
 
-// contents holds the decoded values of the ledger's keys.
-type contents struct {
-	jobs     []*specs.Job
-	segments []storedSegment
-	parts    map[int][]part
-	results  map[store.Key][]tasks.JobResult
-}
+	// storedSegment is an encoded segment with its header.
+	storedSegment struct {
+		Number uint64 `json:"Number"`
+		key    store.Key
+		value  json.RawMessage
+	}
+
+	// storedPart is an encoded part of a snapshot with its header.
+	storedPart struct {
+		partHeader
+		key   store.Key
+		value json.RawMessage
+	}
+)
 
 // Open reads the whole durable state into the table and returns a ledger that goes on from it. The caller must
 // already have raised the epoch to its own, so that no other writer can add to the ledger.
@@ -44,12 +55,14 @@
 	if err != nil {
 		return nil, err
 	}
-	l.fill(table, stored)
+	if err := l.fill(table, stored); err != nil {
+		return nil, err
+	}
 	return l, nil
 }
 
 // fill builds the tables from the decoded values.
-func (l *Ledger) fill(table *tasks.Table, stored contents) {
+func (l *Ledger) fill(table *tasks.Table, stored contents) error {
 	for _, j := range stored.jobs {
 		table.AddJob(j)
 	}
@@ -57,17 +70,23 @@
 		l.resultKeys[key] = latestResultTime(results)
 		table.Restore(results)
 	}
-	base := l.restoreSnapshot(stored, table)
-	l.replaySegments(stored, base, table)
+	base, err := l.restoreSnapshot(stored, table)
+	if err != nil {
+		return err
+	}
+	if err := l.replaySegments(stored, base, table); err != nil {
+		return err
+	}
 	for _, j := range stored.jobs {
 		if _, ended := table.EndedJobs[j.ID]; ended {
 			l.jobsToDelete = append(l.jobsToDelete, j.ID)
 		}
 	}
+	return nil
 }
 
 func (l *Ledger) decode(page store.Page) (contents, error) {
-	out := contents{parts: make(map[int][]part), results: make(map[store.Key][]tasks.JobResult)}
+	out := contents{parts: make(map[int][]storedPart), results: make(map[store.Key][]tasks.JobResult)}
 	for _, e := range page.Entries {
 		l.versions[e.Key], l.partVersions[e.Key] = e.Version, e.Version
 		err := out.addEntry(e)
@@ -76,13 +95,18 @@
 			continue
 		}
 		if err != nil {
-			return contents{}, errs.New(errs.Internal, "%s in the store is malformed: %v", e.Key, err)
+			return contents{}, malformed(e.Key, err)
 		}
 	}
 	slices.SortFunc(out.segments, func(a, b storedSegment) int { return cmp.Compare(a.Number, b.Number) })
 	return out, nil
 }
 
+// malformed returns the error of a value without which the ledger cannot be read.
+func malformed(key store.Key, err error) error {
+	return errs.New(errs.Internal, "%s in the store is malformed: %v", key, err)
+}
+
 // reportMalformed reports a job that cannot be read. The other jobs go on without it; a malformed segment or snapshot is an
 // error instead, since without its changes tasks that are done would run again.
 func (l *Ledger) reportMalformed(key store.Key, err error) {
@@ -104,11 +128,11 @@
 		}
 		c.jobs = append(c.jobs, j)
 	case strings.HasPrefix(key, string(logPrefix)):
-		var s segment
+		s := storedSegment{key: e.Key, value: e.Value}
 		if err := json.Unmarshal(e.Value, &s); err != nil {
 			return err
 		}
-		c.segments = append(c.segments, storedSegment{segment: s, size: len(e.Value)})
+		c.segments = append(c.segments, s)
 	case strings.HasPrefix(key, string(resultsPrefix)):
 		var results []tasks.JobResult
 		if err := json.Unmarshal(e.Value, &results); err != nil {
@@ -116,8 +140,8 @@
 		}
 		c.results[e.Key] = results
 	case strings.HasPrefix(key, string(SnapshotPrefix)):
-		var p part
-		if err := json.Unmarshal(e.Value, &p); err != nil {
+		p := storedPart{key: e.Key, value: e.Value}
+		if err := json.Unmarshal(e.Value, &p.partHeader); err != nil {
 			return err
 		}
 		set, err := snapshotSetOf(e.Key)
@@ -140,30 +164,34 @@
 
 // restoreSnapshot applies the newest complete snapshot and returns the number of the last segment that it covers, or
 // 0 without one.
-func (l *Ledger) restoreSnapshot(c contents, table *tasks.Table) uint64 {
+func (l *Ledger) restoreSnapshot(c contents, table *tasks.Table) (uint64, error) {
 	var base uint64
-	var newest []part
+	var newest []storedPart
 	for set, parts := range c.parts {
 		if complete := completeParts(parts); complete != nil && complete[0].Base >= base {
 			base, newest = complete[0].Base, complete
 			l.snapshotSet = set
 		}
 	}
-	for _, p := range newest {
+	for _, stored := range newest {
+		var p part
+		if err := json.Unmarshal(stored.value, &p); err != nil {
+			return 0, malformed(stored.key, err)
+		}
 		for _, r := range p.Records {
 			table.Apply(r)
 		}
 	}
-	return base
+	return base, nil
 }
 
 // completeParts returns the parts of the newest snapshot in one key set, in order, or nil when a part is missing.
 // Parts of an older, longer snapshot may follow them and are ignored.
-func completeParts(parts []part) []part {
+func completeParts(parts []storedPart) []storedPart {
 	if len(parts) == 0 {
 		return nil
 	}
-	slices.SortFunc(parts, func(a, b part) int { return cmp.Compare(a.Index, b.Index) })
+	slices.SortFunc(parts, func(a, b storedPart) int { return cmp.Compare(a.Index, b.Index) })
 	first := parts[0]
 	if first.Index != 0 || first.Total < 1 || len(parts) < first.Total {
 		return nil
@@ -178,18 +206,23 @@
 
 // replaySegments applies the segments after the snapshot. A segment may be missing whose write was in flight when its
 // leader's term ended: nothing had been done yet that relied on it or on the segments after it.
-func (l *Ledger) replaySegments(c contents, base uint64, table *tasks.Table) {
+func (l *Ledger) replaySegments(c contents, base uint64, table *tasks.Table) error {
 	l.nextSegment = base + 1
-	for _, s := range c.segments {
-		if s.Number <= base {
+	for _, stored := range c.segments {
+		if stored.Number <= base {
 			continue
 		}
+		var s segment
+		if err := json.Unmarshal(stored.value, &s); err != nil {
+			return malformed(stored.key, err)
+		}
 		for _, r := range s.Records {
 			table.Apply(r)
 		}
 		l.nextSegment = s.Number + 1
-		l.bytesSinceSnapshot += s.size
+		l.bytesSinceSnapshot += len(stored.value)
 	}
 	// A slot belongs to a number, so a missing segment uses one as well.
 	l.segmentsSinceSnapshot = int(l.nextSegment - 1 - base)
+	return nil
 }
--- a/internal/flow/ledger/snapshot.go
+++ b/internal/flow/ledger/snapshot.go
@@ -77,7 +77,8 @@
 		records = []json.RawMessage{json.RawMessage("[]")}
 	}
 	for i, chunk := range records {
-		value, err := json.Marshal(encodedPart{Base: s.base, Epoch: s.ledger.config.Epoch, Index: i, Total: len(records), Records: chunk})
+		header := partHeader{Base: s.base, Epoch: s.ledger.config.Epoch, Index: i, Total: len(records)}
+		value, err := json.Marshal(encodedPart{partHeader: header, Records: chunk})
 		if err != nil {
 			return nil, errs.New(errs.Internal, "encoding a snapshot: %v", err)
 		}
