--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -113,6 +113,8 @@
 		rescuer              *rescue.Rescuer
 		// turns holds what the loops do or wait for.
 		turns *stall.Watch
+		// firstList receives the directory that is read while the ledger is; only directoryLoop uses it once the loops run.
+		firstList chan directoryList
 		// ledgerMu guards the ledger; running its writes does not require it.
 		ledgerMu sync.Mutex
 
@@ -197,6 +199,7 @@
 	o.loops.Go(o.guarded("leadership confirmation", o.confirmLoop))
 	defer o.loops.Wait()
 	defer o.cancel()
+	o.beginList()
 	jobLedger := o.openLedger()
 	if jobLedger == nil {
 		return
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -93,6 +93,14 @@
 	}
 }
 
+// directoryList is the whole directory as it was at askedAt, or the error of its reading.
+type directoryList struct {
+	runners []agent.Runner
+	version uint64
+	askedAt time.Time
+	err     error
+}
+
 // directoryLoop keeps the runners in the tables up to date with the directory.
 func (o *Owner) directoryLoop() {
 	var version uint64
@@ -132,17 +140,46 @@
 	return len(changes), nil
 }
 
-// listDirectory reads the whole directory.
-func (o *Owner) listDirectory(lastVersion *uint64, listed *bool) error {
+// beginList begins to read the whole directory for the first read of directoryLoop. The directory does not depend on the ledger, so a
+// new leader reads both at the same time.
+func (o *Owner) beginList() {
+	o.firstList = make(chan directoryList, 1)
+	first := o.firstList
+	o.loops.Go(o.guarded("directory of runners", func() { first <- o.readList() }))
+}
+
+// readList reads the whole directory.
+func (o *Owner) readList() directoryList {
 	ctx, cancel := context.WithTimeout(o.ctx, listTimeout)
 	defer cancel()
-	askedAt := o.config.Clock.Now()
-	runners, version, err := o.config.Directory.List(ctx)
-	if err != nil {
-		return err
+	out := directoryList{askedAt: o.config.Clock.Now()}
+	out.runners, out.version, out.err = o.config.Directory.List(ctx)
+	return out
+}
+
+// nextList returns the list that beginList reads, if it was not taken yet, or reads one.
+func (o *Owner) nextList() directoryList {
+	if o.firstList == nil {
+		return o.readList()
+	}
+	first := o.firstList
+	o.firstList = nil
+	select {
+	case list := <-first:
+		return list
+	case <-o.ctx.Done():
+		return directoryList{err: errs.New(errs.Unavailable, "the term has ended")}
+	}
+}
+
+// listDirectory reads the whole directory, or takes the list that beginList has read, and applies it.
+func (o *Owner) listDirectory(lastVersion *uint64, listed *bool) error {
+	list := o.nextList()
+	if list.err != nil {
+		return list.err
 	}
-	*lastVersion, *listed = version, true
-	o.applyList(runners, askedAt)
+	*lastVersion, *listed = list.version, true
+	o.applyList(list.runners, list.askedAt)
 	return nil
 }
 
