Name the level of the ledger's values, and do not lead with a ledger of a newer build

Table.Apply passed over records of a kind that it does not know, so an old leader ran work again that was done, and lost fields of records that it rewrote. A daemon that finds a newer level or an unknown kind does not lead. Members publish the level that they read; a leader writes the newest that all read. There is one level yet, which the build in production reads.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -91,6 +91,8 @@
 	Member struct {
 		Target   peer.Target `json:"Target"`
 		Strength Strength    `json:"Strength"`
+		// Level is the newest level of the ledger that the daemon reads.
+		Level ledger.Level `json:"Level,omitempty"`
 	}
 
 	// epochRecord is the value of ledger.EpochKey. It is bound to no lease.
@@ -205,6 +207,17 @@
 	return out
 }
 
+// CommonLevel returns the newest level of the ledger that all daemons which are known to be alive read. A leader writes no newer one.
+func (e *Elector) CommonLevel() ledger.Level {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	common := ledger.MaxLevel
+	for _, m := range e.members {
+		common = min(common, m.Level.OrFirst())
+	}
+	return common
+}
+
 // StoreReachable reports whether the store has answered a watch or a renewal within the last TTL.
 func (e *Elector) StoreReachable() bool {
 	e.mu.Lock()
--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -376,3 +376,19 @@
 		})
 	})
 }
+
+// A leader that writes what a living daemon cannot read leaves the work to nobody once that daemon leads.
+func TestCommonLevelIsThatOfTheOldestBuild(t *testing.T) {
+	e := New(Config{Self: peer.Target{VM: "a"}, Clock: clockwork.NewRealClock(), Log: zerolog.Nop()})
+	check := func(what string, want ledger.Level) {
+		t.Helper()
+		if got := e.CommonLevel(); got != want {
+			t.Errorf("%s: level %d, want %d", what, got, want)
+		}
+	}
+	check("no daemon is known", ledger.MaxLevel)
+	e.members["newer"] = Member{Level: ledger.MaxLevel + 1}
+	check("a newer build", ledger.MaxLevel)
+	e.members["former"] = Member{}
+	check("a build without levels", 1)
+}
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -68,7 +68,7 @@
 		return err
 	}
 	latency := e.config.Clock.Since(began)
-	value, err := encode(Member{Target: e.config.Self, Strength: e.config.Strength})
+	value, err := encode(Member{Target: e.config.Self, Strength: e.config.Strength, Level: ledger.MaxLevel})
 	if err != nil {
 		return err
 	}
--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -223,7 +223,7 @@
 	o := owner.New(owner.Config{
 		Term: t, Store: f.config.Store, Clock: f.config.Clock, Log: f.config.Log, Metrics: f.config.Metrics,
 		Agents: f.newRelayClient(termCtx, t), Directory: f.config.Directory, Advise: f.advise, AdviceBudget: f.adviceBudget,
-		CollectCachedAdvice: f.collectCachedAdvice, Catalog: f.Catalog,
+		CollectCachedAdvice: f.collectCachedAdvice, Catalog: f.Catalog, Level: f.elector.CommonLevel(),
 		OnFenced: f.elector.EndTerm, OnStalled: func(reason string) { f.elector.StandBack(ctx, reason) }, Bounds: f.config.Bounds,
 		OnWritesStalled: func(isStalled func() bool) { f.requestTakeover(ctx, t.Epoch, isStalled) },
 	})
--- a/internal/flow/ledger/fuzz_test.go
+++ b/internal/flow/ledger/fuzz_test.go
@@ -20,8 +20,7 @@
 		return nil, err
 	}
 	table := tasks.New()
-	l.fill(table, stored)
-	return table, nil
+	return table, l.fill(table, stored)
 }
 
 const storedJob = `{"ID":"j","Queue":{"Name":"q"},"Payload":"p","Steps":[{"Count":2},{"Count":1,"After":[0]}]}`
--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -80,6 +80,8 @@
 		Epoch types.Epoch
 		// EpochVersion is the version of EpochKey under which the writer became leader.
 		EpochVersion store.Version
+		// Level is the level of what is written; zero means 1.
+		Level Level
 		// Retention is how long the results of jobs are kept; 0 means forever.
 		Retention time.Duration
 		// OnFailure, if set, is called after each failed try of a write, with the number of failed tries of that
@@ -167,6 +169,7 @@
 	// segment is the value of a slot.
 	segment struct {
 		Number  uint64         `json:"Number"`
+		Level   Level          `json:"Level,omitempty"`
 		Epoch   types.Epoch    `json:"Epoch"`
 		Records []tasks.Record `json:"Records,omitempty"`
 	}
@@ -178,6 +181,7 @@
 		Epoch types.Epoch `json:"Epoch"`
 		Index int         `json:"Index"`
 		Total int         `json:"Total"`
+		Level Level       `json:"Level,omitempty"`
 	}
 
 	// part is one part of a snapshot, the value of one key.
@@ -197,7 +201,7 @@
 	var out []*Write
 	for {
 		n := min(len(e.Jobs), maxKeysPerBatch)
-		s := segment{Number: l.nextSegment, Epoch: l.config.Epoch}
+		s := segment{Number: l.nextSegment, Epoch: l.config.Epoch, Level: l.config.Level.OrFirst()}
 		if n == len(e.Jobs) {
 			s.Records = e.Records
 		}
--- a/internal/flow/ledger/load.go
+++ b/internal/flow/ledger/load.go
@@ -27,6 +27,7 @@
 	// storedSegment is an encoded segment with its header.
 	storedSegment struct {
 		Number uint64 `json:"Number"`
+		Level  Level  `json:"Level"`
 		key    store.Key
 		value  json.RawMessage
 	}
@@ -174,17 +175,31 @@
 		}
 	}
 	for _, stored := range newest {
+		if err := checkLevel(stored.key, stored.Level); err != nil {
+			return 0, err
+		}
 		var p part
 		if err := json.Unmarshal(stored.value, &p); err != nil {
 			return 0, malformed(stored.key, err)
 		}
-		for _, r := range p.Records {
-			table.Apply(r)
+		if err := applyRecords(stored.key, p.Records, table); err != nil {
+			return 0, err
 		}
 	}
 	return base, nil
 }
 
+// applyRecords applies the records of one value, unless one is of an unknown kind.
+func applyRecords(key store.Key, records []tasks.Record, table *tasks.Table) error {
+	for _, r := range records {
+		if err := checkKind(key, r); err != nil {
+			return err
+		}
+		table.Apply(r)
+	}
+	return nil
+}
+
 // completeParts returns the parts of the newest snapshot in one key set, in order, or nil when a part is missing.
 // Parts of an older, longer snapshot may follow them and are ignored.
 func completeParts(parts []storedPart) []storedPart {
@@ -212,12 +227,15 @@
 		if stored.Number <= base {
 			continue
 		}
+		if err := checkLevel(stored.key, stored.Level); err != nil {
+			return err
+		}
 		var s segment
 		if err := json.Unmarshal(stored.value, &s); err != nil {
 			return malformed(stored.key, err)
 		}
-		for _, r := range s.Records {
-			table.Apply(r)
+		if err := applyRecords(stored.key, s.Records, table); err != nil {
+			return err
 		}
 		l.nextSegment = s.Number + 1
 		l.bytesSinceSnapshot += len(stored.value)
--- a/internal/flow/ledger/snapshot.go
+++ b/internal/flow/ledger/snapshot.go
@@ -77,7 +77,7 @@
 		records = []json.RawMessage{json.RawMessage("[]")}
 	}
 	for i, chunk := range records {
-		header := partHeader{Base: s.base, Epoch: s.ledger.config.Epoch, Index: i, Total: len(records)}
+		header := partHeader{Base: s.base, Epoch: s.ledger.config.Epoch, Index: i, Total: len(records), Level: s.ledger.config.Level.OrFirst()}
 		value, err := json.Marshal(encodedPart{partHeader: header, Records: chunk})
 		if err != nil {
 			return nil, errs.New(errs.Internal, "encoding a snapshot: %v", err)
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 		CollectCachedAdvice CollectCachedAdvice
 		// Catalog returns the catalog in force, or nil until there is one.
 		Catalog func() *specs.Catalog
+		// Level is the level of the ledger's values that are written; zero means 1.
+		Level ledger.Level
 		// OnFenced is called when the term ends because a runner or the ledger shows that another daemon leads.
 		OnFenced func(reason string)
 		// OnStalled is called when the term ends because this leader makes no progress although the store answers it.
@@ -227,7 +230,7 @@
 		table := tasks.New()
 		jobLedger, err := ledger.Open(o.ctx, ledger.Config{
 			Store: o.config.Store, Clock: o.config.Clock,
-			Epoch: o.config.Term.Epoch, EpochVersion: o.config.Term.Version,
+			Epoch: o.config.Term.Epoch, EpochVersion: o.config.Term.Version, Level: o.config.Level,
 			Retention: o.config.Bounds.StatusRetention, OnFailure: o.handleWriteFailure, OnSnapshotFailure: o.logSnapshotFailure,
 			OnMalformed: func(key store.Key, err error) {
 				o.config.Log.Error().Err(err).Str("Key", string(key)).Msg("stored job is malformed; going on without it")
@@ -242,6 +245,12 @@
 				Dur("Took", o.config.Clock.Since(began)).Msg("ledger read")
 			return jobLedger
 		}
+		if errors.Is(err, ledger.ErrNewerLevel) {
+			o.config.Log.Error().Err(err).Msg("the ledger needs a newer build as leader; going on as an entry")
+			o.config.OnStalled("the ledger needs a newer build")
+			o.cancel()
+			return nil
+		}
 		o.config.Log.Warn().Err(err).Msg("reading the ledger failed; retrying")
 		o.sleep(ledgerBackoff)
 	}
--- a/internal/flow/tasks/record.go
+++ b/internal/flow/tasks/record.go
@@ -52,6 +52,11 @@
 	}
 )
 
+// IsKnown reports whether the record is of a kind that this build knows. One of an unknown kind is decoded as empty.
+func (r Record) IsKnown() bool {
+	return r.Task != nil || r.End != nil || r.Runner != nil
+}
+
 // Apply applies a record. A change of a task whose job is not in the table changes nothing.
 func (t *Table) Apply(r Record) {
 	switch {
