--- a/internal/flow/feed/feed.go
+++ b/internal/flow/feed/feed.go
@@ -277,10 +277,11 @@
 }
 
 // nextWait returns how long to wait for a newer catalog. The wait is short when the knowledge of the store grows old, for
-// example after a long transfer, so that it is soon confirmed.
+// example after a long transfer, so that it is soon confirmed. It is short before the first catalog, too: daemons that start at the
+// same time know few members yet, and may wait for one another while none of them reads the store.
 func (f *Feed) nextWait() time.Duration {
 	short := f.wait / shortWaitDivisor
-	if f.age() > f.maxAge/2 {
+	if f.age() > f.maxAge/2 || f.Version() == 0 {
 		return short
 	}
 	if maxAge := f.maxConfirmationAge(); maxAge > 0 {
--- a/internal/flow/feed/feed_test.go
+++ b/internal/flow/feed/feed_test.go
@@ -278,6 +278,43 @@
 	f.waitForVersion(1)
 }
 
+// When all daemons start at once, each may know but one other member at first. Two that follow each other must not wait for the other's
+// first catalog for longer than it takes to learn of the others.
+func TestDaemonsThatStartTogetherDoNotWaitForOneAnother(t *testing.T) {
+	const (
+		timeout  = 8 * time.Second
+		joinTime = 30 * time.Millisecond
+		most     = timeout / ageDivisor / waitDivisor / 2
+	)
+	f := &fixture{t: t, store: newOperatorStore(), network: peer.NewNetwork(), feeds: make(map[types.VMID]*Feed), calls: meter.Discard()}
+	f.store.write(1, 1)
+	began := time.Now()
+	all := []elect.Member{member("a0", 3), member("a1", 2), member("a2", 1)}
+	for i, m := range all[1:] {
+		other := all[1+(i+1)%2]
+		f.members = all
+		f.addFeed(m.Target, timeout)
+		f.feeds[m.Target.VM].config.Members = func() []elect.Member {
+			if time.Since(began) < joinTime {
+				return []elect.Member{other}
+			}
+			return all
+		}
+	}
+	for _, feed := range f.feeds {
+		go feed.Run(t.Context())
+	}
+	f.waitForVersion(1)
+	if took := time.Since(began); took > most {
+		t.Errorf("the first catalog took %s, want %s at most", took, most)
+	}
+}
+
+func member(vm string, strength elect.Strength) elect.Member {
+	site := types.Site{DataCentre: "a"}
+	return elect.Member{Target: peer.Target{VM: types.VMID(vm), Site: site, Address: types.Address(vm)}, Strength: strength}
+}
+
 func TestDaemonsPollSlowlyWhileTheStoreIsDown(t *testing.T) {
 	f := newFixture(t, 4, applyTimeout)
 	f.store.write(1, 1)
