--- a/internal/app/cmds/platform.go
+++ b/internal/app/cmds/platform.go
@@ -22,10 +22,12 @@
 const (
 	flagSettings = "settings"
 	flagMetrics  = "metrics-port"
+	flagProfiles = "profiles"
 
 	settingsEnv = "MAGNOLIAWALK_SETTINGS"
 	levelEnv    = "MAGNOLIAWALK_LOG_LEVEL"
 	metricsEnv  = "MAGNOLIAWALK_METRICS_PORT"
+	profilesEnv = "MAGNOLIAWALK_PROFILES"
 )
 
 func platformCommand() *cli.Command {
@@ -37,6 +39,9 @@
 			&cli.StringFlag{
 				Name: flagMetrics, Value: "9464", Usage: "port on which metrics are served", Sources: cli.EnvVars(metricsEnv),
 			},
+			&cli.BoolFlag{
+				Name: flagProfiles, Usage: "serve profiles of the process on the metrics port, under /debug/pprof/", Sources: cli.EnvVars(profilesEnv),
+			},
 			&cli.StringFlag{
 				Name: flagLevel, Value: zerolog.LevelInfoValue, Usage: "debug, info, warn or error", Sources: cli.EnvVars(levelEnv),
 			},
@@ -63,6 +68,7 @@
 		Settings: settings, Path: c.String(flagSettings), Hangup: hangups,
 		Clock: clockwork.NewRealClock(), Log: log.Logger, Metrics: metrics.NewRegistry(),
 		MetricsAddress: types.Address(net.JoinHostPort(settings.IP, c.String(flagMetrics))),
+		ServesProfiles: c.Bool(flagProfiles),
 	})
 }
 
