--- a/internal/conf/spread/feed.go
+++ b/internal/conf/spread/feed.go
@@ -24,7 +24,7 @@
 func (s *Spread) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !s.topology.watchesStore(s.config.Self.Site.Region) || !s.topology.isRepresentative() {
-			s.sleep(ctx, roleCheckInterval)
+			every.Sleep(ctx, s.config.Clock, roleCheckInterval)
 			continue
 		}
 		s.watch(ctx)
@@ -39,7 +39,7 @@
 		version, ok = s.watchOnce(ctx, version)
 	}
 	if !ok {
-		s.sleep(ctx, storeBackoff)
+		every.Sleep(ctx, s.config.Clock, storeBackoff)
 	}
 }
 
--- a/internal/conf/spread/pull.go
+++ b/internal/conf/spread/pull.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 )
@@ -20,7 +21,7 @@
 // hash of the VM ID sets the start within the interval, so that daemons do not pull all at once.
 func (s *Spread) pullLoop(ctx context.Context) {
 	offset := time.Duration(xxhash.Sum64String(string(s.config.Self.VM)) % uint64(pullInterval))
-	if !s.sleep(ctx, offset) {
+	if !every.Sleep(ctx, s.config.Clock, offset) {
 		return
 	}
 	for ctx.Err() == nil {
@@ -28,7 +29,7 @@
 		if !s.holder.hasRecord() {
 			s.loadFromStore(ctx)
 		}
-		s.sleep(ctx, pullInterval)
+		every.Sleep(ctx, s.config.Clock, pullInterval)
 	}
 }
 
--- a/internal/conf/spread/spread.go
+++ b/internal/conf/spread/spread.go
@@ -202,18 +202,6 @@
 	return out
 }
 
-// sleep waits for the duration. It returns false when ctx ended first.
-func (s *Spread) sleep(ctx context.Context, wait time.Duration) bool {
-	t := s.config.Clock.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Spread) addToCounter(name string, n int64) {
 	metrics.GetOrRegisterCounter("Spread."+name, s.config.Metrics).Inc(n)
 }
--- a/internal/core/every/every.go
+++ b/internal/core/every/every.go
@@ -1,4 +1,4 @@
-// Package every runs functions at a fixed interval, or when they are woken, until a context ends.
+// Package every runs functions at a fixed interval, or when they are woken, until a context ends, and waits that long.
 package every
 
 import (
@@ -33,6 +33,18 @@
 	}
 }
 
+// Sleep waits for d, or until ctx ends. It reports whether it has waited for all of d.
+func Sleep(ctx context.Context, clock clockwork.Clock, d time.Duration) bool {
+	timer := clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Wake sends a signal on a channel of capacity one, unless one is pending.
 func Wake(c chan<- struct{}) {
 	select {
--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -355,13 +355,6 @@
 	}
 }
 
-func (e *Elector) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-e.config.Clock.After(d):
-	}
-}
-
 func (e *Elector) memberKey() store.Key {
 	return memberPrefix + store.Key(e.config.Self.VM)
 }
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -22,7 +22,7 @@
 			e.config.Log.Debug().Err(err).Msg("could not renew the lease; retrying after the backoff")
 			delay = retryBackoff
 		}
-		e.sleep(ctx, delay)
+		every.Sleep(ctx, e.config.Clock, delay)
 	}
 }
 
@@ -105,7 +105,7 @@
 		}
 		if err != nil {
 			e.config.Log.Debug().Err(err).Msg("could not read or watch the election records; reading them again after the backoff")
-			e.sleep(ctx, retryBackoff)
+			every.Sleep(ctx, e.config.Clock, retryBackoff)
 		}
 	}
 }
--- a/internal/flow/feed/feed.go
+++ b/internal/flow/feed/feed.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/uptime"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
@@ -188,7 +189,7 @@
 func (f *Feed) awaitMembers(ctx context.Context) {
 	began := f.config.Clock.Now()
 	for ctx.Err() == nil && len(f.config.Members()) == 0 && f.config.Clock.Since(began) < membersTimeout {
-		f.sleep(ctx, membersInterval)
+		every.Sleep(ctx, f.config.Clock, membersInterval)
 	}
 }
 
@@ -230,7 +231,7 @@
 	if err != nil {
 		f.noteReceiving(false)
 		f.config.Log.Debug().Err(err).Msg("reading the catalog from the store failed; retrying after the backoff")
-		f.sleep(ctx, retryBackoff)
+		every.Sleep(ctx, f.config.Clock, retryBackoff)
 		return
 	}
 	confirmedAt := sentAt
@@ -301,13 +302,6 @@
 	return f.config.MaxConfirmationAge()
 }
 
-func (f *Feed) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-f.config.Clock.After(d):
-	}
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/flow/front/confirm.go
+++ b/internal/flow/front/confirm.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/access"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 )
@@ -41,7 +42,7 @@
 func (f *Front) queryLoop(ctx context.Context) {
 	next := rand.Int()
 	for ctx.Err() == nil {
-		f.sleep(ctx, peerQueryInterval)
+		every.Sleep(ctx, f.config.Clock, peerQueryInterval)
 		count := queryCount(f.Access())
 		if !f.elector.StoreReachable() {
 			count = max(count, 1)
--- a/internal/flow/front/leader.go
+++ b/internal/flow/front/leader.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 )
@@ -27,7 +27,7 @@
 		if !mayRetry || f.isDeadlineNear(ctx) {
 			return f.callerError(inDoubt, err)
 		}
-		f.sleep(ctx, retryBackoff)
+		every.Sleep(ctx, f.config.Clock, retryBackoff)
 	}
 }
 
@@ -63,13 +63,6 @@
 	}
 }
 
-func (f *Front) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-f.config.Clock.After(d):
-	}
-}
-
 // tryLeader makes one call to the leader. If the leader's VM refuses the connection, its process has ended, and the
 // leader is marked as suspected.
 func (f *Front) tryLeader(ctx context.Context, method peer.Method, args, reply any) error {
@@ -104,7 +97,7 @@
 	if !reached {
 		return
 	}
-	f.sleep(ctx, takeoverDelay)
+	every.Sleep(ctx, f.config.Clock, takeoverDelay)
 	if isStalled() {
 		f.broadcast(ctx, methodRelieve, &RelieveArgs{Epoch: epoch})
 	}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/stall"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -258,10 +259,7 @@
 }
 
 func (o *Owner) sleep(d time.Duration) {
-	select {
-	case <-o.ctx.Done():
-	case <-o.config.Clock.After(d):
-	}
+	every.Sleep(o.ctx, o.config.Clock, d)
 }
 
 // nextFence returns a fencing token above all that were issued in this term and in every earlier one. The caller
--- a/internal/flow/relay/link.go
+++ b/internal/flow/relay/link.go
@@ -335,8 +335,5 @@
 }
 
 func (c *Client) sleep(d time.Duration) {
-	select {
-	case <-c.ctx.Done():
-	case <-c.config.Clock.After(d):
-	}
+	every.Sleep(c.ctx, c.config.Clock, d)
 }
--- a/internal/proof/fleet/caller.go
+++ b/internal/proof/fleet/caller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/proof/check"
 )
@@ -33,7 +34,7 @@
 
 // sendRequests sends requests until ctx ends, and repeats some of those that failed.
 func (c *caller) sendRequests(ctx context.Context) {
-	for c.fleet.sleep(ctx, thinkTime) {
+	for every.Sleep(ctx, c.fleet.cluster.clock, thinkTime) {
 		n := c.fleet.pickNode(c.random)
 		if n == nil {
 			continue
@@ -78,7 +79,7 @@
 
 // submitJobs submits jobs until ctx ends. It repeats some of the failed submissions and cancels some of the jobs.
 func (c *caller) submitJobs(ctx context.Context) {
-	for number := 0; c.fleet.sleep(ctx, jobThinkTime); number++ {
+	for number := 0; every.Sleep(ctx, c.fleet.cluster.clock, jobThinkTime); number++ {
 		n := c.fleet.pickNode(c.random)
 		if n == nil {
 			continue
--- a/internal/proof/fleet/faults.go
+++ b/internal/proof/fleet/faults.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/proof/check"
 )
@@ -48,7 +49,7 @@
 func (f *fleet) injectFaults(ctx context.Context) {
 	kinds := faultKinds()
 	var group sync.WaitGroup
-	for f.sleep(ctx, faultInterval) {
+	for every.Sleep(ctx, f.cluster.clock, faultInterval) {
 		kind := kinds[f.random.IntN(len(kinds))]
 		duration := minFaultDuration + time.Duration(f.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		f.faultCount++
@@ -56,7 +57,7 @@
 		f.trace.add("%s for %s", kind.name, duration)
 		end := kind.begin(f)
 		group.Go(func() {
-			f.sleep(ctx, duration)
+			every.Sleep(ctx, f.cluster.clock, duration)
 			end()
 			if kind.blocksDocuments {
 				f.recordOutages(startedAt)
--- a/internal/proof/fleet/fleet.go
+++ b/internal/proof/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
 	"github.com/magnoliawalk/magnoliawalk/internal/proof/check"
@@ -146,7 +147,7 @@
 	defer cancel()
 	for _, n := range f.liveNodes() {
 		for !f.isAnswering(startCtx, n) {
-			if !f.sleep(startCtx, pollInterval) {
+			if !every.Sleep(startCtx, f.cluster.clock, pollInterval) {
 				return errs.New(errs.Unavailable, "%s did not answer requests within %s after the start", n.id, startTimeout)
 			}
 		}
@@ -159,7 +160,7 @@
 func (f *fleet) awaitWorkerList(ctx context.Context) error {
 	list := f.cluster.Platform.VMs.As("", meter.Discard())
 	for len(f.cluster.workerVMs) < len(sites)*workersPerSite {
-		f.sleep(ctx, listLag)
+		every.Sleep(ctx, f.cluster.clock, listLag)
 		listing, err := list.List(ctx)
 		if err != nil {
 			return err
@@ -203,7 +204,7 @@
 
 // sampleLoop regularly records the revision in force on every daemon until ctx ends.
 func (f *fleet) sampleLoop(ctx context.Context) {
-	for f.sleep(ctx, sampleInterval) {
+	for every.Sleep(ctx, f.cluster.clock, sampleInterval) {
 		f.sampleRevisions()
 	}
 }
@@ -222,7 +223,7 @@
 	for {
 		f.sampleRevisions()
 		unfinished := f.findUnfinished(recoveryCtx)
-		if len(unfinished) == 0 || !f.sleep(recoveryCtx, pollInterval) {
+		if len(unfinished) == 0 || !every.Sleep(recoveryCtx, f.cluster.clock, pollInterval) {
 			return unfinished
 		}
 	}
@@ -276,15 +277,3 @@
 	}
 	return r
 }
-
-// sleep waits for d or until ctx ends. It reports whether ctx is still active.
-func (f *fleet) sleep(ctx context.Context, d time.Duration) bool {
-	timer := f.cluster.clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/proof/fleet/operator.go
+++ b/internal/proof/fleet/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/edit"
 	"github.com/magnoliawalk/magnoliawalk/internal/conf/envdoc"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/ops/audit"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
@@ -34,7 +35,7 @@
 // on the same revision, so that at most one of them is accepted.
 func (f *fleet) runOperators(ctx context.Context) {
 	editors := []*edit.Editor{f.newEditor("first"), f.newEditor("second")}
-	for change := 1; f.sleep(ctx, changeInterval); change++ {
+	for change := 1; every.Sleep(ctx, f.cluster.clock, changeInterval); change++ {
 		e := editors[change%len(editors)]
 		found, err := e.Get(ctx, environment)
 		if err != nil {
--- a/internal/proof/soak/faults.go
+++ b/internal/proof/soak/faults.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -103,7 +104,7 @@
 	for ctx.Err() == nil {
 		f := kinds[s.rand.IntN(len(kinds))]
 		f.run(s, ctx)
-		s.sleep(ctx, time.Duration(s.rand.Int64N(int64(maxFaultDelay))))
+		every.Sleep(ctx, s.harness.clock, time.Duration(s.rand.Int64N(int64(maxFaultDelay))))
 	}
 }
 
@@ -146,13 +147,6 @@
 	h.events = append(h.events, fmt.Sprintf("  %7.3f s %s: %s", h.elapsed().Seconds(), kind, fmt.Sprintf(format, values...)))
 }
 
-func (s *faultSeries) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-s.harness.clock.After(d):
-	}
-}
-
 func (s *faultSeries) randomDuration() time.Duration {
 	return minFaultDuration + time.Duration(s.rand.Int64N(int64(maxFaultDuration-minFaultDuration)))
 }
@@ -165,7 +159,7 @@
 	d, duration := s.randomDaemon(), s.randomDuration()
 	s.harness.recordFault("kill", "%s, for %s", d.config.Name, duration)
 	d.signal(syscall.SIGKILL, true)
-	s.sleep(ctx, duration)
+	every.Sleep(ctx, s.harness.clock, duration)
 	s.harness.ensureRunning(d)
 }
 
@@ -176,7 +170,7 @@
 		return
 	}
 	d.awaitExit()
-	s.sleep(ctx, s.randomDuration())
+	every.Sleep(ctx, s.harness.clock, s.randomDuration())
 	s.harness.ensureRunning(d)
 }
 
@@ -184,7 +178,7 @@
 	d, duration := s.randomDaemon(), s.randomDuration()
 	s.harness.recordFault("pause", "%s, for %s", d.config.Name, duration)
 	d.signal(syscall.SIGSTOP, true)
-	s.sleep(ctx, duration)
+	every.Sleep(ctx, s.harness.clock, duration)
 	d.signal(syscall.SIGCONT, true)
 }
 
@@ -203,7 +197,7 @@
 	for _, d := range s.harness.daemons {
 		d.signal(syscall.SIGKILL, true)
 	}
-	s.sleep(ctx, duration)
+	every.Sleep(ctx, s.harness.clock, duration)
 	for _, d := range s.harness.daemons {
 		s.harness.ensureRunning(d)
 	}
@@ -220,7 +214,7 @@
 	for _, d := range targets {
 		d.storeProxy.setFault(f)
 	}
-	s.sleep(ctx, duration)
+	every.Sleep(ctx, s.harness.clock, duration)
 	for _, d := range targets {
 		d.storeProxy.setFault(linkFault{})
 	}
@@ -252,7 +246,7 @@
 	duration := s.randomDuration()
 	s.harness.recordFault("store down", "for %s", duration)
 	s.harness.platform.Memory.Faults.SetDown(true)
-	s.sleep(ctx, duration)
+	every.Sleep(ctx, s.harness.clock, duration)
 	s.harness.platform.Memory.Faults.SetDown(false)
 }
 
@@ -266,7 +260,7 @@
 	duration := s.randomDuration()
 	s.harness.recordFault(kind, "for %s", duration)
 	s.harness.runnerProxy.setFault(f)
-	s.sleep(ctx, duration)
+	every.Sleep(ctx, s.harness.clock, duration)
 	s.harness.runnerProxy.setFault(linkFault{})
 }
 
@@ -302,7 +296,7 @@
 	id, duration := s.oldestRunner(), s.randomDuration()
 	s.harness.recordFault("runner cut", "%s, for %s", id, duration)
 	s.harness.platform.Fleet.SetUnreachable(id, true)
-	s.sleep(ctx, duration)
+	every.Sleep(ctx, s.harness.clock, duration)
 	s.harness.platform.Fleet.SetUnreachable(id, false)
 }
 
@@ -329,7 +323,7 @@
 	id := s.oldestRunner()
 	s.harness.recordFault("runner drains", "%s", id)
 	s.harness.retryChange(func() error { return s.harness.platform.DrainRunner(id) })
-	s.sleep(ctx, s.randomDuration())
+	every.Sleep(ctx, s.harness.clock, s.randomDuration())
 	s.harness.retryChange(func() error { return s.harness.platform.CrashRunner(id) })
 	s.harness.retryChange(s.harness.addRunner)
 }
@@ -344,14 +338,14 @@
 	s.harness.recordFault("snapshots refused", "until the end")
 	s.harness.platform.Memory.Faults.RefuseWrites(string(ledger.SnapshotPrefix))
 	for ctx.Err() == nil {
-		s.sleep(ctx, minTerm+time.Duration(s.rand.Int64N(int64(maxTerm-minTerm))))
+		every.Sleep(ctx, s.harness.clock, minTerm+time.Duration(s.rand.Int64N(int64(maxTerm-minTerm))))
 		d := s.harness.leader()
 		if d == nil {
 			continue
 		}
 		s.harness.recordFault("leader killed", "%s", d.config.Name)
 		d.signal(syscall.SIGKILL, true)
-		s.sleep(ctx, minFaultDuration)
+		every.Sleep(ctx, s.harness.clock, minFaultDuration)
 		s.harness.ensureRunning(d)
 	}
 }
@@ -379,7 +373,7 @@
 func (s *faultSeries) growCatalog(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.changeCatalog(ctx)
-		s.sleep(ctx, catalogInterval)
+		every.Sleep(ctx, s.harness.clock, catalogInterval)
 	}
 }
 
