--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
-	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
-	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
@@ -15,14 +12,6 @@
 const (
 	// minWriteInterval is the minimum time between two ledger writes, so that one write carries many changes.
 	minWriteInterval = 25 * time.Millisecond
-	// takeoverRefusedTries is how many tries of a write must have failed before the other daemons are asked to take
-	// over when the latest was refused (kind Unavailable), and takeoverUnansweredTries how many when it failed
-	// otherwise. takeoverRequestInterval is how often they are asked.
-	takeoverRefusedTries    = 3
-	takeoverUnansweredTries = 4
-	takeoverRequestInterval = 500 * time.Millisecond
-	// takeoverWriteTimeout is how long the writes must have been stalled for the other daemons to be asked to take over.
-	takeoverWriteTimeout = 200 * time.Millisecond
 	// maxInFlight limits the writes that wait to be committed.
 	maxInFlight = 20
 	// writeLatencyDecay is the divisor of the decay of writeLatency: with each faster write it falls by at most
@@ -94,15 +83,6 @@
 	}
 }
 
-// wakeIfSnapshotDue lets the first write begin at once if a snapshot is due: former terms may have been too short for theirs.
-func (o *Owner) wakeIfSnapshotDue(jobLedger *ledger.Ledger) {
-	o.ledgerMu.Lock()
-	defer o.ledgerMu.Unlock()
-	if jobLedger.SnapshotDue() {
-		every.Wake(o.writeWake)
-	}
-}
-
 // beginWrite begins to write the pending changes, with a snapshot of the tables when one is due.
 func (o *Owner) beginWrite(jobLedger *ledger.Ledger, toCommit chan<- *inFlightWrite) error {
 	if err := o.waitForFreeSlots(jobLedger, toCommit); err != nil {
@@ -159,104 +139,6 @@
 	return nil
 }
 
-// waitForFreeSlots waits while the ring of segments is full, until a snapshot has freed slots. It begins one if none is under way,
-// since the write that would otherwise begin it cannot be begun.
-func (o *Owner) waitForFreeSlots(jobLedger *ledger.Ledger, toCommit chan<- *inFlightWrite) error {
-	defer o.turns.Begin(waitFreeSlots)()
-	for {
-		o.ledgerMu.Lock()
-		full, snapshotDue := jobLedger.SnapshotRequired(), jobLedger.SnapshotDue()
-		o.ledgerMu.Unlock()
-		o.noteRing(full)
-		if !full {
-			return nil
-		}
-		if o.ctx.Err() != nil {
-			return errs.New(errs.Unavailable, "the term ended while the ledger was full")
-		}
-		if snapshotDue {
-			o.beginSnapshotAlone(jobLedger, toCommit)
-		}
-		o.sleep(minWriteInterval)
-	}
-}
-
-// noteRing records since when the ring of segments has been full.
-func (o *Owner) noteRing(full bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if !full {
-		o.ringFullSince = time.Time{}
-	} else if o.ringFullSince.IsZero() {
-		o.ringFullSince = o.config.Clock.Now()
-	}
-}
-
-// beginSnapshotAlone begins a snapshot that is written once all writes begun so far are committed. It may hold changes that are in
-// no write yet: they are durable before their callers are told so, and are written once more.
-func (o *Owner) beginSnapshotAlone(jobLedger *ledger.Ledger, toCommit chan<- *inFlightWrite) {
-	o.config.Log.Warn().Msg("the ledger's ring is full; no change is durable until a snapshot is written")
-	o.mu.Lock()
-	records, results := o.table.SnapshotRecords(), o.snapshotResults()
-	o.mu.Unlock()
-	w := &inFlightWrite{done: make(chan error, 1)}
-	w.done <- nil
-	o.ledgerMu.Lock()
-	w.snapshot = jobLedger.BeginSnapshot(records, results)
-	o.ledgerMu.Unlock()
-	o.enqueue(w, toCommit)
-}
-
-// handleWriteFailure asks the other daemons to take over when the store keeps refusing this daemon's writes, or keeps
-// leaving them unanswered.
-func (o *Owner) handleWriteFailure(tries int, after time.Duration, err error) {
-	o.config.Log.Debug().Err(err).Int("Tries", tries).Dur("After", after).Msg("a try of a ledger write failed")
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.failedTryAt = o.config.Clock.Now()
-	refused := errs.Is(err, errs.Unavailable) && tries >= takeoverRefusedTries
-	unanswered := tries >= takeoverUnansweredTries
-	if !refused && !unanswered {
-		return
-	}
-	o.requestTakeover(err, after)
-}
-
-// logSnapshotFailure logs the first failed try of each value of a snapshot. The writes tell whether the store is away, so a
-// snapshot's failures ask nobody to take over.
-func (o *Owner) logSnapshotFailure(tries int, after time.Duration, err error) {
-	if tries == 1 {
-		o.config.Log.Warn().Err(err).Dur("After", after).Msg("a try to write a part of a snapshot failed; trying again")
-	}
-}
-
-// checkUnansweredWrites asks the other daemons to take over when the writes have got no answer for so long that new jobs are
-// put into none: the store may be unreachable for this daemon only. The caller must hold o.mu.
-func (o *Owner) checkUnansweredWrites() {
-	if age := o.unansweredFor(); age > takeoverWriteTimeout {
-		o.requestTakeover(errs.New(errs.Lost, "the store has not answered"), age)
-	}
-}
-
-// requestTakeover asks the other daemons to take over, at most once in each takeoverRequestInterval. The caller must hold
-// o.mu.
-func (o *Owner) requestTakeover(cause error, after time.Duration) {
-	now := o.config.Clock.Now()
-	if o.config.OnWritesStalled == nil || now.Sub(o.takeoverRequestedAt) < takeoverRequestInterval {
-		return
-	}
-	o.takeoverRequestedAt = now
-	o.config.Log.Warn().Err(cause).Dur("After", after).Msg("ledger writes keep failing; asking the other daemons to take over")
-	go o.config.OnWritesStalled(o.hasStalledWrites)
-}
-
-// hasStalledWrites reports whether no write has been committed for longer than takeoverWriteTimeout though some are in flight.
-func (o *Owner) hasStalledWrites() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.ctx.Err() == nil && o.unansweredFor() > takeoverWriteTimeout
-}
-
 // runWrites runs the writes at the same time and sends the first error, or nil, to done once all have ended. After an outage one
 // entry holds the jobs of seconds, and so has many writes.
 func (w *inFlightWrite) runWrites(ctx context.Context) {
@@ -315,60 +197,3 @@
 		f()
 	}
 }
-
-// writeSnapshot writes a snapshot, with retries, until it is written, another leader has taken over or the term ends.
-func (o *Owner) writeSnapshot(jobLedger *ledger.Ledger, snapshot *ledger.Snapshot) {
-	began := o.config.Clock.Now()
-	for {
-		err := snapshot.Run(o.ctx)
-		if err == nil || errs.Is(err, errs.Fenced) || o.ctx.Err() != nil {
-			o.finishSnapshot(jobLedger, snapshot, err)
-			o.counters.ledgerSnapshot.UpdateSince(began)
-			return
-		}
-		o.config.Log.Warn().Err(err).Dur("After", o.config.Clock.Since(began)).Msg("writing a snapshot of the ledger failed; retrying")
-		o.sleep(ledgerBackoff)
-	}
-}
-
-// snapshotResults returns the job results that the next snapshot stores, in the order of the tables. Of the runs that had not ended
-// with their job, those that have ended since are left out: each new leader would read them, and count them until their runners
-// have reported. The caller must hold o.mu.
-func (o *Owner) snapshotResults() []tasks.JobResult {
-	out := slices.Clone(o.table.RecentResults)
-	for i := range out {
-		if len(out[i].Runs) == 0 {
-			continue
-		}
-		out[i].Runs = slices.DeleteFunc(slices.Clone(out[i].Runs), o.hasEnded)
-		if len(out[i].Runs) == 0 {
-			out[i].Largest = types.Resources{}
-		}
-	}
-	return out
-}
-
-// hasEnded reports whether a run that had not ended with its job has ended since. The caller must hold o.mu.
-func (o *Owner) hasEnded(remaining tasks.RemainingRun) bool {
-	r := o.table.Runners[remaining.Runner]
-	return r == nil || r.Runs[tasks.RunKey{Ref: remaining.Ref, Attempt: remaining.Attempt}] == nil
-}
-
-// finishSnapshot records that a snapshot ran, and with which error. The stored results are removed before the ledger
-// may begin the next snapshot: that one would otherwise store them again, and the second removal, which goes by their
-// count, would remove newer results that no snapshot holds.
-func (o *Owner) finishSnapshot(jobLedger *ledger.Ledger, snapshot *ledger.Snapshot, err error) {
-	if err == nil {
-		o.removeStoredResults(snapshot)
-	}
-	o.ledgerMu.Lock()
-	defer o.ledgerMu.Unlock()
-	jobLedger.FinishSnapshot(snapshot, err)
-}
-
-// removeStoredResults removes the job results that a snapshot has stored from the tables.
-func (o *Owner) removeStoredResults(snapshot *ledger.Snapshot) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.table.RecentResults = slices.Clone(o.table.RecentResults[snapshot.ResultCount():])
-}
