--- a/internal/app/cmds/soak.go
+++ b/internal/app/cmds/soak.go
@@ -19,6 +19,7 @@
 	flagLarge   = "large-catalogs"
 	// flagShortTerms lets no term last until its snapshot is written.
 	flagShortTerms = "short-terms"
+	flagFormer     = "former"
 
 	defaultSeeds = 3
 )
@@ -36,6 +37,7 @@
 			&cli.BoolFlag{Name: flagNarrow, Usage: "let the leader call the runners through relays, as over narrow network links"},
 			&cli.BoolFlag{Name: flagLarge, Usage: "write large catalogs, and give the daemons narrow links to the store"},
 			&cli.BoolFlag{Name: flagShortTerms, Usage: "kill each leader within two seconds, and refuse its snapshots of the ledger"},
+			&cli.StringFlag{Name: flagFormer, Usage: "path of a former build, with which the daemons begin, for upgrades and rollbacks"},
 			&cli.DurationFlag{Name: flagLength, Value: soak.DefaultLength, Usage: "how long failures are injected"},
 		},
 		Action: runSoak,
@@ -70,8 +72,12 @@
 	if err != nil {
 		return false, err
 	}
+	var former []string
+	if path := c.String(flagFormer); path != "" {
+		former = []string{path, "platform"}
+	}
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Command: []string{executable, "platform"}, Directory: directory, Daemons: c.Int(flagDaemons),
+		Seed: seed, Command: []string{executable, "platform"}, Former: former, Directory: directory, Daemons: c.Int(flagDaemons),
 		Runners: c.Int(flagRunners), Callers: c.Int(flagCallers), Length: c.Duration(flagLength),
 		NarrowLinks: c.Bool(flagNarrow), LargeCatalogs: c.Bool(flagLarge), ShortTerms: c.Bool(flagShortTerms),
 	})
--- a/internal/flow/owner/watchdog.go
+++ b/internal/flow/owner/watchdog.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// hasStalled reports whether a turn of the given age, longer than maxTurn, is no effect of a store that is away. A lock of the tables
-// that is not released for maxTurn more is a stall by itself.
+// hasStalled reports whether a turn that has lasted for age, more than maxTurn, is a stall of this leader: while the store is away, turns
+// may last. A lock of the tables that is not released for maxTurn more is a stall in any case.
 func (o *Owner) hasStalled(age time.Duration) bool {
 	if !o.mu.TryLock() {
 		return age >= 2*maxTurn
--- a/internal/proof/soak/daemon.go
+++ b/internal/proof/soak/daemon.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"hash/fnv"
 	"net"
 	"os"
 	"os/exec"
@@ -23,6 +25,8 @@
 	logFileMode = 0o600
 	// listenTimeout is how long a daemon may take from its start until it listens.
 	listenTimeout = 15 * time.Second
+	// rollbackShare is the number of restarts of which one is of the former build.
+	rollbackShare = 3
 )
 
 type (
@@ -36,6 +40,8 @@
 
 		mu      sync.Mutex
 		process *process
+		// starts counts the processes so far.
+		starts int
 	}
 
 	// process is one run of a daemon, from its start to its end.
@@ -89,7 +95,7 @@
 	if err != nil {
 		return errs.New(errs.Invalid, "splitting the metrics address: %v", err)
 	}
-	command := d.harness.config.Command
+	command := d.nextCommand()
 	arguments := append(append([]string{}, command[1:]...), "--settings", d.settingsPath, "--metrics-port", port)
 	p := &process{command: exec.Command(command[0], arguments...), done: make(chan struct{})}
 	p.command.Stdout, p.command.Stderr = d.logFile, d.logFile
@@ -102,6 +108,23 @@
 	return nil
 }
 
+// nextCommand returns the command of the next start, by the seed, the daemon and the number of its starts. The caller must hold d.mu.
+func (d *daemon) nextCommand() []string {
+	c := d.harness.config
+	start := d.starts
+	d.starts++
+	if len(c.Former) == 0 {
+		return c.Command
+	}
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, c.Seed, d.config.Name, start) // Writes to a hash do not fail.
+	if start > 0 && h.Sum32()%rollbackShare != 0 {
+		return c.Command
+	}
+	d.harness.recordFault("former build", "%s", d.config.Name)
+	return c.Former
+}
+
 // awaitListening waits until a process listens or ends. It records a violation if an undisrupted one does not listen
 // within listenTimeout.
 func (d *daemon) awaitListening(p *process) {
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -81,6 +81,9 @@
 		Seed uint64
 		// Command starts a daemon; the path of its settings and its metrics port are appended as flags.
 		Command []string
+		// Former, if not empty, starts a daemon of a former build. All daemons begin with it, and each later start of one is an upgrade
+		// or, less often, a rollback.
+		Former []string
 		// Directory is where the settings and the logs of the daemons are written.
 		Directory string
 		Daemons   int
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -129,6 +132,40 @@
 	runWith(t, soak.Config{Seed: 5, Length: 20 * time.Second, Callers: 24, ShortTerms: true})
 }
 
+// While VMs are replaced, daemons of the build in production and of this one share the ledger and the election, in any order.
+func TestSoakWithAFormerBuild(t *testing.T) {
+	former := buildFormer(t)
+	for _, seed := range []uint64{6, 7} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			runWith(t, soak.Config{Seed: seed, Length: shortLength, Former: []string{former, "platform"}})
+		})
+	}
+}
+
+// buildFormer builds the version that deploy/system.toml names as production, from the repository's history.
+func buildFormer(t *testing.T) string {
+	t.Helper()
+	const root = "../../.."
+	settings, err := os.ReadFile(filepath.Join(root, "deploy", "system.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := regexp.MustCompile(`(?m)^production = "([0-9a-f]+)"$`).FindSubmatch(settings)
+	if found == nil {
+		t.Fatal("deploy/system.toml names no commit as production")
+	}
+	commit, directory := string(found[1]), t.TempDir()
+	if err := exec.Command("git", "-C", root, "cat-file", "-e", commit+"^{commit}").Run(); err != nil {
+		t.Skipf("the history does not hold %s, which is in production; no former build is played: %v", commit, err)
+	}
+	out := filepath.Join(directory, "former")
+	build := fmt.Sprintf("git -C %s archive %s | tar x -C %s && cd %s && go build -o %s ./cmd/magnoliawalk", root, commit, directory, directory, out)
+	if output, err := exec.Command("sh", "-c", build).CombinedOutput(); err != nil {
+		t.Fatalf("building %s: %v\n%s", commit, err, output)
+	}
+	return out
+}
+
 // The seeds that failed in the past run at full length.
 func TestRegressions(t *testing.T) {
 	for seed, cause := range regressions {
