--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -211,11 +211,15 @@
 func (e *Elector) CommonLevel() ledger.Level {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	common := ledger.MaxLevel
-	for _, m := range e.members {
-		common = min(common, m.Level.OrFirst())
+	return commonLevel(ledger.MaxLevel, e.members)
+}
+
+// commonLevel returns the lowest of this build's newest level and those of the members.
+func commonLevel(newest ledger.Level, members map[types.VMID]Member) ledger.Level {
+	for _, m := range members {
+		newest = min(newest, m.Level.OrFirst())
 	}
-	return common
+	return newest
 }
 
 // StoreReachable reports whether the store has answered a watch or a renewal within the last TTL.
--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -379,16 +379,21 @@
 
 // A leader that writes what a living daemon cannot read leaves the work to nobody once that daemon leads.
 func TestCommonLevelIsThatOfTheOldestBuild(t *testing.T) {
-	e := New(Config{Self: peer.Target{VM: "a"}, Clock: clockwork.NewRealClock(), Log: zerolog.Nop()})
-	check := func(what string, want ledger.Level) {
-		t.Helper()
-		if got := e.CommonLevel(); got != want {
-			t.Errorf("%s: level %d, want %d", what, got, want)
-		}
+	const newest ledger.Level = 3
+	cases := map[string]struct {
+		members map[types.VMID]Member
+		want    ledger.Level
+	}{
+		"NoneIsKnown":        {nil, newest},
+		"NewerBuild":         {map[types.VMID]Member{"a": {Level: newest + 1}}, newest},
+		"OlderBuild":         {map[types.VMID]Member{"a": {Level: newest}, "b": {Level: 2}}, 2},
+		"BuildWithoutLevels": {map[types.VMID]Member{"a": {Level: 2}, "b": {}}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := commonLevel(newest, c.members); got != c.want {
+				t.Errorf("level %d, want %d", got, c.want)
+			}
+		})
 	}
-	check("no daemon is known", ledger.MaxLevel)
-	e.members["newer"] = Member{Level: ledger.MaxLevel + 1}
-	check("a newer build", ledger.MaxLevel)
-	e.members["former"] = Member{}
-	check("a build without levels", 1)
 }
