Tell a renewal that timed out from a broken connection by its own time-out

The learned time-out of a renewal without a wait may be 150 ms, and one below 300 ms counted as a broken connection, so that a lost answer looked like a crash that is noticed at once.

--- a/internal/flow/owner/answers_test.go
+++ b/internal/flow/owner/answers_test.go
@@ -144,3 +144,27 @@
 		t.Errorf("%d losses, want that of the runner that does not answer", got)
 	}
 }
+
+// A renewal that timed out got no answer, however short its learned time-out. Taken for a broken connection, it would count as a crash
+// that is noticed at once.
+func TestRenewalThatTimedOutIsSilent(t *testing.T) {
+	cases := map[string]struct {
+		wait, timeout, took time.Duration
+		want                bool
+	}{
+		"LongPollTimedOut":      {longPollTimeout, longPollTimeout + minRenewMargin, longPollTimeout + minRenewMargin, true},
+		"LongPollBroke":         {longPollTimeout, longPollTimeout + minRenewMargin, 100 * time.Millisecond, false},
+		"ShortRenewalTimedOut":  {0, minRenewMargin, minRenewMargin - time.Millisecond, true},
+		"ShortRenewalBroke":     {0, minRenewMargin, 5 * time.Millisecond, false},
+		"UnsyncedRenewalBroke":  {0, renewTimeout, silentTimeout / 2, false},
+		"UnsyncedRenewalSilent": {0, renewTimeout, silentTimeout, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			sent := renewal{request: agent.RenewRequest{Wait: c.wait}, timeout: c.timeout}
+			if got := isSilent(sent, c.took); got != c.want {
+				t.Errorf("silent: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -133,7 +133,7 @@
 		return renewBackoff
 	}
 	if r.UnreachableSince.IsZero() {
-		o.noteUnreachable(r, isSilent(sent.request, o.config.Clock.Since(sent.sentAt)))
+		o.noteUnreachable(r, isSilent(sent, o.config.Clock.Since(sent.sentAt)))
 		o.config.Log.Warn().Err(err).Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("lease renewal failed; the leases of the runner's attempts are not extended until a renewal succeeds")
 	}
 	if errs.Is(err, errs.NotFound) {
--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -35,6 +35,8 @@
 	massLossDivisor = 16
 	// silentTimeout is how long a call that does not wait for results must have taken to count as unanswered.
 	silentTimeout = 300 * time.Millisecond
+	// silentMarginDivisor is the part of a call's time-out, 1/silentMarginDivisor, by which a timer may be early, as the relay's is.
+	silentMarginDivisor = 10
 	// lossMemory is how long losses are remembered.
 	lossMemory = 30 * time.Second
 )
@@ -49,9 +51,10 @@
 	explained bool
 }
 
-// isSilent reports whether a renewal that failed after the given time got no answer, in contrast to one whose connection broke.
-func isSilent(request agent.RenewRequest, took time.Duration) bool {
-	return took >= max(request.Wait, silentTimeout)
+// isSilent reports whether a renewal that failed after the given time got no answer, in contrast to one whose connection broke. The
+// time-out of one that does not wait for results may be shorter than silentTimeout.
+func isSilent(sent renewal, took time.Duration) bool {
+	return took >= min(max(sent.request.Wait, silentTimeout), sent.timeout-sent.timeout/silentMarginDivisor)
 }
 
 // noteUnreachable notes that the lease renewals of a runner have begun to fail. The caller must hold o.mu.
