Take answers for lost by their share of the fleet, and limit short polls

Four lost answers in 2 s shortened the polls of all busy runners, however many. Now a fiftieth of the runners must have lost one, and a leader makes about 1,000 short polls a second at most.

--- a/internal/flow/owner/answers.go
+++ b/internal/flow/owner/answers.go
@@ -16,11 +16,15 @@
 	// until the next one, so it is given more time.
 	minRenewMargin = 150 * time.Millisecond
 	maxRenewMargin = 700 * time.Millisecond
-	// lossWindow is the time in which minLostAnswers answers of runners that go on answering must be lost for more to be expected,
-	// and lossHold for how long after that.
-	lossWindow     = 2 * time.Second
-	minLostAnswers = 4
-	lossHold       = 3 * time.Second
+	// lossWindow is the time in which answers of runners that go on answering must be lost for more to be expected: minLostAnswers of
+	// them, and as many as a part of all runners, 1/lostShareDivisor. The single relay that fails in a large fleet loses fewer.
+	// LossHold is for how long they are expected after that.
+	lossWindow       = 2 * time.Second
+	minLostAnswers   = 4
+	lostShareDivisor = 50
+	lossHold         = 3 * time.Second
+	// maxShortPolls is how many short polls a second a leader makes, so that it does not lack the processor for them.
+	maxShortPolls = 1000
 	// maxLostAnswerAge is how long a runner may be silent for its lost answer to count: a longer silence is that of the runner.
 	maxLostAnswerAge = 3 * time.Second
 )
@@ -36,23 +40,24 @@
 }
 
 // noteStart records that the given try of a start was answered. After the first one, the answers to the earlier ones were lost.
-func (a *answers) noteStart(now time.Time, tries int) {
+func (a *answers) noteStart(now time.Time, tries, runners int) {
 	if tries > 1 {
-		a.noteLost(now)
+		a.noteLost(now, runners)
 	}
 }
 
 // noteReachable records that a runner answers that did not at silentSince.
-func (a *answers) noteReachable(now, silentSince time.Time) {
+func (a *answers) noteReachable(now, silentSince time.Time, runners int) {
 	if now.Sub(silentSince) <= maxLostAnswerAge {
-		a.noteLost(now)
+		a.noteLost(now, runners)
 	}
 }
 
-func (a *answers) noteLost(now time.Time) {
+// noteLost records a lost answer, of a fleet of so many runners.
+func (a *answers) noteLost(now time.Time, runners int) {
 	a.lostAt = slices.DeleteFunc(a.lostAt, func(at time.Time) bool { return now.Sub(at) > lossWindow })
 	a.lostAt = append(a.lostAt, now)
-	if len(a.lostAt) >= minLostAnswers {
+	if len(a.lostAt) >= max(minLostAnswers, runners/lostShareDivisor) {
 		a.expectLossUntil = now.Add(lossHold)
 	}
 }
@@ -82,8 +87,9 @@
 // pollTimeout returns how long a runner may wait for results before it answers a renewal. Results are noticed with the answer alone,
 // so while answers are being lost a busy runner is asked more often. The caller must hold o.mu.
 func (o *Owner) pollTimeout(busy bool) time.Duration {
-	if busy && o.answers.expectLoss(o.config.Clock.Now()) {
-		return shortPollTimeout
+	if !busy || !o.answers.expectLoss(o.config.Clock.Now()) {
+		return longPollTimeout
 	}
-	return longPollTimeout
+	spread := time.Second * time.Duration(len(o.table.Runners)) / maxShortPolls
+	return min(max(shortPollTimeout, spread), longPollTimeout)
 }
--- a/internal/flow/owner/answers_test.go
+++ b/internal/flow/owner/answers_test.go
@@ -110,23 +110,48 @@
 	}
 	checkPoll("nothing lost", longPollTimeout)
 	for range minLostAnswers {
-		o.answers.noteReachable(now, now.Add(-maxLostAnswerAge-time.Second))
+		o.answers.noteReachable(now, now.Add(-maxLostAnswerAge-time.Second), 0)
 	}
 	checkPoll("runners that were away are back", longPollTimeout)
 	for range minLostAnswers {
-		o.answers.noteStart(now, 2)
+		o.answers.noteStart(now, 2, 0)
 	}
 	checkPoll("answers are lost", shortPollTimeout)
 	if got := o.pollTimeout(false); got != longPollTimeout {
 		t.Errorf("poll of an idle runner: %s, want %s", got, longPollTimeout)
 	}
 	for range minLostAnswers - 1 {
-		o.answers.noteStart(now.Add(lossWindow+time.Second), 2)
+		o.answers.noteStart(now.Add(lossWindow+time.Second), 2, 0)
 	}
 	o.answers.expectLossUntil = now.Add(-time.Millisecond)
 	checkPoll("after lossHold", longPollTimeout)
 }
 
+// In a large fleet some answers are always lost, as when a relay fails. Polls must not become short for that, and a leader of 3,000
+// runners must not make so many of them that it lacks the processor for its other work.
+func TestPollsOfLargeFleetsAreLimited(t *testing.T) {
+	const runners = 3000
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	now := f.clock.Now()
+	for i := range runners {
+		o.addRunner(agent.Runner{ID: specs.RunnerID(fmt.Sprint("w", i))})
+	}
+	for range runners/lostShareDivisor - 1 {
+		o.answers.noteStart(now, 2, runners)
+	}
+	if o.answers.expectLoss(now) {
+		t.Error("the lost answers of one relay let more be expected")
+	}
+	o.answers.noteStart(now, 2, runners)
+	if !o.answers.expectLoss(now) {
+		t.Error("a fiftieth of the fleet lost answers, and no more are expected")
+	}
+	if got := o.pollTimeout(true); got != longPollTimeout {
+		t.Errorf("poll of %s in a fleet of %d, want %s", got, runners, longPollTimeout)
+	}
+}
+
 // A runner that was only silent is no loss: counted as one, it would let a task that crashes runners pass for innocent.
 func TestRunnerThatAnswersAgainIsNoLoss(t *testing.T) {
 	f := newFixture(t, quickWorld())
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -155,7 +155,7 @@
 	r.Replaced = false
 	if !r.UnreachableSince.IsZero() {
 		o.config.Log.Info().Str("Runner", string(r.Info.ID)).Dur("Silent", now.Sub(r.UnreachableSince)).Msg("runner is reachable again; the leases of its attempts are extended again")
-		o.answers.noteReachable(now, r.UnreachableSince)
+		o.answers.noteReachable(now, r.UnreachableSince, len(o.table.Runners))
 		o.forgetLoss(r)
 		r.UnreachableSince = time.Time{}
 	}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -164,7 +164,7 @@
 	}
 	switch {
 	case err == nil:
-		o.answers.noteStart(o.config.Clock.Now(), run.Tries)
+		o.answers.noteStart(o.config.Clock.Now(), run.Tries, len(o.table.Runners))
 		if !run.Confirmed {
 			run.Confirm(o.config.Clock.Now())
 		}
