--- a/internal/flow/owner/answers.go
+++ b/internal/flow/owner/answers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/timing"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
 const (
@@ -32,13 +33,22 @@
 // answers learns from the answers of the runners how long to wait for the next ones, and whether answers are being lost. The
 // methods require Owner.mu.
 type answers struct {
-	times timing.Estimator
+	// starts and renewals are the times of answers to starts, and to renewals beyond the time for which they wait.
+	starts   timing.Estimator
+	renewals timing.Estimator
 	// lostAt holds when answers were found to be lost within lossWindow, the oldest first.
 	lostAt []time.Time
 	// expectLossUntil is until when further answers are expected to be lost.
 	expectLossUntil time.Time
 }
 
+// noteRenewal records the time of an answer to a renewal. One that came with results tells nothing, since it waited for them.
+func (a *answers) noteRenewal(request agent.RenewRequest, hasResults bool, took time.Duration) {
+	if request.Wait == 0 || !hasResults {
+		a.renewals.Observe(max(took-request.Wait, 0))
+	}
+}
+
 // noteStart records that the given try of a start was answered. After the first one, the answers to the earlier ones were lost.
 func (a *answers) noteStart(now time.Time, tries, runners int) {
 	if tries > 1 {
@@ -70,14 +80,14 @@
 // startTimeout returns how long a try of a start may go unanswered before the next. It doubles with each, so that runners which have
 // become slower are noticed by their answers. The caller must hold o.mu.
 func (o *Owner) startTimeout(try int) time.Duration {
-	first := o.answers.times.Timeout(minAnswerTimeout, maxAnswerTimeout)
+	first := o.answers.starts.Timeout(minAnswerTimeout, maxAnswerTimeout)
 	return min(first<<(try-1), requestTimeout)
 }
 
 // renewMargin returns how much longer than it waits for results a runner may take to answer a renewal. For a runner that has
 // not answered it grows with its silence, so that one which is away is called seldom. The caller must hold o.mu.
 func (o *Owner) renewMargin(silentSince time.Time) time.Duration {
-	margin := o.answers.times.Timeout(minRenewMargin, maxRenewMargin)
+	margin := o.answers.renewals.Timeout(minRenewMargin, maxRenewMargin)
 	if silentSince.IsZero() {
 		return margin
 	}
--- a/internal/flow/owner/answers_test.go
+++ b/internal/flow/owner/answers_test.go
@@ -193,3 +193,25 @@
 		})
 	}
 }
+
+// The daemons on the way to the runners may be slow, as in a large fleet of weak VMs. A margin that does not follow their answers takes
+// a third of the renewals for lost, and each of them keeps new tasks off its runner.
+func TestRenewalsOfASlowFleetAreGivenTime(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	poll := agent.RenewRequest{Wait: longPollTimeout}
+	for i := range 60 {
+		o.answers.noteRenewal(poll, false, longPollTimeout+time.Duration(100+200*(i%2))*time.Millisecond)
+		o.answers.noteRenewal(poll, true, 5*time.Millisecond)
+		o.answers.starts.Observe(10 * time.Millisecond)
+	}
+	if got := o.renewMargin(time.Time{}); got < 300*time.Millisecond {
+		t.Errorf("margin %s where answers take up to 300ms longer than the wait", got)
+	}
+	for range 200 {
+		o.answers.noteRenewal(poll, false, longPollTimeout+10*time.Millisecond)
+	}
+	if got := o.renewMargin(time.Time{}); got != minRenewMargin {
+		t.Errorf("margin %s once answers are quick again, want %s", got, minRenewMargin)
+	}
+}
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -115,6 +115,7 @@
 	if err != nil {
 		return o.handleRenewFailure(r, next, err)
 	}
+	o.answers.noteRenewal(next.request, len(report.Results) > 0, o.config.Clock.Since(next.sentAt))
 	o.applyReport(r, next.request, report, next.sentAt)
 	if len(report.Results) > 0 {
 		return acknowledgeDelay
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -139,7 +139,7 @@
 			took := o.config.Clock.Since(now)
 			o.counters.startLatency.Update(took)
 			if err == nil {
-				o.answers.times.Observe(took)
+				o.answers.starts.Observe(took)
 			}
 			o.applyStartAnswer(run, request, err)
 		}
