--- a/internal/flow/owner/answers_test.go
+++ b/internal/flow/owner/answers_test.go
@@ -45,8 +45,8 @@
 	return agent.Report{}, errs.New(errs.Lost, "the answer was lost")
 }
 
-// While one answer in twelve is lost, callers of short work must get their results about as soon as otherwise. A fixed time-out of
-// 250 ms for a start, and of 1.9 s for a wait for results, made one job in five late by a second or more. No attempt may run twice.
+// While one answer in twelve is lost, callers of short work must get their results about as soon as otherwise. Results come with the
+// answers to waits alone, so a lost one must be noticed soon. No attempt may run twice.
 func TestShortWorkIsInTimeWhileAnswersAreLost(t *testing.T) {
 	const (
 		jobs = 140
@@ -195,7 +195,7 @@
 }
 
 // The daemons on the way to the runners may be slow, as in a large fleet of weak VMs. A margin that does not follow their answers takes
-// a third of the renewals for lost, and each of them keeps new tasks off its runner.
+// renewals for lost that are only late, and each of them keeps new tasks off its runner.
 func TestRenewalsOfASlowFleetAreGivenTime(t *testing.T) {
 	f := newFixture(t, quickWorld())
 	o := f.newLockedOwner()
