--- a/review/stand/case_starved.go
+++ b/review/stand/case_starved.go
@@ -25,7 +25,7 @@
 func playStarved(p *play) ([]string, error) {
 	if p.trouble {
 		p.rec.note("runner %s is lost for good", p.runners[kindB].config.id)
-		p.runners[kindB].crash(0)
+		p.runners[kindB].lose()
 	}
 	began := time.Now()
 	var wg sync.WaitGroup
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -208,25 +209,36 @@
 	return false
 }
 
-// runnerOf returns the runner that a task is at work on, or nil.
-func (p *play) runnerOf(task string) *runner {
+// reachableRunnerOf returns the runner that a task is at work on, unless that is cut off, or nil.
+func (p *play) reachableRunnerOf(task string) *runner {
 	for _, r := range p.runners {
 		r.mu.Lock()
-		x := r.running[task]
+		found := r.running[task] != nil && r.healed == nil
 		r.mu.Unlock()
-		if x != nil {
+		if found {
 			return r
 		}
 	}
 	return nil
 }
 
-// cores returns the cores of all runners that are up, and freeCores what nothing uses, in thousandths, if each task uses one core.
+// awaitEnd asks for the state of a job until it has ended, and returns the last answer.
+func (p *play) awaitEnd(id string) string {
+	state := ""
+	p.await(30*time.Second, func() bool {
+		time.Sleep(300 * time.Millisecond)
+		state = string(p.daemons[0].call("GET", prefix+id, nil).body)
+		return strings.Contains(state, "completed") || strings.Contains(state, "failed")
+	})
+	return state
+}
+
+// cores returns the cores of all runners that are up, in thousandths.
 func (p *play) cores() int64 {
 	var n int64
 	for _, r := range p.runners {
 		r.mu.Lock()
-		if !r.crashed {
+		if !r.lost {
 			n += r.config.cpu
 		}
 		r.mu.Unlock()
@@ -234,6 +246,7 @@
 	return n
 }
 
+// freeCores returns what nothing uses of them, if each task uses one core.
 func (p *play) freeCores() int64 {
 	return p.cores() - 1000*int64(p.rec.countRunning())
 }
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -13,8 +13,10 @@
 	endsPerAnswer = 500
 	// heartbeat is how often a runner writes its entry.
 	heartbeat = 1500 * time.Millisecond
-	holdMax   = 6000
-	stopTime  = 200 * time.Millisecond
+	// beatsUntilRemoval is after how many intervals of silence its entry is removed.
+	beatsUntilRemoval = 3
+	holdMax           = 6000
+	stopTime          = 200 * time.Millisecond
 )
 
 type (
@@ -43,21 +45,24 @@
 
 	// runner is one runner of the platform. It starts whatever it is told to start.
 	runner struct {
-		config   runnerConfig
-		store    *store
-		rec      *record
-		born     int64
-		began    time.Time
-		mu       sync.Mutex
+		config runnerConfig
+		store  *store
+		rec    *record
+		born   int64
+		began  time.Time
+		// sequence is used by beat alone.
 		sequence int
+		mu       sync.Mutex
 		fence    uint64
 		deadline int64
 		running  map[string]*run
 		// ended holds the ends that are not taken note of yet.
 		ended   []end
 		nextEnd uint64
-		// crashed is set while the runner is down.
-		crashed bool
+		// lost is set once the runner is gone for good.
+		lost bool
+		// healed is closed when the runner can be reached again; nil unless it is cut off.
+		healed chan struct{}
 		// lapsedAt is when the lease was last over.
 		lapsedAt time.Time
 		// highest is the highest run of each task that was stopped or has ended here.
@@ -95,20 +100,22 @@
 	return r, nil
 }
 
-// beat writes the runner's entry again and again.
+// beat writes the runner's entry again and again. After three intervals of silence the platform removes it.
 func (r *runner) beat() {
+	key := "servers/" + r.config.id
+	silent := 0
 	for {
-		r.store.mu.Lock()
-		down := r.store.down
-		r.store.mu.Unlock()
-		r.mu.Lock()
-		r.sequence++
-		n, born, crashed := r.sequence, r.born, r.crashed
-		r.mu.Unlock()
-		if !down && !crashed {
-			r.store.put("servers/"+r.config.id, map[string]any{
+		if r.isAway() {
+			silent++
+			if silent == beatsUntilRemoval {
+				r.store.remove(key)
+			}
+		} else {
+			silent = 0
+			r.sequence++
+			r.store.put(key, map[string]any{
 				"service": "desk", "address": r.config.address, "zone": r.config.zone, "version": "1", "slots": 8, "state": "ready",
-				"cold-remaining-ms": 0, "sequence": n, "born": born, "labels": r.config.labels,
+				"cold-remaining-ms": 0, "sequence": r.sequence, "born": r.born, "labels": r.config.labels,
 				"capacity": map[string]any{"cpu": r.config.cpu, "mem-mb": r.config.mem, "gpu": 0},
 			})
 		}
@@ -116,6 +123,13 @@
 	}
 }
 
+// isAway reports whether the runner is gone or cut off.
+func (r *runner) isAway() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost || r.healed != nil
+}
+
 // clock is the runner's steady clock in milliseconds.
 func (r *runner) clock() int64 {
 	return time.Since(r.began).Milliseconds() + 1000
@@ -155,33 +169,51 @@
 	r.deadline = max(r.deadline, min(deadline, r.clock()+holdMax))
 }
 
-// crash ends the runner's process: what ran there is gone, and its channels are reset. After the given time it starts again under its
-// id, and knows nothing of before; 0 means never.
-func (r *runner) crash(down time.Duration) {
+// lose ends the runner for good: what ran there is gone, and its channels are reset.
+func (r *runner) lose() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashed = true
+	r.lost = true
 	for _, x := range r.running {
 		x.stopped = true
 		r.rec.ended(r.config.id, x.task, x.number, "gone", 0)
 	}
-	r.running, r.highest, r.ended, r.nextEnd, r.fence, r.deadline = make(map[string]*run), make(map[string]int64), nil, 0, 0, 0
+	r.running = make(map[string]*run)
 	close(r.changed)
 	r.changed = make(chan struct{})
-	if down == 0 {
-		return
-	}
-	time.AfterFunc(down, func() {
+}
+
+// cut cuts the runner off for the given time: it runs on, and its calls and answers go nowhere.
+func (r *runner) cut(length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.healed = make(chan struct{})
+	// Answers that wait for an end are lost as well.
+	close(r.changed)
+	r.changed = make(chan struct{})
+	time.AfterFunc(length, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.crashed, r.born, r.began, r.sequence = false, time.Now().UnixMilli(), time.Now(), 0
-		r.rec.note("runner %s: started again", r.config.id)
+		close(r.healed)
+		r.healed = nil
+		r.rec.note("runner %s: can be reached again", r.config.id)
 	})
 }
 
-// admit decodes an order and checks its boot and its fence. A runner that is down resets the channel.
+// reach loses a call while the runner is cut off: it gets no answer. The caller must hold r.mu.
+func (r *runner) reach() {
+	if healed := r.healed; healed != nil {
+		r.mu.Unlock()
+		<-healed
+		r.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// admit decodes an order and checks its boot and its fence. A runner that is gone resets the channel.
 func (r *runner) admit(w http.ResponseWriter, q *http.Request, o *order) bool {
-	if r.crashed {
+	r.reach()
+	if r.lost {
 		panic(http.ErrAbortHandler)
 	}
 	if !readJSON(w, q, o) {
@@ -297,7 +329,8 @@
 			over = true
 		}
 		r.mu.Lock()
-		if r.crashed {
+		r.reach()
+		if r.lost {
 			panic(http.ErrAbortHandler)
 		}
 		if over {
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -16,6 +16,8 @@
 	// retention is how long the store keeps its history.
 	retention = 20 * time.Second
 	minTTL    = time.Second
+	// answerTime is how long an answer takes.
+	answerTime = 4 * time.Millisecond
 )
 
 type (
@@ -46,10 +48,6 @@
 		leases    map[uint64]*lease
 		nextLease uint64
 		changed   chan struct{}
-		// down is set while the store answers 503 to every call of the system.
-		down bool
-		// delay is how long each answer takes.
-		delay time.Duration
 	}
 
 	condition struct {
@@ -67,7 +65,7 @@
 func newStore() *store {
 	s := &store{
 		rev: 100, items: make(map[string]item), leases: make(map[uint64]*lease), nextLease: 1,
-		changed: make(chan struct{}), delay: 4 * time.Millisecond,
+		changed: make(chan struct{}),
 	}
 	go s.expireLoop()
 	return s
@@ -86,33 +84,14 @@
 	return m
 }
 
-// served refuses a call while the store is down, and delays it otherwise.
+// served answers a call after answerTime.
 func (s *store) served(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down, delay := s.down, s.delay
-		s.mu.Unlock()
-		time.Sleep(delay)
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
+		time.Sleep(answerTime)
 		next(w, r)
 	}
 }
 
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	// Leases pause while the store is down.
-	if !down {
-		for _, l := range s.leases {
-			l.until = time.Now().Add(l.ttl)
-		}
-	}
-}
-
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	found, ok := s.items[r.URL.Query().Get("key")]
@@ -159,11 +138,6 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if s.down {
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		if after < s.forgotten {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
@@ -203,10 +177,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	holds := true
 	found := []item{}
 	for _, c := range t.Precondition {
@@ -350,7 +320,7 @@
 		s.mu.Lock()
 		now := time.Now()
 		for id, l := range s.leases {
-			if !s.down && now.After(l.until) {
+			if now.After(l.until) {
 				s.endLease(id)
 			}
 		}
