--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -158,6 +158,7 @@
 		o.config.Log.Info().Str("Runner", string(r.Info.ID)).Dur("Silent", now.Sub(r.UnreachableSince)).Msg("runner is reachable again; the leases of its attempts are extended again")
 		o.answers.noteReachable(now, r.UnreachableSince, len(o.table.Runners))
 		o.forgetLoss(r)
+		delete(o.unprovenLosses, r.Info.Address)
 		r.UnreachableSince = time.Time{}
 	}
 	if r.ObserveClock(report.Clock, sentAt, now) {
--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -98,6 +98,7 @@
 	o.counters.runnersReplaced.Inc(1)
 	o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Str("Address", string(r.Info.Address)).Int("Runs", len(r.Runs)).Bool("Draining", r.Info.Draining).
 		Dur("Silent", elapsed(o.config.Clock.Now(), r.UnreachableSince)).Msg("another runner answers at the runner's address; it has crashed or left")
+	o.confirmLoss(r.Info.Address)
 	o.removeLostRuns(r, true)
 }
 
@@ -105,6 +106,9 @@
 // one that was out of reach until its leases expired, and whose unsent starts are discarded elsewhere. The caller must hold o.mu.
 func (o *Owner) removeLostRuns(r *tasks.Runner, crashed bool) {
 	losses := o.assessLoss(r, crashed)
+	if !crashed {
+		o.noteUnprovenLoss(r, losses)
+	}
 	for _, run := range r.Runs {
 		if !crashed && !run.Sent {
 			continue
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -169,6 +169,8 @@
 		answers answers
 		// losses holds the runners that became unreachable within lossMemory, the oldest first.
 		losses []runnerLoss
+		// unprovenLosses holds the runners that were out of reach until their leases expired, by address.
+		unprovenLosses map[types.Address]unprovenLoss
 	}
 )
 
@@ -191,6 +193,7 @@
 		renewLoops:    make(map[*tasks.Runner]struct{}),
 		usualPace:     make(map[types.ServiceName]float64),
 
+		unprovenLosses:       make(map[types.Address]unprovenLoss),
 		acceptedNotDurable:   make(map[specs.JobID]struct{}),
 		organisationCounters: newOrganisationCounters(c.Metrics),
 	}
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -218,6 +218,7 @@
 
 // applyEntry applies one entry of the directory. An entry of an earlier boot is ignored. The caller must hold o.mu.
 func (o *Owner) applyEntry(info agent.Runner) {
+	o.noteIncarnation(info)
 	r := o.table.Runners[info.ID]
 	switch {
 	case r == nil:
@@ -275,6 +276,7 @@
 	o.table.SetRunner(next)
 	o.noteLeave(next)
 	former := maps.Clone(r.Runs)
+	o.confirmLoss(r.Info.Address)
 	if r.UnreachableSince.IsZero() {
 		o.noteUnreachable(r, false)
 	}
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -19,10 +19,8 @@
 	// while no other task could be the cause, unless the latest crash followed promptly: a runner may also crash for a reason of its own.
 	minCrashes = 2
 	minAlone   = 2
-	// maxSharedLosses is after how many losses a task is given up that was not alone with its runners often enough.
-	maxSharedLosses = 4
-	// maxLosses is after how many losses a task is given up though no crash is certain, since its runners do not come back.
-	maxLosses = 5
+	// maxSharedCrashes is after how many crashes a task is given up that was not alone with its runners often enough.
+	maxSharedCrashes = 4
 	// suspectLosses is from how many losses on a task is suspected, whatever the latest one told of it.
 	suspectLosses = 2
 	// maxQuietWait is how long a suspected task waits for a runner that has had no other start for a while. Most suspected tasks are
@@ -89,13 +87,25 @@
 	l.Suspect = loss.Suspect
 }
 
-// IsGivenUp reports whether the task starts no more after the latest loss. Such a task crashes every runner that starts it, for all
-// that is known.
+// ConfirmCrash counts a loss as a certain crash that Add has counted without that certainty. Alone is set when no other task can be
+// the cause.
+func (l *LossRecord) ConfirmCrash(alone bool) {
+	if l.Crashes >= l.Losses {
+		return
+	}
+	l.Crashes++
+	if alone {
+		l.Alone++
+	}
+}
+
+// IsGivenUp reports whether the task starts no more after the latest loss. Only certain crashes count: a runner that was out of reach
+// until its leases expired has perhaps run the task without a fault, and it is not known that it will not again.
 func (l *LossRecord) IsGivenUp(latest Loss) bool {
 	if l.Crashes < minCrashes {
-		return l.Losses >= maxLosses
+		return false
 	}
-	return latest.Prompt || l.Alone >= minAlone || l.Losses >= maxSharedLosses
+	return latest.Prompt || l.Alone >= minAlone || l.Crashes >= maxSharedCrashes
 }
 
 // IsSuspect reports whether the task, or a member of its gang, may have crashed a runner, so that the next attempt should start apart
