--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -18,6 +18,7 @@
 	adviceFailures   metrics.Counter
 	renewals         metrics.Counter
 	renewFailures    metrics.Counter
+	reportsTruncated metrics.Counter
 	clocksWentBack   metrics.Counter
 	runnersReplaced  metrics.Counter
 	lossSuspects     metrics.Counter
@@ -51,7 +52,7 @@
 		starts: count("Starts"), startsRejected: count("StartsRejected"), startsUnanswered: count("StartsUnanswered"),
 		runsLost: count("RunsLost"), stops: count("Stops"), stopsBeforeLeave: count("StopsBeforeLeave"), runsFailed: count("RunsFailed"),
 		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
-		renewals: count("Holds"), renewFailures: count("HoldFailures"),
+		renewals: count("Holds"), renewFailures: count("HoldFailures"), reportsTruncated: count("HoldsTruncated"),
 		clocksWentBack: count("RunnerClocksWentBack"), runnersReplaced: count("RunnersReplaced"),
 		lossSuspects: count("LossSuspects"), quietStarts: count("QuietStarts"), jobsCrashing: count("JobsCrashing"),
 		stalls:     count("Stalls"),
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -178,8 +178,15 @@
 		listed[tasks.RunKey{Ref: running.Ref, Attempt: running.Attempt}] = true
 		o.applyRunning(r, running, madeAt)
 	}
-	o.removeMissingRuns(r, listed, request.Fence, sentAt)
-	o.checkProgress(r, madeAt)
+	if report.ListsAllResults() {
+		o.removeMissingRuns(r, listed, request.Fence, sentAt)
+		o.checkProgress(r, madeAt)
+	} else {
+		// An attempt that the report does not name may be done: it has neither been lost nor made no progress.
+		o.counters.reportsTruncated.Inc(1)
+		o.config.Log.Debug().Str("Runner", string(r.Info.ID)).Int("Results", len(report.Results)).Int("Runs", len(r.Runs)).
+			Msg("runner may have more results than its report lists; attempts that it does not list are kept until a report lists all")
+	}
 	if len(report.Results) > 0 || !r.Synced {
 		every.Wake(o.planWake)
 	}
@@ -248,8 +255,8 @@
 	return run
 }
 
-// removeMissingRuns removes the runs that a report does not list: a start under a lower fence can never be executed
-// any more, and a run that was confirmed before the renewal was sent has ended. The caller must hold o.mu.
+// removeMissingRuns removes the runs that a report with all results does not list: a start under a lower fence can never be
+// executed any more, and a run that was confirmed before the renewal was sent has ended. The caller must hold o.mu.
 func (o *Owner) removeMissingRuns(r *tasks.Runner, listed map[tasks.RunKey]bool, fence agent.Fence, sentAt time.Time) {
 	for key, run := range r.Runs {
 		if listed[key] || !run.Sent {
--- a/internal/plat/agent/agent.go
+++ b/internal/plat/agent/agent.go
@@ -149,5 +149,15 @@
 	}
 )
 
-// MaxAdvised is the largest number of runners that one call to the advice service may name.
-const MaxAdvised = 100
+const (
+	// MaxAdvised is the largest number of runners that one call to the advice service may name.
+	MaxAdvised = 100
+	// MaxListedResults is the largest number of results that one report lists. A runner lists the others once these are acknowledged.
+	MaxListedResults = 500
+)
+
+// ListsAllResults reports whether the runner has no results but those of the report. If not, an attempt that the report does not name
+// may have ended with a result that is listed later.
+func (r Report) ListsAllResults() bool {
+	return len(r.Results) < MaxListedResults
+}
--- a/internal/plat/agent/requests.go
+++ b/internal/plat/agent/requests.go
@@ -80,7 +80,8 @@
 }
 
 func (s *runnerState) report(now time.Time) Report {
-	out := Report{Boot: s.info.Boot, Clock: Clock(now.Sub(s.startedAt)), Results: slices.Clone(s.results)}
+	listed := s.results[:min(len(s.results), MaxListedResults)]
+	out := Report{Boot: s.info.Boot, Clock: Clock(now.Sub(s.startedAt)), Results: slices.Clone(listed)}
 	for ref, run := range s.runs {
 		out.Running = append(out.Running, Running{Ref: ref, Attempt: run.attempt, Percent: 1, Checkpoint: run.checkpoint(ref, now)})
 	}
