--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -24,7 +24,8 @@
 
 	// Caller calls other daemons. An error of the remote method keeps its kind. A call that could not be sent
 	// fails with kind Unavailable; a call that was sent and whose answer did not arrive fails with kind Lost. After
-	// an error the reply must not be read, since a late answer may still be written to it.
+	// an error the reply must not be read, since a late answer may still be written to it, and the arguments must not be
+	// changed, since they may still be sent. A call returns when ctx ends, whatever the other daemon does.
 	Caller interface {
 		Call(ctx context.Context, to Target, method Method, args, reply any) error
 	}
--- a/internal/node/peer/rpc.go
+++ b/internal/node/peer/rpc.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,10 +22,18 @@
 	dialTimeout = time.Second
 	// silenceTimeout is how long calls on a connection may time out without a byte read from it before it is closed.
 	silenceTimeout = 1200 * time.Millisecond
+	// writeTimeout is how long the other end of a connection may take no bytes before the connection is closed. An end that is only busy
+	// or has a narrow link goes on taking some.
+	writeTimeout = 2 * time.Second
+	// writeBytes is the size of the parts in which a message is written, each within writeTimeout.
+	writeBytes = 16 << 10
 	// acceptBackoff is the pause after a failed accept.
 	acceptBackoff = 20 * time.Millisecond
 )
 
+// deadlineClock is the clock of the deadlines of connections, which the runtime compares with the real time.
+var deadlineClock = clockwork.NewRealClock()
+
 type (
 	// Security authenticates both ends of a connection. Its methods return the connection to use from then on.
 	Security interface {
@@ -77,11 +86,14 @@
 		err  error
 	}
 
-	// countedConn counts the bytes sent and read on a connection, including those of its authentication.
+	// countedConn counts the bytes sent and read on a connection, including those of its authentication. It closes a connection whose
+	// other end takes no bytes for writeTimeout, so that nobody waits for that end for ever.
 	countedConn struct {
 		net.Conn
 		sentBytes atomic.Int64
 		readBytes atomic.Int64
+		// failed is set once a write has failed.
+		failed atomic.Bool
 	}
 )
 
@@ -153,7 +165,7 @@
 
 func (s *Server) serve(conn net.Conn) {
 	defer s.untrack(conn)
-	secured, err := s.secure(conn)
+	secured, err := s.secure(&countedConn{Conn: conn})
 	if err != nil {
 		return
 	}
@@ -194,9 +206,15 @@
 		return err
 	}
 	sentBefore, readBefore := l.conn.sentBytes.Load(), l.conn.readBytes.Load()
-	call := l.rpc.Go(string(method), args, reply, make(chan *rpc.Call, 1))
+	sent, done := make(chan struct{}), make(chan *rpc.Call, 1)
+	// Sending blocks while the other end takes no bytes, which must not hold the caller up beyond its limit.
+	go func() {
+		l.rpc.Go(string(method), args, reply, done)
+		close(sent)
+	}()
 	select {
-	case <-call.Done:
+	case call := <-done:
+		<-sent
 		l.silentSince.Store(0)
 		err = c.callError(to.Address, l, call.Error)
 	case <-ctx.Done():
@@ -255,11 +273,11 @@
 	}
 }
 
-// linkTo returns the connection to an address. Calls that find none start or join one attempt to connect: a burst of
-// calls must not overflow the other daemon's queue of new connections.
+// linkTo returns the connection to an address. Calls that find none, or one on which a write has failed, start or join one attempt to
+// connect: a burst of calls must not overflow the other daemon's queue of new connections.
 func (c *Client) linkTo(ctx context.Context, address types.Address) (*link, error) {
 	c.mu.Lock()
-	if l, ok := c.links[address]; ok {
+	if l, ok := c.links[address]; ok && !l.conn.failed.Load() {
 		c.mu.Unlock()
 		return l, nil
 	}
@@ -326,9 +344,28 @@
 	_ = l.rpc.Close()
 }
 
-// Write implements io.Writer and counts the bytes sent.
+// Write implements io.Writer and counts the bytes sent. A message of which a part was not sent in time cannot be continued, so the
+// connection is closed then.
 func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	sent := 0
+	for part := range slices.Chunk(p, writeBytes) {
+		n, err := c.writePart(part)
+		sent += n
+		if err != nil {
+			c.failed.Store(true)
+			_ = c.Close()
+			return sent, err
+		}
+	}
+	return sent, nil
+}
+
+// writePart writes bytes within writeTimeout.
+func (c *countedConn) writePart(part []byte) (int, error) {
+	if err := c.SetWriteDeadline(deadlineClock.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(part)
 	c.sentBytes.Add(int64(n))
 	return n, err
 }
