--- a/internal/flow/owner/loss.go
+++ b/internal/flow/owner/loss.go
@@ -142,10 +142,9 @@
 		if !run.Sent || run.Task == nil || run.Task.Run != run || hasProvedItself(run, now) {
 			continue
 		}
-		isAlone := culprit != nil && run.SameUnit(culprit)
-		isPrompt := isAlone && others == 0 && run.Age(now) <= promptAge
-		out[run] = tasks.Loss{
-			Counts: true, Crashed: crashed, Alone: isAlone, Prompt: isPrompt, Lasted: run.Age(now) >= clearingAge,
+		out[run] = tasks.Loss{Counts: true, Lasted: run.Age(now) >= clearingAge}
+		if crashed {
+			out[run] = lossInCrash(run, culprit, others == 0 && run.Age(now) <= promptAge, now)
 		}
 	}
 	if !isMass {
@@ -219,6 +218,16 @@
 	return latest
 }
 
+// lossInCrash returns what the certain crash of a runner tells of one of its runs. A run that the runner has not confirmed has perhaps never
+// begun, or begun under a former leader, and is not the only possible cause. IsPrompt is set when the crash followed the start at once.
+func lossInCrash(run, culprit *tasks.Run, isPrompt bool, now time.Time) tasks.Loss {
+	isAlone := run.Confirmed && culprit != nil && run.SameUnit(culprit)
+	return tasks.Loss{
+		Counts: true, Crashed: run.Confirmed, Doubtful: !run.Confirmed, Alone: isAlone, Prompt: isAlone && isPrompt,
+		Lasted: run.Age(now) >= clearingAge,
+	}
+}
+
 // hasProvedItself reports whether a run of a service has gone on for so long that it cannot be the cause of a loss.
 func hasProvedItself(run *tasks.Run, now time.Time) bool {
 	return run.Task.Step.Spec.Service && run.Age(now) >= lastingProofAge
--- a/internal/flow/owner/loss_test.go
+++ b/internal/flow/owner/loss_test.go
@@ -264,9 +264,37 @@
 	task.Losses = tasks.LossRecord{Losses: 1, Crashes: 1, Suspect: true}
 	run := r.PlaceTask(task, 2)
 	run.Sent, run.SentAt = true, f.clock.Now().Add(-age)
+	run.Confirm(run.SentAt)
 	return o, r, run
 }
 
+// TestUnconfirmedStartProvesNothing guards against a job that is given up because runners crashed to which starts of its task were on
+// their way: they have perhaps never been carried out.
+func TestUnconfirmedStartProvesNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(run *tasks.Run)
+		want   tasks.Loss
+	}{
+		"Confirmed":   {want: tasks.Loss{Counts: true, Crashed: true, Alone: true, Prompt: true, Suspect: true}},
+		"Unconfirmed": {change: func(r *tasks.Run) { r.Confirmed = false }, want: tasks.Loss{Counts: true, Doubtful: true, Suspect: true}},
+		"OfAFormerLeader": {
+			change: func(r *tasks.Run) { r.Confirmed, r.SentAt = false, time.Time{} },
+			want:   tasks.Loss{Counts: true, Doubtful: true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, r, run := lossFixture(t, 10*time.Millisecond)
+			if test.change != nil {
+				test.change(run)
+			}
+			o.noteUnreachable(r, false)
+			if got := o.assessLoss(r, true)[run]; got != test.want {
+				t.Errorf("the loss tells %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
 // loseOthers lets further runners become unreachable at this moment.
 func loseOthers(o *Owner, count int) {
 	for i := range count {
--- a/internal/flow/owner/unproven.go
+++ b/internal/flow/owner/unproven.go
@@ -15,8 +15,8 @@
 	runner tasks.Incarnation
 	// since is when the runner became unreachable.
 	since time.Time
-	// alone tells of each run whose loss counts whether no other task can be the cause, should the runner have crashed.
-	alone map[*tasks.Run]bool
+	// ifCrashed holds what the loss tells of each run whose loss counts, should the runner have crashed.
+	ifCrashed map[*tasks.Run]tasks.Loss
 }
 
 // noteUnprovenLoss notes the runs of a runner that was out of reach until their leases expired, with what that tells of each. The
@@ -28,12 +28,12 @@
 		return
 	}
 	culprit := soleSuspect(r, now)
-	loss := unprovenLoss{runner: r.Incarnation(), since: now, alone: make(map[*tasks.Run]bool, len(losses))}
+	loss := unprovenLoss{runner: r.Incarnation(), since: now, ifCrashed: make(map[*tasks.Run]tasks.Loss, len(losses))}
 	if !r.UnreachableSince.IsZero() {
 		loss.since = r.UnreachableSince
 	}
 	for run := range losses {
-		loss.alone[run] = culprit != nil && run.SameUnit(culprit)
+		loss.ifCrashed[run] = lossInCrash(run, culprit, false, now)
 	}
 	o.unprovenLosses[r.Info.Address] = loss
 }
@@ -49,21 +49,21 @@
 // confirmLoss counts an unproven loss at the address, if there is one, as the certain crash of its runner. A task that waits is given
 // up if that was one crash too many; one that has started again may go on. The caller must hold o.mu.
 func (o *Owner) confirmLoss(address types.Address) {
-	loss, ok := o.unprovenLosses[address]
+	lost, ok := o.unprovenLosses[address]
 	if !ok {
 		return
 	}
 	delete(o.unprovenLosses, address)
-	o.config.Log.Warn().Str("Runner", string(loss.runner.Runner)).Str("Address", string(address)).Int("Counted", len(loss.alone)).
-		Dur("Silent", o.config.Clock.Since(loss.since)).Msg("a runner whose leases expired while it was silent has crashed; counting the crash now")
-	for run, alone := range loss.alone {
+	o.config.Log.Warn().Str("Runner", string(lost.runner.Runner)).Str("Address", string(address)).Int("Counted", len(lost.ifCrashed)).
+		Dur("Silent", o.config.Clock.Since(lost.since)).Msg("a runner whose leases expired while it was silent has crashed; counting the crash now")
+	for run, loss := range lost.ifCrashed {
 		t := run.Task
 		if o.table.Task(t.Ref) != t || t.State == tasks.Done || t.Step.Job.Ending {
 			continue
 		}
 		c := t.Change()
-		c.Losses.ConfirmCrash(alone)
+		c.Losses.ConfirmCrash(loss)
 		o.record(tasks.Record{Task: c}, nil)
-		o.endJobIfFinished(t.Step.Job, t, tasks.Loss{Counts: true, Crashed: true, Alone: alone})
+		o.endJobIfFinished(t.Step.Job, t, loss)
 	}
 }
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -19,7 +19,8 @@
 	// while no other task could be the cause, unless the latest crash followed promptly: a runner may also crash for a reason of its own.
 	minCrashes = 2
 	minAlone   = 2
-	// maxSharedCrashes is after how many crashes a task is given up that was not alone with its runners often enough.
+	// maxSharedCrashes is after how many crashes a task is given up that was not alone with its runners often enough, or whose runners
+	// crash before their answer to the start arrives.
 	maxSharedCrashes = 4
 	// suspectLosses is from how many losses on a task is suspected, whatever the latest one told of it.
 	suspectLosses = 2
@@ -32,11 +33,13 @@
 	// LossRecord counts the attempts of a task that ended with the loss of their runner. The fields are small, since the leader holds
 	// one for each task.
 	LossRecord struct {
-		// Losses counts all of them, Crashes those whose runner has certainly crashed, and Alone those of the crashes of which no
-		// other task can be the cause.
+		// Losses counts all of them, Crashes those whose runner had confirmed the attempt and has certainly crashed, and Alone those of
+		// the crashes of which no other task can be the cause.
 		Losses  int16 `json:"Losses,omitempty"`
 		Crashes int16 `json:"Crashes,omitempty"`
 		Alone   int16 `json:"Alone,omitempty"`
+		// Doubtful counts those whose runner has certainly crashed, but had not confirmed the attempt: it may never have begun.
+		Doubtful int16 `json:"Doubtful,omitempty"`
 		// Suspect is set when the latest of them ended so soon after its start that it may have been the cause.
 		Suspect bool `json:"Suspect,omitempty"`
 		// In is the latest attempt that was counted.
@@ -47,8 +50,10 @@
 	Loss struct {
 		// Counts is set when the loss counts against the task; the other fields are not set without it.
 		Counts bool
-		// Crashed is set when the runner has certainly crashed, and is not just out of reach.
-		Crashed bool
+		// Crashed is set when the runner has certainly crashed, and is not just out of reach, and had confirmed the attempt. Doubtful is
+		// set instead when it had not confirmed it.
+		Crashed  bool
+		Doubtful bool
 		// Lasted is set when the attempt had gone on for so long that the earlier losses tell nothing of its task any more.
 		Lasted bool
 		// Suspect is set when the task may be the cause of the loss.
@@ -78,34 +83,42 @@
 	}
 	l.In = attempt
 	l.Losses++
+	l.addCrash(loss)
+	l.Suspect = loss.Suspect
+}
+
+// ConfirmCrash counts a loss as a certain crash that Add has counted without that certainty.
+func (l *LossRecord) ConfirmCrash(loss Loss) {
+	if l.allCrashes() < l.Losses {
+		l.addCrash(loss)
+	}
+}
+
+// addCrash counts the crash of a loss, if it is one.
+func (l *LossRecord) addCrash(loss Loss) {
 	if loss.Crashed {
 		l.Crashes++
 	}
 	if loss.Alone {
 		l.Alone++
 	}
-	l.Suspect = loss.Suspect
+	if loss.Doubtful {
+		l.Doubtful++
+	}
 }
 
-// ConfirmCrash counts a loss as a certain crash that Add has counted without that certainty. Alone is set when no other task can be
-// the cause.
-func (l *LossRecord) ConfirmCrash(alone bool) {
-	if l.Crashes >= l.Losses {
-		return
-	}
-	l.Crashes++
-	if alone {
-		l.Alone++
-	}
+// allCrashes counts the runners that have certainly crashed, whether or not they had confirmed an attempt.
+func (l *LossRecord) allCrashes() int16 {
+	return l.Crashes + l.Doubtful
 }
 
 // IsGivenUp reports whether the task starts no more after the latest loss. Only certain crashes count: a runner that was out of reach
 // until its leases expired has perhaps run the task without a fault, and it is not known that it will not again.
 func (l *LossRecord) IsGivenUp(latest Loss) bool {
-	if l.Crashes < minCrashes {
-		return false
+	if l.allCrashes() >= maxSharedCrashes {
+		return true
 	}
-	return latest.Prompt || l.Alone >= minAlone || l.Crashes >= maxSharedCrashes
+	return l.Crashes >= minCrashes && (latest.Prompt || l.Alone >= minAlone)
 }
 
 // IsSuspect reports whether the task, or a member of its gang, may have crashed a runner, so that the next attempt should start apart
--- a/internal/flow/tasks/loss_test.go
+++ b/internal/flow/tasks/loss_test.go
@@ -15,6 +15,7 @@
 	alone := Loss{Counts: true, Crashed: true, Alone: true}
 	prompt := Loss{Counts: true, Crashed: true, Alone: true, Prompt: true}
 	silent := Loss{Counts: true}
+	doubtful := Loss{Counts: true, Doubtful: true}
 	for name, test := range map[string]struct {
 		losses []Loss
 		want   bool
@@ -35,6 +36,9 @@
 		"FourLossesWithTwoCrashes":   {losses: []Loss{silent, crash, silent, crash}},
 		"FourCrashesBetweenSilences": {losses: []Loss{crash, silent, crash, crash, silent, crash}, want: true},
 		"FiveLossesWithoutAnyCrash":  {losses: []Loss{silent, silent, silent, silent, silent}},
+		"UnconfirmedThenPrompt":      {losses: []Loss{doubtful, prompt}},
+		"UnconfirmedThenAlone":       {losses: []Loss{doubtful, doubtful, alone}},
+		"FourUnconfirmed":            {losses: []Loss{doubtful, doubtful, doubtful, doubtful}, want: true},
 		"ManyLossesWithOneCrash":     {losses: []Loss{silent, silent, silent, silent, silent, silent, silent, alone}},
 		"LossesThatDoNotCount":       {losses: []Loss{{}, {}, {}, {}, {}, crash}},
 		"OneCrashAfterFourUncounted": {losses: []Loss{{}, {}, {}, {}, alone}},
@@ -66,10 +70,11 @@
 // one that counts though its loss does not.
 func TestCrashThatIsKnownLaterCountsOnce(t *testing.T) {
 	var record LossRecord
-	record.ConfirmCrash(true)
+	alone := Loss{Counts: true, Crashed: true, Alone: true}
+	record.ConfirmCrash(alone)
 	record.Add(Loss{Counts: true}, 1)
-	record.ConfirmCrash(true)
-	record.ConfirmCrash(true)
+	record.ConfirmCrash(alone)
+	record.ConfirmCrash(alone)
 	if want := (LossRecord{Losses: 1, Crashes: 1, Alone: 1, In: 1}); record != want {
 		t.Errorf("one crash counts as %+v, want %+v", record, want)
 	}
