--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -28,7 +28,7 @@
 	overdue
 
 	lateFactor = 3
-	// maxSteps limits the number of steps that one plan serves.
+	// maxSteps limits the number of steps that one plan serves. Steps that no runner can run do not count.
 	maxSteps = 400
 	// reservedShare limits the cores that gangs may reserve, as a fraction of the cores of their service.
 	reservedShare = 0.2
@@ -122,7 +122,9 @@
 		services map[*tasks.Organisation]types.Resources
 		// stepsLeft is how many more steps the plan serves.
 		stepsLeft int
-		out       Plan
+		// runnable tells of each demand met so far whether a runner could meet it.
+		runnable map[demand]bool
+		out      Plan
 	}
 
 	// runnerCapacity is a runner with the capacity that is still free in this pass.
@@ -200,6 +202,7 @@
 		quiet:      make(map[types.ServiceName]int),
 		held:       make(map[*tasks.Task]*runnerCapacity),
 		stepsLeft:  maxSteps,
+		runnable:   make(map[demand]bool),
 	}
 }
 
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -105,14 +105,14 @@
 	p.serveByShare(surplus[splitSurplus:])
 }
 
-// serveInOrder serves the steps one after the other, at most as many as stepsLeft. Steps that wait for their quota do not
-// count, so that many of them do not keep those of other organisations from being served.
+// serveInOrder serves the steps one after the other, at most as many as stepsLeft. Steps that wait for their quota, or that no runner
+// can run, do not count, so that many of them do not keep others from being served.
 func (p *pass) serveInOrder(entries []entry) {
 	for _, e := range entries {
 		if p.stepsLeft == 0 {
 			return
 		}
-		if p.mayServe(e.step) {
+		if p.hasRunner(e.step) && p.mayServe(e.step) {
 			p.stepsLeft--
 			p.serve(e.step)
 		}
@@ -203,7 +203,7 @@
 	case p.stepsLeft == 0:
 		q.steps = nil
 		return false
-	case !p.mayServe(s):
+	case !p.hasRunner(s) || !p.mayServe(s):
 		q.steps = q.steps[1:]
 		return false
 	}
