--- a/internal/flow/feed/fetch.go
+++ b/internal/flow/feed/fetch.go
@@ -12,9 +12,12 @@
 const (
 	// pollMargin is how much longer than it waits the answer to a poll may take.
 	pollMargin = 500 * time.Millisecond
-	// partTimeout limits the call for one part, partTries is how often it is made.
-	partTimeout = 2 * time.Second
-	partTries   = 2
+	// partTries is how often the call for one part is made, and maxPartTimeout its longest limit; see partTimeout.
+	partTries      = 2
+	maxPartTimeout = 2 * time.Second
+	// partTimeoutDivisor gives the limit of a call for a part on a free link, as a part of ApplyTimeout: after all tries, there must be
+	// time left to fetch the catalog from another source.
+	partTimeoutDivisor = 5
 	// maxEncodedBytes is the largest encoded catalog that is fetched, in bytes.
 	maxEncodedBytes = 16 << 20
 )
@@ -86,7 +89,7 @@
 func (f *Feed) readParts(ctx context.Context, target peer.Target, described *PollReply) ([]byte, error) {
 	out := make([]byte, 0, described.Bytes)
 	for len(out) < described.Bytes {
-		part, err := f.readPart(ctx, target, &ReadArgs{Version: described.Version, Offset: len(out)})
+		part, err := f.readPart(ctx, target, &ReadArgs{Version: described.Version, Offset: len(out)}, f.partTimeout(described.Bytes))
 		if err != nil {
 			return out, err
 		}
@@ -96,11 +99,22 @@
 	return out, nil
 }
 
-// readPart reads one part, with retries while no answer arrives.
-func (f *Feed) readPart(ctx context.Context, target peer.Target, args *ReadArgs) ([]byte, error) {
+// partTimeout returns how long a source that can be reached may take to send a part of a catalog with the given size in bytes, while all
+// daemons may be fetching it from there over links like this daemon's.
+func (f *Feed) partTimeout(bytes int) time.Duration {
+	timeout := f.config.ApplyTimeout / partTimeoutDivisor
+	if f.pacer.rate > 0 {
+		queued := float64(min(bytes, partBytes) * len(f.config.Members()))
+		timeout += time.Duration(queued / f.pacer.rate * float64(time.Second))
+	}
+	return min(timeout, maxPartTimeout)
+}
+
+// readPart reads one part, with retries while no answer arrives within the timeout.
+func (f *Feed) readPart(ctx context.Context, target peer.Target, args *ReadArgs, timeout time.Duration) ([]byte, error) {
 	var err error
 	for range partTries {
-		limited, cancel := context.WithTimeout(ctx, partTimeout)
+		limited, cancel := context.WithTimeout(ctx, timeout)
 		reply := &ReadReply{}
 		err = f.config.Peers.Call(limited, target, methodRead, args, reply)
 		cancel()
