--- a/internal/flow/feed/feed_test.go
+++ b/internal/flow/feed/feed_test.go
@@ -129,7 +129,7 @@
 	t.Helper()
 	f := &fixture{
 		t: t, store: newOperatorStore(), network: peer.NewNetwork(), feeds: make(map[types.VMID]*Feed),
-		callers: make(map[types.VMID]*cutAfterPoll), calls: meter.Discard(),
+		calls: meter.Discard(),
 	}
 	for i := range perDataCentre {
 		for _, dc := range []types.DataCentre{"a", "b"} {
@@ -158,6 +158,9 @@
 func (f *fixture) addFeed(self peer.Target, applyTimeout time.Duration) {
 	f.t.Helper()
 	node := f.network.Join(self, f.calls)
+	if f.callers == nil {
+		f.callers = make(map[types.VMID]*cutAfterPoll)
+	}
 	f.callers[self.VM] = &cutAfterPoll{Caller: node}
 	feed := New(Config{
 		Self: self, Origin: &origin{store: f.store, vm: self.VM}, Peers: f.callers[self.VM],
