--- /dev/null
+++ b/internal/flow/owner/tick.go
@@ -0,0 +1,104 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+// tickLoop applies what depends on time alone, once in each tickInterval.
+func (o *Owner) tickLoop() {
+	for o.ctx.Err() == nil {
+		o.sleep(tickInterval)
+		o.tick()
+	}
+}
+
+func (o *Owner) tick() {
+	defer o.turns.Begin(turnTick)()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.config.Clock.Now()
+	o.applyCatalog()
+	o.checkUnansweredWrites()
+	o.table.Advance(now)
+	o.table.PurgeEnded(now.Add(-o.config.Bounds.StatusRetention))
+	for id, r := range o.table.Runners {
+		o.expireRuns(r, now)
+		o.resendStops(r, now)
+		o.stopRunsBeforeLeave(r, now)
+		if !r.Listed && len(r.Runs) == 0 {
+			o.table.RemoveRunner(id)
+		}
+	}
+	o.backlog = order.MeasureBacklog(o.table, now)
+	o.updateUsualPaces()
+	o.updateGauges(now)
+	o.updateOrganisations(now)
+	o.applyWeights()
+	o.organisationCounters.updateWaiting(o.table.Jobs)
+	every.Wake(o.planWake)
+}
+
+// updateGauges updates the gauges of the jobs, the runs and the free cores. The caller must hold o.mu.
+func (o *Owner) updateGauges(now time.Time) {
+	var free, runs int64
+	for _, r := range o.table.Runners {
+		runs += int64(len(r.Runs))
+		if r.Usable(now) {
+			free += int64(max(0, r.Free().Cores) / types.Core)
+		}
+	}
+	waiting := 0
+	for _, j := range o.table.Jobs {
+		if !j.Ran {
+			waiting++
+		}
+	}
+	o.counters.jobs.Update(int64(len(o.table.Jobs)))
+	o.counters.jobsWaiting.Update(int64(waiting))
+	o.counters.runs.Update(runs)
+	o.counters.coresFree.Update(free)
+}
+
+// expireRuns removes the runs on an unreachable runner once its leases have certainly expired. The caller must hold
+// o.mu.
+func (o *Owner) expireRuns(r *tasks.Runner, now time.Time) {
+	unreachable := !r.Synced || !r.UnreachableSince.IsZero()
+	if !unreachable || len(r.Runs) == 0 || !r.LeaseExpired(now) {
+		return
+	}
+	o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Int("Runs", len(r.Runs)).Msg("leases on an unreachable runner have expired; removing its runs")
+	o.removeLostRuns(r, false)
+}
+
+// resendStops sends stops again that have taken no effect within stopRetryInterval. The caller must hold o.mu.
+func (o *Owner) resendStops(r *tasks.Runner, now time.Time) {
+	if !r.UnreachableSince.IsZero() {
+		return
+	}
+	for _, run := range r.Runs {
+		if run.Stopping && now.Sub(run.StopSent) >= stopRetryInterval {
+			o.stopRun(run)
+		}
+	}
+}
+
+// applyCatalog gives the accepted jobs the queue policies of a new catalog, and the organisations its limits. The caller
+// must hold o.mu.
+func (o *Owner) applyCatalog() {
+	c := o.config.Catalog()
+	if c == nil || c.Version == o.catalogVersion {
+		return
+	}
+	o.catalogVersion = c.Version
+	o.table.SetLimits(c)
+	for _, j := range o.table.Jobs {
+		if q, ok := c.Queue(j.Spec.Queue.Name); ok {
+			j.Spec.Queue = q
+		}
+	}
+}
--- a/internal/node/peer/rpc.go
+++ b/internal/node/peer/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,18 +21,8 @@
 	dialTimeout = time.Second
 	// silenceTimeout is how long calls on a connection may time out without a byte read from it before it is closed.
 	silenceTimeout = 1200 * time.Millisecond
-	// writeTimeout is how long the other end of a connection may take no bytes before the connection is closed. An end that is only busy
-	// or has a narrow link goes on taking some.
-	writeTimeout = 2 * time.Second
-	// writeBytes is the size of the parts in which a message is written, each within writeTimeout.
-	writeBytes = 16 << 10
-	// acceptBackoff is the pause after a failed accept.
-	acceptBackoff = 20 * time.Millisecond
 )
 
-// deadlineClock is the clock of the deadlines of connections, which the runtime compares with the real time.
-var deadlineClock = clockwork.NewRealClock()
-
 type (
 	// Security authenticates both ends of a connection. Its methods return the connection to use from then on.
 	Security interface {
@@ -43,19 +32,6 @@
 		Dial(ctx context.Context, conn net.Conn) (net.Conn, error)
 	}
 
-	// Server serves the calls of other daemons. With a nil Security it accepts every connection without authentication.
-	Server struct {
-		Security Security
-
-		clock clockwork.Clock
-		rpc   *rpc.Server
-
-		mu       sync.Mutex
-		listener net.Listener
-		conns    map[net.Conn]struct{}
-		closed   bool
-	}
-
 	// Client is a Caller over TCP. It keeps one connection to each address. With a nil Security the connections are not
 	// authenticated.
 	Client struct {
@@ -85,110 +61,8 @@
 		link *link
 		err  error
 	}
-
-	// countedConn counts the bytes sent and read on a connection, including those of its authentication. It closes a connection whose
-	// other end takes no bytes for writeTimeout, so that nobody waits for that end for ever.
-	countedConn struct {
-		net.Conn
-		sentBytes atomic.Int64
-		readBytes atomic.Int64
-		// failed is set once a write has failed.
-		failed atomic.Bool
-	}
 )
 
-// NewServer returns a server without services.
-func NewServer(clock clockwork.Clock) *Server {
-	return &Server{clock: clock, rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
-}
-
-// Register makes a service callable under the name. It returns an error of kind Internal when net/rpc rejects it.
-func (s *Server) Register(name string, service any) error {
-	if err := s.rpc.RegisterName(name, service); err != nil {
-		return errs.New(errs.Internal, "registering %s: %v", name, err)
-	}
-	return nil
-}
-
-// Serve accepts connections until Close. A failed accept is tried again: the process may be short of file descriptors, or
-// the connection was reset before it was accepted.
-func (s *Server) Serve(listener net.Listener) {
-	s.mu.Lock()
-	s.listener = listener
-	s.mu.Unlock()
-	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) || s.isClosed() {
-			return
-		}
-		if err != nil {
-			s.clock.Sleep(acceptBackoff)
-			continue
-		}
-		if s.track(conn) {
-			go s.serve(conn)
-		}
-	}
-}
-
-// Close stops accepting connections and closes the open ones.
-func (s *Server) Close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-}
-
-func (s *Server) isClosed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed
-}
-
-// track records an open connection so that Close can close it. After Close it closes the connection itself and returns
-// false.
-func (s *Server) track(conn net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		_ = conn.Close()
-		return false
-	}
-	s.conns[conn] = struct{}{}
-	return true
-}
-
-func (s *Server) serve(conn net.Conn) {
-	defer s.untrack(conn)
-	secured, err := s.secure(&countedConn{Conn: conn})
-	if err != nil {
-		return
-	}
-	s.rpc.ServeConn(secured)
-}
-
-// secure authenticates a connection within the dial timeout.
-func (s *Server) secure(conn net.Conn) (net.Conn, error) {
-	if s.Security == nil {
-		return conn, nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	return s.Security.Accept(ctx, conn)
-}
-
-func (s *Server) untrack(conn net.Conn) {
-	_ = conn.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, conn)
-}
-
 // NewClient returns a client without connections.
 func NewClient(calls *meter.Meter, clock clockwork.Clock) *Client {
 	return &Client{
@@ -343,36 +217,3 @@
 	}
 	_ = l.rpc.Close()
 }
-
-// Write implements io.Writer and counts the bytes sent. A message of which a part was not sent in time cannot be continued, so the
-// connection is closed then.
-func (c *countedConn) Write(p []byte) (int, error) {
-	sent := 0
-	for part := range slices.Chunk(p, writeBytes) {
-		n, err := c.writePart(part)
-		sent += n
-		if err != nil {
-			c.failed.Store(true)
-			_ = c.Close()
-			return sent, err
-		}
-	}
-	return sent, nil
-}
-
-// writePart writes bytes within writeTimeout.
-func (c *countedConn) writePart(part []byte) (int, error) {
-	if err := c.SetWriteDeadline(deadlineClock.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Write(part)
-	c.sentBytes.Add(int64(n))
-	return n, err
-}
-
-// Read implements io.Reader and counts the bytes read.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.readBytes.Add(int64(n))
-	return n, err
-}
