Say when the leader record names a daemon that has no term

Users saw all entries call one daemon that refused as "not the leader" for 27 s.

The elector keeps the record as the store has it beside the leader that it believes in. The end of a term says whether the record is the daemon's own; from one second on, a line each second says that the record names this daemon without a term, why its latest term ended, and what keeps it from claiming. Metrics: Elect.TermsEnded, Elect.TermlessFor. No decision is changed.

TestRecordWithoutATermIsReported did not compile before; the tests of elect pass.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -16,6 +16,7 @@
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
@@ -113,6 +114,8 @@
 		Store    store.Batcher
 		Clock    clockwork.Clock
 		Log      zerolog.Logger
+		// Metrics receives the elector's metrics; nil means that they are not kept.
+		Metrics metrics.Registry
 		// TTL is the duration of the daemon's lease in the store; zero means DefaultTTL.
 		TTL time.Duration
 		// OnStartedLeading is called when this daemon became leader, OnStoppedLeading when its term has ended. They must
@@ -123,8 +126,9 @@
 
 	// Elector is one daemon's part in the election. It is safe for concurrent use.
 	Elector struct {
-		config Config
-		nonce  store.Nonce
+		config  Config
+		metrics electMetrics
+		nonce   store.Nonce
 		// recordsChanged wakes decideLoop when leadership may have become vacant.
 		recordsChanged chan struct{}
 
@@ -134,7 +138,9 @@
 		storeLatency time.Duration
 		members      map[types.VMID]Member
 		leader       Leader
-		// leaderVersion is the version of the leader record, Absent when there is none.
+		// record is the leader record as it was last read or written, and leaderVersion its version, Absent when there is none. The
+		// leader may be another one: that of a newer epoch, which a peer knows, or none after this daemon's term has ended.
+		record        Leader
 		leaderVersion store.Version
 		epochRecord   epochRecord
 		epochVersion  store.Version
@@ -147,6 +153,8 @@
 		strongestAt time.Time
 		term        *Term
 		steppedDown bool
+		// termless tells for how long the record has named this daemon without a term.
+		termless termless
 		// abstainUntil is when this daemon may claim leadership again after it stood back.
 		abstainUntil time.Time
 		// vacantSince is when leadership was first found to be vacant; zero while it is not.
@@ -164,8 +172,11 @@
 	if c.TTL <= 0 {
 		c.TTL = DefaultTTL
 	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
 	return &Elector{
-		config: c, nonce: store.Nonce(uuid.NewString()), members: make(map[types.VMID]Member), recordsChanged: make(chan struct{}, 1),
+		config: c, metrics: newElectMetrics(c.Metrics), nonce: store.Nonce(uuid.NewString()), members: make(map[types.VMID]Member), recordsChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -341,14 +352,20 @@
 	e.mu.Lock()
 	term := e.term
 	e.term = nil
-	if term != nil && e.leader.Epoch == term.Epoch {
-		e.leader = Leader{}
+	recordIsOwn := e.isRecordOwn()
+	if term != nil {
+		e.termless.reason = reason
+		if e.leader.Epoch == term.Epoch {
+			e.leader = Leader{}
+		}
 	}
 	e.mu.Unlock()
 	if term == nil {
 		return
 	}
-	e.config.Log.Warn().Uint64("Epoch", uint64(term.Epoch)).Str("Reason", reason).Msg("term as leader ended")
+	e.metrics.termsEnded.Inc(1)
+	e.config.Log.Warn().Uint64("Epoch", uint64(term.Epoch)).Str("Reason", reason).Bool("RecordIsOwn", recordIsOwn).
+		Msg("term as leader ended")
 	e.config.OnStoppedLeading(*term)
 }
 
@@ -386,7 +403,7 @@
 // applyLeader applies the leader record, and keeps a known leader of a newer epoch. The caller must hold e.mu.
 func (e *Elector) applyLeader(entry store.Entry) {
 	if entry.Deleted {
-		e.leaderVersion = store.Absent
+		e.record, e.leaderVersion = Leader{}, store.Absent
 		if e.term == nil {
 			e.leader = Leader{}
 		}
@@ -397,7 +414,7 @@
 		e.config.Log.Error().Err(err).Msg("leader record is malformed; ignoring it")
 		return
 	}
-	e.leaderVersion = entry.Version
+	e.record, e.leaderVersion = leader, entry.Version
 	if leader.Epoch >= e.leader.Epoch {
 		e.leader = leader
 	}
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -186,6 +186,7 @@
 	delay := min(rankDelayFactor*e.storeLatency, maxRankDelay) + e.weakDelay() + e.claimJitter
 	left := delay - e.config.Clock.Since(e.vacantSince)
 	delayPassed := vacant && left <= 0
+	e.checkTermless()
 	e.mu.Unlock()
 	switch {
 	case overtaken:
@@ -325,7 +326,7 @@
 	e.mu.Lock()
 	term := Term{Epoch: next.Epoch, Version: version}
 	e.term = &term
-	e.leader, e.leaderVersion = leader, version
+	e.leader, e.record, e.leaderVersion = leader, leader, version
 	e.epochRecord, e.epochVersion = next, version
 	e.vacantSince = time.Time{}
 	e.mu.Unlock()
@@ -356,7 +357,7 @@
 	}
 	e.mu.Lock()
 	if out.Applied {
-		e.leaderVersion = out.Version
+		e.record, e.leaderVersion = Leader{Target: e.config.Self, Epoch: term.Epoch}, out.Version
 		e.vacantSince = time.Time{}
 		e.mu.Unlock()
 		e.config.Log.Info().Uint64("Epoch", uint64(term.Epoch)).Msg("kept leadership after the lease had expired")
--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -125,7 +125,7 @@
 	f.adviceCache = newAdviceCache()
 	f.relays = relay.NewServer(relay.ServerConfig{Agents: c.Agents, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics})
 	f.elector = elect.New(elect.Config{
-		Self: c.Self, Strength: c.Strength, Store: c.Store, Clock: c.Clock, Log: c.Log, TTL: c.TTL,
+		Self: c.Self, Strength: c.Strength, Store: c.Store, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, TTL: c.TTL,
 		OnStartedLeading: f.startLeading, OnStoppedLeading: f.stopLeading,
 	})
 	f.feed = feed.New(feed.Config{
