Split the elector's file by what it does

elect.go held the records, the claims, the lease and the ways in which a term ends, and loops.go the other half of each.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -257,12 +256,6 @@
 	every.Wake(e.recordsChanged)
 }
 
-// CheckStore renews the daemon's lease, or registers the daemon if it has none, and returns an error unless the store
-// answers.
-func (e *Elector) CheckStore(ctx context.Context) error {
-	return e.renewLease(ctx)
-}
-
 // AdoptLeader adopts the leader that a peer knows if its epoch is newer than all that this daemon knows.
 func (e *Elector) AdoptLeader(leader Leader) {
 	e.mu.Lock()
@@ -276,99 +269,6 @@
 	}
 }
 
-// StepDown gives up leadership for good: it deletes the daemon's records in the store and ends its term. The daemon
-// neither claims leadership nor registers again.
-func (e *Elector) StepDown(ctx context.Context) {
-	e.mu.Lock()
-	e.steppedDown = true
-	term := e.term
-	e.mu.Unlock()
-	if err := e.deleteRecords(ctx, term, e.memberKey()); err != nil {
-		e.config.Log.Warn().Err(err).Msg("could not delete the member and leader records; they expire with the lease")
-	}
-	e.endTerm("retired")
-}
-
-// StandBack ends this daemon's term, deletes the leader record, and claims leadership again only after abstainTimeout, so that
-// another daemon takes over if there is one. The reason is for the log.
-func (e *Elector) StandBack(ctx context.Context, reason string) {
-	e.mu.Lock()
-	term := e.term
-	e.abstainUntil = e.config.Clock.Now().Add(abstainTimeout)
-	batch := e.recordDeletes(term)
-	e.mu.Unlock()
-	e.endTerm(reason)
-	if len(batch.Deletes) == 0 {
-		return
-	}
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := e.config.Store.Apply(limited, batch); err != nil {
-		e.config.Log.Warn().Err(err).Msg("could not delete the leader record; this daemon claims leadership again after its abstention")
-	}
-}
-
-// deleteRecords deletes the given keys, and with them the leader record while that is the one of the term. It tries
-// again when the leader record has changed meanwhile, for example by a write of this daemon whose answer was late.
-func (e *Elector) deleteRecords(ctx context.Context, term *Term, keys ...store.Key) error {
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	for range maxDeleteTries {
-		e.mu.Lock()
-		batch := e.recordDeletes(term, keys...)
-		e.mu.Unlock()
-		out, err := e.config.Store.Apply(limited, batch)
-		if err != nil || out.Applied {
-			return err
-		}
-		present := out.Find(LeaderKey)
-		present.Deleted = present.Version == store.Absent
-		e.mu.Lock()
-		e.applyLeader(present)
-		e.mu.Unlock()
-	}
-	return errs.New(errs.Conflict, "the leader record changed before each of %d tries", maxDeleteTries)
-}
-
-// recordDeletes returns the batch that deletes the given keys, and the leader record while that is the one of the term. The caller
-// must hold e.mu.
-func (e *Elector) recordDeletes(term *Term, keys ...store.Key) store.Batch {
-	batch := store.Batch{Deletes: keys}
-	leads := term != nil && e.leaderVersion != store.Absent &&
-		e.leader.Target.VM == e.config.Self.VM && e.leader.Epoch == term.Epoch
-	if leads {
-		batch.Conditions = []store.Condition{{Key: LeaderKey, Expect: e.leaderVersion}}
-		batch.Deletes = append(batch.Deletes, LeaderKey)
-	}
-	return batch
-}
-
-// EndTerm ends this daemon's term if it leads, for example because a newer leader was found. The reason is for the log.
-func (e *Elector) EndTerm(reason string) {
-	e.endTerm(reason)
-}
-
-func (e *Elector) endTerm(reason string) {
-	e.mu.Lock()
-	term := e.term
-	e.term = nil
-	recordIsOwn := e.isRecordOwn()
-	if term != nil {
-		e.termless.reason = reason
-		if e.leader.Epoch == term.Epoch {
-			e.leader = Leader{}
-		}
-	}
-	e.mu.Unlock()
-	if term == nil {
-		return
-	}
-	e.metrics.termsEnded.Inc(1)
-	e.config.Log.Warn().Uint64("Epoch", uint64(term.Epoch)).Str("Reason", reason).Bool("RecordIsOwn", recordIsOwn).
-		Msg("term as leader ended")
-	e.config.OnStoppedLeading(*term)
-}
-
 // observeLatency records how long the store took to answer. The caller must hold e.mu.
 func (e *Elector) observeLatency(took time.Duration) {
 	if e.storeLatency == 0 || took < e.storeLatency {
@@ -376,10 +276,6 @@
 	}
 }
 
-func (e *Elector) memberKey() store.Key {
-	return memberPrefix + store.Key(e.config.Self.VM)
-}
-
 func encode(value any) (json.RawMessage, error) {
 	body, err := json.Marshal(value)
 	if err != nil {
@@ -387,77 +283,3 @@
 	}
 	return body, nil
 }
-
-// applyEntry applies one entry of the store to the known leader, epoch and members. The caller must hold e.mu.
-func (e *Elector) applyEntry(entry store.Entry) {
-	switch {
-	case entry.Key == LeaderKey:
-		e.applyLeader(entry)
-	case entry.Key == ledger.EpochKey:
-		e.applyEpoch(entry)
-	case strings.HasPrefix(string(entry.Key), string(memberPrefix)):
-		e.applyMember(entry)
-	}
-}
-
-// applyLeader applies the leader record, and keeps a known leader of a newer epoch. The caller must hold e.mu.
-func (e *Elector) applyLeader(entry store.Entry) {
-	if entry.Deleted {
-		e.record, e.leaderVersion = Leader{}, store.Absent
-		if e.term == nil {
-			e.leader = Leader{}
-		}
-		return
-	}
-	var leader Leader
-	if err := json.Unmarshal(entry.Value, &leader); err != nil {
-		e.config.Log.Error().Err(err).Msg("leader record is malformed; ignoring it")
-		return
-	}
-	e.record, e.leaderVersion = leader, entry.Version
-	if leader.Epoch >= e.leader.Epoch {
-		e.leader = leader
-	}
-}
-
-// applyEpoch applies the epoch record if it is newer than the known one. The caller must hold e.mu.
-func (e *Elector) applyEpoch(entry store.Entry) {
-	var record epochRecord
-	if entry.Deleted || json.Unmarshal(entry.Value, &record) != nil {
-		e.config.Log.Error().Msg("epoch record is missing or malformed; keeping the last known epoch")
-		return
-	}
-	if entry.Version > e.epochVersion {
-		e.epochRecord, e.epochVersion = record, entry.Version
-		e.rememberStrength(record.Strength)
-	}
-}
-
-// applyMember applies the record of a member. The caller must hold e.mu.
-func (e *Elector) applyMember(entry store.Entry) {
-	vm := types.VMID(strings.TrimPrefix(string(entry.Key), string(memberPrefix)))
-	if entry.Deleted {
-		delete(e.members, vm)
-		return
-	}
-	var m Member
-	if err := json.Unmarshal(entry.Value, &m); err != nil {
-		e.config.Log.Error().Err(err).Str("VM", string(vm)).Msg("member record is malformed; ignoring it")
-		return
-	}
-	e.members[vm] = m
-	e.rememberStrength(m.Strength)
-}
-
-// isSameClaim reports whether two records are of one claim. A later write of the leader record does not repeat the strength.
-func (r epochRecord) isSameClaim(o epochRecord) bool {
-	return r.Epoch == o.Epoch && r.Nonce == o.Nonce
-}
-
-// rememberStrength updates the highest Strength that was listed recently. The caller must hold e.mu.
-func (e *Elector) rememberStrength(strength Strength) {
-	now := e.config.Clock.Now()
-	if strength >= e.strongest || now.Sub(e.strongestAt) > strengthMemory {
-		e.strongest, e.strongestAt = strength, now
-	}
-}
