--- a/internal/flow/elect/claim.go
+++ b/internal/flow/elect/claim.go
@@ -124,6 +124,6 @@
 	}
 	e.mu.Unlock()
 	if _, err := e.resolveClaim(out, epochRecord{Epoch: term.Epoch, Nonce: e.nonce}); err != nil {
-		e.endTerm("another daemon took over")
+		e.EndTerm(term, "another daemon took over")
 	}
 }
--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -130,6 +130,9 @@
 		nonce   store.Nonce
 		// recordsChanged wakes decideLoop when leadership may have become vacant.
 		recordsChanged chan struct{}
+		// termMu is held while a term begins or ends, so that OnStartedLeading and OnStoppedLeading are called in that order. It is
+		// acquired before mu.
+		termMu sync.Mutex
 
 		mu    sync.Mutex
 		lease store.LeaseID
--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -27,6 +27,8 @@
 type clusterFixture struct {
 	t      *testing.T
 	memory *store.Memory
+	// wrap, if set, returns the store as the daemon sees it.
+	wrap func(vm types.VMID, b store.Batcher) store.Batcher
 
 	mu sync.Mutex
 	// terms holds the present term of each daemon that leads.
@@ -61,6 +63,9 @@
 		f.t.Fatal("the in-memory store does not support batches")
 	}
 	vm := types.VMID(name)
+	if f.wrap != nil {
+		batcher = f.wrap(vm, batcher)
+	}
 	e := New(Config{
 		Self: peer.Target{VM: vm, Address: types.Address(name + ":1")}, Strength: strength, Store: batcher,
 		Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), TTL: testTTL,
@@ -358,7 +363,7 @@
 	t.Run("AnotherLeads", func(t *testing.T) {
 		f := newClusterFixture(t)
 		leader, other := f.awaitLeaderOf(f.join("a"), f.join("b"))
-		leader.StandBack(t.Context(), "no progress")
+		leader.StandBack(t.Context(), *f.termOf(leader), "no progress")
 		f.eventually("the other daemon leads", func() bool { return f.termOf(other) != nil })
 		if f.termOf(leader) != nil {
 			t.Error("the daemon that stood back leads again")
@@ -369,7 +374,7 @@
 		alone := f.join("a")
 		f.awaitLeader(alone)
 		first := f.termOf(alone).Epoch
-		alone.StandBack(t.Context(), "no progress")
+		alone.StandBack(t.Context(), *f.termOf(alone), "no progress")
 		f.eventually("the daemon leads under a new epoch", func() bool {
 			term := f.termOf(alone)
 			return term != nil && term.Epoch > first
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -110,7 +110,7 @@
 	e.mu.Unlock()
 	switch {
 	case overtaken:
-		e.endTerm("another daemon leads under a newer epoch")
+		e.EndTerm(*term, "another daemon leads under a newer epoch")
 	case delayPassed && term != nil:
 		e.reassertLeadership(ctx, *term)
 	case delayPassed:
--- a/internal/flow/elect/term.go
+++ b/internal/flow/elect/term.go
@@ -10,6 +10,8 @@
 
 // beginTerm records that this daemon has become leader, and calls OnStartedLeading.
 func (e *Elector) beginTerm(leader Leader, next epochRecord, version store.Version) {
+	e.termMu.Lock()
+	defer e.termMu.Unlock()
 	e.mu.Lock()
 	term := Term{Epoch: next.Epoch, Version: version}
 	e.term = &term
@@ -31,18 +33,23 @@
 	if err := e.deleteRecords(ctx, term, e.memberKey()); err != nil {
 		e.config.Log.Warn().Err(err).Msg("could not delete the member and leader records; they expire with the lease")
 	}
-	e.endTerm("retired")
+	if term != nil {
+		e.EndTerm(*term, "retired")
+	}
 }
 
-// StandBack ends this daemon's term, deletes the leader record, and claims leadership again only after abstainTimeout, so that
-// another daemon takes over if there is one. The reason is for the log.
-func (e *Elector) StandBack(ctx context.Context, reason string) {
+// StandBack ends the term if this daemon still leads under it, deletes the leader record, and claims leadership again only after
+// abstainTimeout, so that another daemon takes over if there is one. The reason is for the log.
+func (e *Elector) StandBack(ctx context.Context, t Term, reason string) {
 	e.mu.Lock()
-	term := e.term
+	if e.term == nil || *e.term != t {
+		e.mu.Unlock()
+		return
+	}
 	e.abstainUntil = e.config.Clock.Now().Add(abstainTimeout)
-	batch := e.recordDeletes(term)
+	batch := e.recordDeletes(e.term)
 	e.mu.Unlock()
-	e.endTerm(reason)
+	e.EndTerm(t, reason)
 	if len(batch.Deletes) == 0 {
 		return
 	}
@@ -88,28 +95,25 @@
 	return batch
 }
 
-// EndTerm ends this daemon's term if it leads, for example because a newer leader was found. The reason is for the log.
-func (e *Elector) EndTerm(reason string) {
-	e.endTerm(reason)
-}
-
-func (e *Elector) endTerm(reason string) {
+// EndTerm ends the term if this daemon still leads under it, for example because a newer leader was found; the end of a former term has
+// no effect. The reason is for the log.
+func (e *Elector) EndTerm(t Term, reason string) {
+	e.termMu.Lock()
+	defer e.termMu.Unlock()
 	e.mu.Lock()
-	term := e.term
-	e.term = nil
-	recordIsOwn := e.isRecordOwn()
-	if term != nil {
-		e.termless.reason = reason
-		if e.leader.Epoch == term.Epoch {
-			e.leader = Leader{}
-		}
-	}
-	e.mu.Unlock()
-	if term == nil {
+	if e.term == nil || *e.term != t {
+		e.mu.Unlock()
+		e.config.Log.Info().Uint64("Epoch", uint64(t.Epoch)).Str("Reason", reason).Msg("ignoring the end of a term that is over")
 		return
 	}
+	e.term, e.termless.reason = nil, reason
+	if e.leader.Epoch == t.Epoch {
+		e.leader = Leader{}
+	}
+	recordIsOwn := e.isRecordOwn()
+	e.mu.Unlock()
 	e.metrics.termsEnded.Inc(1)
-	e.config.Log.Warn().Uint64("Epoch", uint64(term.Epoch)).Str("Reason", reason).Bool("RecordIsOwn", recordIsOwn).
+	e.config.Log.Warn().Uint64("Epoch", uint64(t.Epoch)).Str("Reason", reason).Bool("RecordIsOwn", recordIsOwn).
 		Msg("term as leader ended")
-	e.config.OnStoppedLeading(*term)
+	e.config.OnStoppedLeading(t)
 }
