Give back or renew a leader record that is held without a term

Cause: the end of a term forgot the leader that the daemon believed in, while the store still held its leader record under its live lease. Whether leadership is vacant was asked of that belief, so the daemon did not claim; all others saw a record. EndTerm left the record always, StandBack and StepDown deleted it with one call, or three, and gave up. A claim that was answered after StepDown began a term. The lease went on being renewed, also by a daemon that had stepped down.

Change: the elector tells the record in the store from the leader that it believes in. While the record names this daemon and it has no term, it claims leadership anew, or, if it has stood back or stepped down, deletes the record in each round until it is gone. A daemon that has given up leadership begins no term, and one that has stepped down does not renew its lease. Conditions on the record's version keep all of that from touching another leader's record.

--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -363,7 +363,7 @@
 	t.Run("AnotherLeads", func(t *testing.T) {
 		f := newClusterFixture(t)
 		leader, other := f.awaitLeaderOf(f.join("a"), f.join("b"))
-		leader.StandBack(t.Context(), *f.termOf(leader), "no progress")
+		leader.StandBack(*f.termOf(leader), "no progress")
 		f.eventually("the other daemon leads", func() bool { return f.termOf(other) != nil })
 		if f.termOf(leader) != nil {
 			t.Error("the daemon that stood back leads again")
@@ -374,7 +374,7 @@
 		alone := f.join("a")
 		f.awaitLeader(alone)
 		first := f.termOf(alone).Epoch
-		alone.StandBack(t.Context(), *f.termOf(alone), "no progress")
+		alone.StandBack(*f.termOf(alone), "no progress")
 		f.eventually("the daemon leads under a new epoch", func() bool {
 			term := f.termOf(alone)
 			return term != nil && term.Epoch > first
--- a/internal/flow/elect/lease.go
+++ b/internal/flow/elect/lease.go
@@ -24,9 +24,9 @@
 // renewLease renews the daemon's lease, or registers the daemon if it has no lease or the lease has expired.
 func (e *Elector) renewLease(ctx context.Context) error {
 	e.mu.Lock()
-	lease := e.lease
+	lease, steppedDown := e.lease, e.steppedDown
 	e.mu.Unlock()
-	if lease == 0 {
+	if lease == 0 || steppedDown {
 		return e.register(ctx)
 	}
 	limited, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -77,7 +77,7 @@
 	every.Wake(e.recordsChanged)
 	e.mu.Unlock()
 	if e.hasSteppedDown() {
-		return e.deleteRecords(ctx, nil, e.memberKey())
+		return e.deleteRecords(ctx, e.memberKey())
 	}
 	return nil
 }
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -96,7 +96,8 @@
 	e.mu.Lock()
 	term := e.term
 	overtaken := term != nil && (e.epochRecord.Epoch > term.Epoch || e.leader.Epoch > term.Epoch)
-	mayClaim := !e.steppedDown && e.lease != 0 && !e.config.Clock.Now().Before(e.abstainUntil)
+	mayClaim := e.mayLead() && e.lease != 0
+	unwanted := term == nil && !e.mayLead() && e.isRecordOwn()
 	vacant := e.listed && mayClaim && e.isVacant()
 	if !vacant {
 		e.vacantSince = time.Time{}
@@ -111,6 +112,8 @@
 	switch {
 	case overtaken:
 		e.EndTerm(*term, "another daemon leads under a newer epoch")
+	case unwanted:
+		e.releaseRecord(ctx)
 	case delayPassed && term != nil:
 		e.reassertLeadership(ctx, *term)
 	case delayPassed:
@@ -154,8 +157,8 @@
 	if e.leaderVersion == store.Absent {
 		return true
 	}
-	// The record is from an earlier process of this daemon, or from a claim whose answer was lost.
-	if e.term == nil && e.leader.Target.VM == e.config.Self.VM {
+	// The record is from an earlier process of this daemon, from a claim whose answer was lost, or from a term that has ended.
+	if e.term == nil && e.isRecordOwn() && e.leader.Epoch <= e.record.Epoch {
 		return true
 	}
 	suspected := e.suspectEpoch != 0 && e.leader.Epoch == e.suspectEpoch && e.config.Clock.Since(e.suspectedAt) < suspectTimeout
--- a/internal/flow/elect/term_test.go
+++ b/internal/flow/elect/term_test.go
@@ -33,7 +33,7 @@
 
 // Guards against a call of a former term's owner that ends the present term of the same daemon.
 func TestEndOfAFormerTermKeepsThePresentOne(t *testing.T) {
-	for name, end := range map[string]func(*Elector, Term, string){"EndTerm": (*Elector).EndTerm, "StandBack": func(e *Elector, term Term, reason string) { e.StandBack(t.Context(), term, reason) }} {
+	for name, end := range map[string]func(*Elector, Term, string){"EndTerm": (*Elector).EndTerm, "StandBack": (*Elector).StandBack} {
 		t.Run(name, func(t *testing.T) {
 			e, changes := newIdleElector(func() {})
 			former := e.begin(1)
--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -224,7 +224,7 @@
 		Term: t, Store: f.config.Store, Clock: f.config.Clock, Log: f.config.Log, Metrics: f.config.Metrics,
 		Agents: f.newRelayClient(termCtx, t), Directory: f.config.Directory, Advise: f.advise, AdviceBudget: f.adviceBudget,
 		CollectCachedAdvice: f.collectCachedAdvice, Catalog: f.Catalog, Level: f.elector.CommonLevel(),
-		OnFenced: func(reason string) { f.elector.EndTerm(t, reason) }, OnStalled: func(reason string) { f.elector.StandBack(ctx, t, reason) },
+		OnFenced: func(reason string) { f.elector.EndTerm(t, reason) }, OnStalled: func(reason string) { f.elector.StandBack(t, reason) },
 		Bounds:          f.config.Bounds,
 		OnWritesStalled: func(isStalled func() bool) { f.requestTakeover(ctx, t.Epoch, isStalled) },
 	})
