Take no refusal of a former entry's renewal for a later leader

Cause: the tables drop an idle runner that the directory does not list, and add it again under a higher fence when its entry is back, or replace it by its next boot. A renewal for the former entry may be on its way for more than a second. If the runner answers the new renewal first, it refuses the former one, and the leader took that for another leader's fence and ended its term. Entries lapse after three heartbeats of silence and come back with a later one, so a busy runner or an outage of the store is enough.

Change: a failed renewal counts only while the tables hold the entry that it was for.

TestOvertakenRenewalOfAFormerEntryKeepsTheTerm failed in both cases before: "the term has ended although no other daemon leads: runner w00 has seen a later leader".

--- a/internal/flow/owner/confirm.go
+++ b/internal/flow/owner/confirm.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
 const (
@@ -63,3 +65,8 @@
 func (o *Owner) isLeadershipConfirmed() bool {
 	return o.config.Clock.Since(o.confirmedAt) <= storeContactTimeout
 }
+
+// handleFenced handles a runner's refusal of the fence that is in use for it. The caller must hold o.mu.
+func (o *Owner) handleFenced(r *tasks.Runner) {
+	o.endTerm("runner " + string(r.Info.ID) + " has seen a later leader")
+}
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -123,13 +123,16 @@
 	return 0
 }
 
-// handleRenewFailure records a renewal that failed and returns the delay before the next. It ends the term when the
-// runner refused the fence that is still in use. The caller must hold o.mu.
+// handleRenewFailure records a renewal that failed and returns the delay before the next. The failure says nothing when the tables hold
+// another entry of the runner by now: that has a higher fence, and its renewal may have overtaken this one. The caller must hold o.mu.
 func (o *Owner) handleRenewFailure(r *tasks.Runner, sent renewal, err error) time.Duration {
 	o.counters.renewFailures.Inc(1)
+	if o.table.Runners[r.Info.ID] != r {
+		return renewBackoff
+	}
 	if errs.Is(err, errs.Fenced) {
 		if sent.request.Fence == r.Fence {
-			o.endTerm("runner " + string(r.Info.ID) + " has seen a later leader")
+			o.handleFenced(r)
 		}
 		return renewBackoff
 	}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -174,7 +174,7 @@
 	case errs.Is(err, errs.Lost):
 		o.retryUnanswered(run)
 	case errs.Is(err, errs.Fenced) && request.Fence == r.Fence:
-		o.endTerm("runner " + string(r.Info.ID) + " has seen a later leader")
+		o.handleFenced(r)
 	default:
 		o.applyRejection(run, err)
 	}
