Take no outage of the store for a leader without progress

Cause: the watchdog ended the term in two ways that no lack of progress explains. A failed TryLock at a single check counted as tables that are not released, so that in an outage of six seconds or more the first moment in which another loop held the tables ended the term, while the store could not be reached. And the age of a turn counted the outage: when the store answered the read of the epoch before the oldest write, a leader that was about to go on stood back.

Change: tables count as locked once they were found locked at each check for maxTurn, and only the time since the store began to answer counts.

--- a/internal/flow/owner/watchdog.go
+++ b/internal/flow/owner/watchdog.go
@@ -22,14 +22,23 @@
 	turnTick        = "a tick does not end"
 )
 
+// watchdog tells a leader that makes no progress from one whose store is away.
+type watchdog struct {
+	// answeringChecks is the number of checks since the store began to answer this leader, and lockedChecks that of the
+	// latest checks, one after the other, at which the tables were locked.
+	answeringChecks int
+	lockedChecks    int
+}
+
 // watchdogLoop gives the term up when a loop makes no progress although the store answers this leader: nothing fails then, so
 // nothing else would end the term, and another leader may not be in this one's state.
 func (o *Owner) watchdogLoop() {
+	var w watchdog
 	for o.ctx.Err() == nil {
 		o.sleep(watchdogInterval)
 		what, checks := o.turns.Check()
 		age := time.Duration(checks) * watchdogInterval
-		if o.ctx.Err() != nil || age < maxTurn || !o.hasStalled(age) {
+		if !w.hasStalled(o, age) || o.ctx.Err() != nil {
 			continue
 		}
 		o.counters.stalls.Inc(1)
@@ -39,12 +48,25 @@
 	}
 }
 
-// hasStalled reports whether a turn that has lasted for age, more than maxTurn, is a stall of this leader: while the store is away, turns
-// may last. A lock of the tables that is not released for maxTurn more is a stall in any case.
-func (o *Owner) hasStalled(age time.Duration) bool {
-	if !o.mu.TryLock() {
-		return age >= 2*maxTurn
+// hasStalled makes one check and reports whether the oldest turn, which has lasted for age, is a stall of this leader. While the store is away
+// turns may last, and when it is back it may answer a read before the oldest write; so only the time since then counts. Tables that are
+// found locked for maxTurn on end are a stall in any case.
+func (w *watchdog) hasStalled(o *Owner, age time.Duration) bool {
+	if o.mu.TryLock() {
+		w.lockedChecks = 0
+		w.noteAnswer(o.config.Clock.Since(o.confirmedAt) <= storeAnswersWithin)
+		o.mu.Unlock()
+	} else {
+		w.lockedChecks++
+	}
+	longest := time.Duration(max(w.answeringChecks, w.lockedChecks)) * watchdogInterval
+	return min(age, longest) >= maxTurn
+}
+
+func (w *watchdog) noteAnswer(answers bool) {
+	if answers {
+		w.answeringChecks++
+	} else {
+		w.answeringChecks = 0
 	}
-	defer o.mu.Unlock()
-	return o.config.Clock.Since(o.confirmedAt) <= storeAnswersWithin
 }
