Lead under a claim that the store has applied, though its answer was lost

Cause: a claim whose answer is lost is in the store, and the daemon sees it there. It did not take it for its term, but claimed the next epoch; that claim was applied and its answer lost again, and so on.

Change: a record that names this daemon, under an epoch record with the nonce of this process and an epoch above that of its latest term, begins the term.

TestClaimWhoseAnswerIsLostBeginsATerm failed before: no term after 4 s, and epoch 40.

--- a/internal/flow/elect/claim.go
+++ b/internal/flow/elect/claim.go
@@ -88,6 +88,14 @@
 	return out, errs.New(errs.Conflict, "%s leads under epoch %d", e.leader.Target.VM, e.epochRecord.Epoch)
 }
 
+// appliedClaim returns the epoch record of a claim of this process that the store has applied although its answer has not arrived, and
+// under which no term has begun; false if there is none. The caller must hold e.mu.
+func (e *Elector) appliedClaim() (epochRecord, bool) {
+	isNew := e.term == nil && e.isRecordOwn() && e.record.Epoch > e.lastEpoch
+	isClaim := e.epochRecord.isSameClaim(epochRecord{Epoch: e.record.Epoch, Nonce: e.nonce})
+	return e.epochRecord, isNew && isClaim && e.leader.Epoch <= e.record.Epoch
+}
+
 // isSameClaim reports whether two records are of one claim. A later write of the leader record does not repeat the strength.
 func (r epochRecord) isSameClaim(o epochRecord) bool {
 	return r.Epoch == o.Epoch && r.Nonce == o.Nonce
--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -154,6 +154,8 @@
 		strongest   Strength
 		strongestAt time.Time
 		term        *Term
+		// lastEpoch is that of the latest term that began here.
+		lastEpoch   types.Epoch
 		steppedDown bool
 		// termless tells for how long the record has named this daemon without a term.
 		termless termless
--- a/internal/flow/elect/ends_test.go
+++ b/internal/flow/elect/ends_test.go
@@ -290,3 +290,21 @@
 		return store.Outcome{}, errs.New(errs.Lost, "no answer: %v", ctx.Err())
 	}}
 }
+
+// Guards against a daemon that claims again and again while the answers to its claims are lost, and never leads.
+func TestClaimWhoseAnswerIsLostBeginsATerm(t *testing.T) {
+	t.Parallel()
+	f := newClusterFixture(t)
+	f.wrap = func(_ types.VMID, b store.Batcher) store.Batcher {
+		return &hookedStore{Batcher: b, apply: func(
+			ctx context.Context, batch store.Batch, through func(context.Context, store.Batch) (store.Outcome, error),
+		) (store.Outcome, error) {
+			out, err := through(ctx, batch)
+			if err == nil && putsLeader(batch) {
+				return store.Outcome{}, errs.New(errs.Lost, "the answer is lost")
+			}
+			return out, err
+		}}
+	}
+	f.assertServed(f.joinMany(2)...)
+}
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -97,6 +97,8 @@
 	term := e.term
 	overtaken := term != nil && (e.epochRecord.Epoch > term.Epoch || e.leader.Epoch > term.Epoch)
 	mayClaim := e.mayLead() && e.lease != 0
+	claim, applied := e.appliedClaim()
+	record, epochVersion := e.record, e.epochVersion
 	unwanted := term == nil && !e.mayLead() && e.isRecordOwn()
 	vacant := e.listed && mayClaim && e.isVacant()
 	if !vacant {
@@ -114,6 +116,9 @@
 		e.EndTerm(*term, "another daemon leads under a newer epoch")
 	case unwanted:
 		e.releaseRecord(ctx)
+	case applied && mayClaim:
+		e.config.Log.Info().Uint64("Epoch", uint64(record.Epoch)).Msg("claim was applied although its answer did not arrive")
+		e.beginTerm(record, claim, epochVersion)
 	case delayPassed && term != nil:
 		e.reassertLeadership(ctx, *term)
 	case delayPassed:
--- a/internal/flow/elect/term.go
+++ b/internal/flow/elect/term.go
@@ -24,7 +24,7 @@
 		return
 	}
 	term := Term{Epoch: next.Epoch, Version: version}
-	e.term = &term
+	e.term, e.lastEpoch = &term, term.Epoch
 	e.leader = leader
 	e.mu.Unlock()
 	e.config.Log.Info().Uint64("Epoch", uint64(term.Epoch)).Msg("became leader")
