Split the changes of an entry that is larger than the store takes

What callers would see: a leader whose term ends as "the ledger belongs to another leader" after an outage, and one that cannot make its changes durable.

Cause: all records of an entry went into its last segment, however many. The store takes values of 1 MiB, and the client refuses larger ones before they are packed; a refusal for good ended the term in the name of another leader. 12,000 records of placed tasks are 1,220,151 bytes.

A slot with another version under this leader's own epoch is an error of kind Conflict, no longer another leader.

TestEntryThatIsLargerThanAValueIsStored failed before with 12,000 and 24,000 records: "TooLarge: value of Flow/Data/Log/0001 is over 1048576 bytes".

--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -49,10 +49,15 @@
 	maxListBytes = maxValueBytes - 256
 	// maxKeysPerBatch is how many keys one batch may write and delete besides its segment and its two conditions.
 	maxKeysPerBatch = store.MaxBatch - 3
-	// reservedSlots is how many slots are kept free for one entry; a snapshot needs none.
-	reservedSlots = maxKeysPerBatch
+	// jobSlots is how many slots are kept free for the jobs of one entry, and recordSlots how many for more records than one segment
+	// holds: after an outage one entry may have those of all attempts that have ended. A snapshot needs none.
+	jobSlots      = maxKeysPerBatch
+	recordSlots   = 16
+	reservedSlots = jobSlots + recordSlots
 	// MaxEntryJobs is the largest number of jobs of one entry: its segments must fit the reserved slots.
-	MaxEntryJobs = reservedSlots * maxKeysPerBatch
+	MaxEntryJobs = jobSlots * maxKeysPerBatch
+	// minSplitRecords is the number of records from which their size is checked before they are put into one segment.
+	minSplitRecords = 500
 
 	// A try of a write may take tryTimeoutFactor times as long as tries usually do, within minTryTimeout and maxTryTimeout,
 	// before another is sent in parallel; at most maxExtraTries+1 are unanswered at a time.
@@ -200,23 +205,44 @@
 func (l *Ledger) Begin(e Entry) ([]*Write, error) {
 	var out []*Write
 	for {
-		n := min(len(e.Jobs), maxKeysPerBatch)
+		jobs := e.Jobs[:min(len(e.Jobs), maxKeysPerBatch)]
+		e.Jobs = e.Jobs[len(jobs):]
 		s := segment{Number: l.nextSegment, Epoch: l.config.Epoch, Level: l.config.Level.OrFirst()}
-		if n == len(e.Jobs) {
-			s.Records = e.Records
+		if len(e.Jobs) == 0 {
+			count, err := fittingRecords(e.Records)
+			if err != nil {
+				return nil, err
+			}
+			s.Records, e.Records = e.Records[:count], e.Records[count:]
 		}
-		w, err := l.beginWrite(s, e.Jobs[:n])
+		w, err := l.beginWrite(s, jobs)
 		if err != nil {
 			return nil, err
 		}
 		out = append(out, w)
-		e.Jobs = e.Jobs[n:]
-		if len(e.Jobs) == 0 {
+		if len(e.Jobs) == 0 && len(e.Records) == 0 {
 			return out, nil
 		}
 	}
 }
 
+// fittingRecords returns how many of the records, from the first on, are put into one segment: as many as stay below maxListBytes when
+// their number is halved until they do, at least one.
+func fittingRecords(records []tasks.Record) (int, error) {
+	count := len(records)
+	for count >= minSplitRecords {
+		value, err := json.Marshal(records[:count])
+		if err != nil {
+			return 0, errs.New(errs.Internal, "encoding %d records: %v", count, err)
+		}
+		if len(value) <= maxListBytes {
+			break
+		}
+		count /= 2
+	}
+	return count, nil
+}
+
 func (l *Ledger) beginWrite(s segment, jobs []*specs.Job) (*Write, error) {
 	value, err := json.Marshal(s)
 	if err != nil {
--- a/internal/flow/ledger/write.go
+++ b/internal/flow/ledger/write.go
@@ -11,7 +11,7 @@
 )
 
 // Run sends the write until its outcome is known or ctx ends. It returns an error of kind Fenced when another leader
-// took over, and Lost when ctx ended with the write in doubt. While a try is unanswered, another is sent in parallel:
+// took over, Lost when ctx ended with the write in doubt, and another kind when the store refuses the write for good. While a try is unanswered, another is sent in parallel:
 // the condition on the slot lets the write take effect only once, and the answer to any try counts, however late. While the store
 // answers no write, only the oldest one is tried again.
 func (w *Write) Run(ctx context.Context) error {
@@ -51,7 +51,7 @@
 }
 
 // resolve finds out why the conditions of a write did not hold: its own segment in the slot means that an earlier try
-// took effect, anything else that another leader took over.
+// took effect, another epoch that another leader took over. The error is of kind Conflict if the epoch is still that of this leader.
 func (w *Write) resolve(out store.Outcome) (store.Version, error) {
 	found := out.Find(w.key)
 	if found.Version != store.Absent {
@@ -63,6 +63,9 @@
 			return found.Version, nil
 		}
 	}
+	if out.Find(EpochKey).Version == w.ledger.config.EpochVersion {
+		return 0, errs.New(errs.Conflict, "%s is not at version %d, though no other leader can write it", w.key, w.batch.Conditions[1].Expect)
+	}
 	return 0, errs.New(errs.Fenced, "epoch %d was superseded by that of another leader", w.segment.Epoch)
 }
 
