End a term in the name of another leader only if there is one

Ends of terms for which no other daemon was the cause were handled like those for which one was: the record was left to the new leader, which did not exist.

Cause: a runner's fence, any definite error of a ledger write, and a panic in a loop all ended the term as fenced.

Change: after a runner's refusal the store's epoch decides; if it is still this leader's, the runner counts as out of reach, so that one runner with a foreign fence cannot end one term after the other. After a panic, and after a ledger write that the store refuses for good, the daemon stands back: the record is deleted, and another daemon goes first.

--- a/internal/flow/owner/confirm.go
+++ b/internal/flow/owner/confirm.go
@@ -66,7 +66,38 @@
 	return o.config.Clock.Since(o.confirmedAt) <= storeContactTimeout
 }
 
-// handleFenced handles a runner's refusal of the fence that is in use for it. The caller must hold o.mu.
+// storeAnswers reports whether the store has confirmed leadership recently. The caller must hold o.mu.
+func (o *Owner) storeAnswers() bool {
+	return o.config.Clock.Since(o.confirmedAt) <= storeAnswersWithin
+}
+
+// handleFenced handles a runner's refusal of the fence that is in use for it: the term ends unless the store shows that the epoch is still
+// that of this term. A single runner that holds a foreign fence must not end one term after the other. The caller must hold o.mu.
 func (o *Owner) handleFenced(r *tasks.Runner) {
-	o.endTerm("runner " + string(r.Info.ID) + " has seen a later leader")
+	if o.checksFence {
+		return
+	}
+	o.checksFence = true
+	go o.guarded("check of the epoch", func() { o.checkFence(r) })()
+}
+
+// checkFence reads the epoch after a runner has refused the fence in use. A runner that holds the fence of no leader cannot be reached.
+func (o *Owner) checkFence(r *tasks.Runner) {
+	ctx, cancel := context.WithTimeout(o.ctx, confirmTimeout)
+	defer cancel()
+	leading, err := o.isLeader(ctx)
+	if o.ctx.Err() != nil {
+		return
+	}
+	if err != nil || !leading {
+		o.endTerm("runner " + string(r.Info.ID) + " has seen a later leader")
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checksFence = false
+	if r.UnreachableSince.IsZero() {
+		o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Msg("runner refuses this leader's fence although no other daemon leads; it is not used")
+		o.noteUnreachable(r, false)
+	}
 }
--- a/internal/flow/owner/overtaken_test.go
+++ b/internal/flow/owner/overtaken_test.go
@@ -102,6 +102,32 @@
 	}
 }
 
+// Guards against the same without a slow request: a renewal still waits for a result when the entry comes back, and its runner refuses
+// the lower fence once the wait is over.
+func TestEntryThatComesBackDuringARenewalKeepsTheTerm(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	f.addRunners(1)
+	o, ended := f.newOwner(), make(chan string, 1)
+	o.config.OnFenced = func(reason string) { ended <- reason }
+	f.runOwner(o)
+	f.eventually("the runner is synced", func() bool { return o.isSynced("w00") })
+	info := runner(0)
+	info.Boot = f.boot("w00")
+	o.applyChanges([]agent.Change{{Runner: agent.Runner{ID: info.ID}, Gone: true}})
+	f.eventually("the tables drop the runner", func() bool { return !o.hasRunner(info.ID) })
+	o.applyChanges([]agent.Change{{Runner: info}})
+	time.Sleep(longPollTimeout)
+	assertTermGoesOn(t, ended)
+}
+
+// isSynced reports whether the runner has answered a renewal.
+func (o *Owner) isSynced(id specs.RunnerID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.table.Runners[id]
+	return r != nil && r.Synced
+}
+
 // assertTermGoesOn fails the test when the term ends within a few renewals.
 func assertTermGoesOn(t *testing.T, ended <-chan string) {
 	t.Helper()
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -80,7 +80,8 @@
 		Level ledger.Level
 		// OnFenced is called when the term ends because a runner or the ledger shows that another daemon leads.
 		OnFenced func(reason string)
-		// OnStalled is called when the term ends because this leader makes no progress although the store answers it.
+		// OnStalled is called when the term ends because this leader cannot go on although no other daemon leads, for example because it
+		// makes no progress while the store answers it, or has panicked.
 		OnStalled func(reason string)
 		// OnWritesStalled, when set, is called in a goroutine of its own while the store does not accept this leader's
 		// writes; stillStalled reports whether that is still the case.
@@ -146,6 +147,8 @@
 		catalogVersion specs.CatalogVersion
 		// confirmedAt is when the latest request was sent whose answer showed that the epoch is still that of this term.
 		confirmedAt time.Time
+		// checksFence is set while the epoch is read because a runner has refused the fence in use.
+		checksFence bool
 		// directoryAt is the time to which the tables contain the changes of the directory.
 		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
@@ -251,8 +254,7 @@
 		}
 		if errors.Is(err, ledger.ErrNewerLevel) {
 			o.config.Log.Error().Err(err).Msg("the ledger needs a newer build as leader; going on as an entry")
-			o.config.OnStalled("the ledger needs a newer build")
-			o.cancel()
+			o.standBack("the ledger needs a newer build")
 			return nil
 		}
 		o.config.Log.Warn().Err(err).Msg("reading the ledger failed; retrying")
@@ -278,11 +280,17 @@
 	o.cancel()
 }
 
+// standBack ends the term because this leader cannot go on, and leaves the next term to another daemon if there is one.
+func (o *Owner) standBack(reason string) {
+	o.config.OnStalled(reason)
+	o.cancel()
+}
+
 // guarded returns a function that runs f and ends the term if it panics: the tables may be inconsistent then, and a leader
 // without one of its loops would neither serve nor be replaced. The caller of f must not hold o.mu.
 func (o *Owner) guarded(what string, f func()) func() {
 	return func() {
-		o.rescuer.Run(what, f, func() { o.endTerm(what + " panicked") })
+		o.rescuer.Run(what, f, func() { o.standBack(what + " panicked") })
 	}
 }
 
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -175,6 +175,7 @@
 		o.retryUnanswered(run)
 	case errs.Is(err, errs.Fenced) && request.Fence == r.Fence:
 		o.handleFenced(r)
+		o.applyRejection(run, err)
 	default:
 		o.applyRejection(run, err)
 	}
--- a/internal/flow/owner/watchdog.go
+++ b/internal/flow/owner/watchdog.go
@@ -24,8 +24,8 @@
 
 // watchdog tells a leader that makes no progress from one whose store is away.
 type watchdog struct {
-	// answeringChecks is the number of checks since the store began to answer this leader, and lockedChecks that of the
-	// latest checks, one after the other, at which the tables were locked.
+	// answeringChecks is the number of checks since the store began to answer this leader without a failed write, and lockedChecks
+	// that of the latest checks, one after the other, at which the tables were locked.
 	answeringChecks int
 	lockedChecks    int
 }
@@ -43,18 +43,17 @@
 		}
 		o.counters.stalls.Inc(1)
 		o.config.Log.Error().Str("What", what).Dur("For", age).Msg("the leader makes no progress; ending the term")
-		o.config.OnStalled(fmt.Sprintf("no progress for %s: %s", age, what))
-		o.cancel()
+		o.standBack(fmt.Sprintf("no progress for %s: %s", age, what))
 	}
 }
 
 // hasStalled makes one check and reports whether the oldest turn, which has lasted for age, is a stall of this leader. While the store is away
-// turns may last, and when it is back it may answer a read before the oldest write; so only the time since then counts. Tables that are
-// found locked for maxTurn on end are a stall in any case.
+// or refuses writes, turns may last, and when it is back it may answer a read before the oldest write; so only the time since then counts.
+// Tables that are found locked for maxTurn on end are a stall in any case.
 func (w *watchdog) hasStalled(o *Owner, age time.Duration) bool {
 	if o.mu.TryLock() {
 		w.lockedChecks = 0
-		w.noteAnswer(o.config.Clock.Since(o.confirmedAt) <= storeAnswersWithin)
+		w.noteAnswer(o.storeAnswers())
 		o.mu.Unlock()
 	} else {
 		w.lockedChecks++
--- a/internal/flow/owner/writer.go
+++ b/internal/flow/owner/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -75,12 +76,18 @@
 	}
 }
 
-// ledgerFailed ends the term after a ledger write that failed for good.
+// ledgerFailed ends the term after a ledger write that failed for good. Unless another leader has taken over, this daemon stands back: the
+// tables hold changes that the ledger does not take, and the next leader begins without them.
 func (o *Owner) ledgerFailed(err error) {
-	if o.ctx.Err() == nil {
-		o.config.Log.Warn().Err(err).Msg("ledger write failed; ending the term")
+	if o.ctx.Err() != nil {
+		return
+	}
+	o.config.Log.Warn().Err(err).Msg("ledger write failed; ending the term")
+	if errs.Is(err, errs.Fenced) {
 		o.endTerm("the ledger belongs to another leader")
+		return
 	}
+	o.standBack("the ledger does not take a write: " + err.Error())
 }
 
 // beginWrite begins to write the pending changes, with a snapshot of the tables when one is due.
