Do not stand back because the store refuses writes

This is the trigger that needs nothing but the platform: a store that answers reads and renewals and refuses writes for three seconds, as it does above its limit of writes, or for some daemons.

Cause: the watchdog took the answers to reads for a store that answers, so that a write whose tries were refused counted as want of progress. The leader stood back, and the delete of its record was refused like the writes; nothing tried it again, and the lease, renewed by calls that count as reads, lived on.

Change: only the time without a failed write counts for the watchdog. A write that fails is noticed by its failures, which ask the other daemons to take over.

That their store refused writes is not shown by their record.

--- a/internal/flow/owner/watchdog.go
+++ b/internal/flow/owner/watchdog.go
@@ -53,7 +53,7 @@
 func (w *watchdog) hasStalled(o *Owner, age time.Duration) bool {
 	if o.mu.TryLock() {
 		w.lockedChecks = 0
-		w.noteAnswer(o.storeAnswers())
+		w.noteAnswer(o.storeAnswers() && o.config.Clock.Since(o.failedTryAt) > storeAnswersWithin)
 		o.mu.Unlock()
 	} else {
 		w.lockedChecks++
