Give the term up when the ledger cannot be read

What callers would see: a leader that is known to all and answers each call with "the leader has not read the ledger yet", for ever: its lease is renewed, and the watchdog runs only once the ledger is open.

Change: after 6 s without a successful read, while the store confirms the epoch, the daemon stands back.

--- a/internal/flow/owner/confirm.go
+++ b/internal/flow/owner/confirm.go
@@ -71,6 +71,13 @@
 	return o.config.Clock.Since(o.confirmedAt) <= storeAnswersWithin
 }
 
+// isStoreAnswering is storeAnswers for a caller that does not hold o.mu.
+func (o *Owner) isStoreAnswering() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.storeAnswers()
+}
+
 // handleFenced handles a runner's refusal of the fence that is in use for it: the term ends unless the store shows that the epoch is still
 // that of this term. A single runner that holds a foreign fence must not end one term after the other. The caller must hold o.mu.
 func (o *Owner) handleFenced(r *tasks.Runner) {
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -36,6 +36,9 @@
 	planShareDivisor = 4
 	// tickInterval is how often timeouts are checked.
 	tickInterval = 100 * time.Millisecond
+	// maxLedgerRead is how long a leader may go on without having read the ledger while the store answers it. A read
+	// takes less than a second where the links have room for it.
+	maxLedgerRead = 6 * time.Second
 	// ledgerBackoff is the pause after a failed read of the ledger or a failed write of a snapshot.
 	ledgerBackoff = 100 * time.Millisecond
 	// fencesPerTerm is how many fencing tokens are reserved for each term.
@@ -257,6 +260,10 @@
 			o.standBack("the ledger needs a newer build")
 			return nil
 		}
+		if o.config.Clock.Since(began) >= maxLedgerRead && o.isStoreAnswering() {
+			o.standBack("the ledger could not be read: " + err.Error())
+			return nil
+		}
 		o.config.Log.Warn().Err(err).Msg("reading the ledger failed; retrying")
 		o.sleep(ledgerBackoff)
 	}
