Suspect a leader that answers that it does not lead

Whatever leaves the record with a daemon that does not lead, its answers are the evidence, and nobody acted on them: the daemon answered and its lease was renewed, so it was not suspected.

Change: such an answer has the kind Fenced. Callers get the same refusal as before, with a Retry-After.

TestLeaderThatDeniesItLeadsIsSuspected failed before in "EachCall" and "BesideLostAnswers".

--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -84,6 +84,7 @@
 		config      Config
 		elector     *elect.Elector
 		callMetrics callMetrics
+		denials     *denials
 		balancer    adviceBalancer
 		adviceCache adviceCache
 		relays      *relay.Server
@@ -113,7 +114,7 @@
 
 // New returns a Front that takes part in the election and serves requests once Run is called.
 func New(c Config) *Front {
-	f := &Front{config: c, rescuer: rescue.New(c.Log, c.Metrics), hasCatalog: make(chan struct{})}
+	f := &Front{config: c, denials: newDenials(c.Metrics), rescuer: rescue.New(c.Log, c.Metrics), hasCatalog: make(chan struct{})}
 	f.callMetrics = callMetrics{
 		submits: metrics.GetOrRegisterTimer("Front.Submit", c.Metrics),
 		states:  metrics.GetOrRegisterTimer("Front.State", c.Metrics),
--- a/internal/flow/front/leader.go
+++ b/internal/flow/front/leader.go
@@ -54,7 +54,7 @@
 	case inDoubt:
 		f.callMetrics.lost.Inc(1)
 		return errs.New(errs.Lost, "the leader's answer did not arrive: %v", err)
-	case errs.Of(err).RetryAfter == 0 && errs.Is(err, errs.Unavailable):
+	case errs.Of(err).RetryAfter == 0 && errs.Is(err, errs.Unavailable, errs.Fenced):
 		f.callMetrics.refused.Inc(1)
 		return errs.After(errs.Unavailable, retryAfter, "%s", errs.Of(err).Message)
 	default:
@@ -64,7 +64,7 @@
 }
 
 // tryLeader makes one call to the leader. If the leader's VM refuses the connection, its process has ended, and the
-// leader is marked as suspected.
+// leader is marked as suspected. So is a leader that says for deniedTimeout that it does not lead.
 func (f *Front) tryLeader(ctx context.Context, method peer.Method, args, reply any) error {
 	leader, ok := f.elector.Leader()
 	if !ok {
@@ -75,21 +75,29 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, leaderCallTimeout)
 	defer cancel()
-	if leader.Target.VM == f.config.Self.VM {
-		return f.serveLocally(limited, args, reply)
-	}
-	fresh := newReply(reply)
-	err := f.config.Peers.Call(limited, leader.Target, method, args, fresh)
-	if err == nil {
-		copyReply(reply, fresh)
-		return nil
-	}
-	if isConnectionRefused(err) {
+	err := f.callDaemon(limited, leader.Target, method, args, reply)
+	switch {
+	case isConnectionRefused(err):
 		f.elector.SuspectLeader(leader.Epoch, "connection refused: the process of the leader has ended")
+	case f.denials.note(leader.Epoch, err, f.config.Clock.Now()):
+		f.elector.SuspectLeader(leader.Epoch, "the leader answers that it does not lead")
 	}
 	return err
 }
 
+// callDaemon makes one call to a daemon as the leader, which may be this one.
+func (f *Front) callDaemon(ctx context.Context, to peer.Target, method peer.Method, args, reply any) error {
+	if to.VM == f.config.Self.VM {
+		return f.serveLocally(ctx, args, reply)
+	}
+	fresh := newReply(reply)
+	if err := f.config.Peers.Call(ctx, to, method, args, fresh); err != nil {
+		return err
+	}
+	copyReply(reply, fresh)
+	return nil
+}
+
 // requestTakeover asks the other daemons to take over leadership, since the store does not accept this leader's writes.
 // It does so only if the store answers one of them and this daemon's writes are still stalled takeoverDelay later.
 func (f *Front) requestTakeover(ctx context.Context, epoch types.Epoch, isStalled func() bool) {
--- a/internal/flow/front/service.go
+++ b/internal/flow/front/service.go
@@ -100,23 +100,23 @@
 	return r.Register(serviceName, &Service{front: f})
 }
 
-// Submit accepts a job, if this daemon leads; otherwise the error is of kind Unavailable.
+// Submit accepts a job, if this daemon leads; otherwise the error is of kind Fenced.
 func (s *Service) Submit(args *SubmitArgs, reply *Empty) error {
 	return s.serve(args, reply)
 }
 
-// Cancel cancels a job, if this daemon leads; otherwise the error is of kind Unavailable.
+// Cancel cancels a job, if this daemon leads; otherwise the error is of kind Fenced.
 func (s *Service) Cancel(args *JobArgs, reply *Empty) error {
 	return s.serve(args, reply)
 }
 
-// State returns a job's state, if this daemon leads; otherwise the error is of kind Unavailable.
+// State returns a job's state, if this daemon leads; otherwise the error is of kind Fenced.
 func (s *Service) State(args *JobArgs, reply *StateReply) error {
 	return s.serve(args, reply)
 }
 
 // Waiting counts the jobs of a queue of which no task has started, if this daemon leads; otherwise the error is of kind
-// Unavailable.
+// Fenced.
 func (s *Service) Waiting(args *QueueArgs, reply *WaitingReply) error {
 	return s.serve(args, reply)
 }
@@ -161,18 +161,17 @@
 	return peer.Wire(s.front.serveLocally(ctx, args, reply))
 }
 
-// currentOwner returns the manager of the jobs while this daemon leads, or an error of kind Unavailable if it does not
-// lead.
+// currentOwner returns the manager of the jobs while this daemon leads, or an error of kind Fenced if it does not lead.
 func (f *Front) currentOwner() (*owner.Owner, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.owner == nil {
-		return nil, errs.New(errs.Unavailable, "%s is not the leader", f.config.Self.VM)
+		return nil, errs.New(errs.Fenced, "%s is not the leader", f.config.Self.VM)
 	}
 	return f.owner, nil
 }
 
-// serveLocally serves a call as the leader. It returns an error of kind Unavailable if this daemon does not lead, of kind
+// serveLocally serves a call as the leader. It returns an error of kind Fenced if this daemon does not lead, of kind
 // Denied if its own catalog is newer than the one that held the caller's key and does not hold it any more, and of kind
 // Internal, which leaves the call in doubt, after a panic: net/rpc would end the process.
 func (f *Front) serveLocally(ctx context.Context, args, reply any) error {
