--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -57,6 +57,12 @@
 }
 
 func (f *clusterFixture) joinWithStrength(name string, strength Strength) *daemon {
+	f.t.Helper()
+	return f.joinThrough(name, strength, func(b store.Batcher) store.Batcher { return b })
+}
+
+// joinThrough starts a daemon that reaches the store through what wrap returns.
+func (f *clusterFixture) joinThrough(name string, strength Strength, wrap func(store.Batcher) store.Batcher) *daemon {
 	f.t.Helper()
 	batcher, ok := f.memory.As(types.DataCentre(name), meter.Discard()).(store.Batcher)
 	if !ok {
@@ -67,7 +73,7 @@
 		batcher = f.wrap(vm, batcher)
 	}
 	e := New(Config{
-		Self: peer.Target{VM: vm, Address: types.Address(name + ":1")}, Strength: strength, Store: batcher,
+		Self: peer.Target{VM: vm, Address: types.Address(name + ":1")}, Strength: strength, Store: wrap(batcher),
 		Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), TTL: testTTL,
 		OnStartedLeading: func(t Term) { f.startedLeading(vm, t) },
 		OnStoppedLeading: func(Term) { f.stoppedLeading(vm) },
