Let daemons that lost their terms claim leadership after the others

Cause: the order of claims goes by declared strength and by the shortest latency to the store alone. When the VMs near the store have become slow, one of them wins each claim, loses its lease while it reads the ledger, and the next slow one near the store succeeds it, for ever, while sound VMs further away never claim in time.

A daemon now waits 300 ms longer before a claim for each term that it has lost within the last minute, for two terms at most. The step is longer than the greatest difference between the delays of two daemons of one strength, so that one which has lost no term comes first. It is a delay only: without another daemon the same one leads again.

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -168,6 +168,8 @@
 		// suspectEpoch is the epoch of the leader that was marked as suspected at suspectedAt.
 		suspectEpoch types.Epoch
 		suspectedAt  time.Time
+		// lostTermsAt holds when this daemon's latest terms ended, the oldest first, maxLostTerms of them at most.
+		lostTermsAt []time.Time
 	}
 )
 
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -91,7 +91,7 @@
 }
 
 // decide makes one round of decideLoop. It claims, or reasserts, vacant leadership only after the delays for the
-// latency to the store and for a weaker VM, and a random one. It returns the time until the next round.
+// latency to the store, for a weaker VM and for lost terms, and a random one. It returns the time until the next round.
 func (e *Elector) decide(ctx context.Context) time.Duration {
 	e.mu.Lock()
 	term := e.term
@@ -106,7 +106,7 @@
 	} else if e.vacantSince.IsZero() {
 		e.vacantSince, e.claimJitter = e.config.Clock.Now(), rand.N(maxJitter)
 	}
-	delay := min(rankDelayFactor*e.storeLatency, maxRankDelay) + e.weakDelay() + e.claimJitter
+	delay := min(rankDelayFactor*e.storeLatency, maxRankDelay) + e.weakDelay() + e.lostTermDelay() + e.claimJitter
 	left := delay - e.config.Clock.Since(e.vacantSince)
 	delayPassed := vacant && left <= 0
 	e.checkTermless()
--- a/internal/flow/elect/lost_test.go
+++ b/internal/flow/elect/lost_test.go
@@ -5,7 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
 )
 
@@ -57,3 +61,22 @@
 	}
 	return false
 }
+
+// Guards against a daemon that claims ever later, or late for good, because of terms that it lost long ago.
+func TestDelayForLostTermsIsBoundedAndEnds(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := New(Config{Self: peer.Target{VM: "a"}, Clock: clock, Log: zerolog.Nop()})
+	assertDelay := func(when string, want time.Duration) {
+		t.Helper()
+		if got := e.lostTermDelay(); got != want {
+			t.Errorf("%s the delay is %s, want %s", when, got, want)
+		}
+	}
+	assertDelay("at first", 0)
+	for lost := range maxLostTerms + 1 {
+		e.noteLostTerm()
+		assertDelay("after another lost term", lostTermStep*time.Duration(min(lost+1, maxLostTerms)))
+	}
+	clock.Advance(lostTermMemory + time.Second)
+	assertDelay("long after them", 0)
+}
--- a/internal/flow/elect/term.go
+++ b/internal/flow/elect/term.go
@@ -74,6 +74,7 @@
 		return
 	}
 	e.term, e.termless.reason = nil, reason
+	e.noteLostTerm()
 	if abstain > 0 {
 		e.abstainUntil = e.config.Clock.Now().Add(abstain)
 	}
