--- a/internal/flow/elect/claim.go
+++ b/internal/flow/elect/claim.go
@@ -88,12 +88,19 @@
 	return out, errs.New(errs.Conflict, "%s leads under epoch %d", e.leader.Target.VM, e.epochRecord.Epoch)
 }
 
-// appliedClaim returns the epoch record of a claim of this process that the store has applied although its answer has not arrived, and
-// under which no term has begun; false if there is none. The caller must hold e.mu.
-func (e *Elector) appliedClaim() (epochRecord, bool) {
-	isNew := e.term == nil && e.isRecordOwn() && e.record.Epoch > e.lastEpoch
-	isClaim := e.epochRecord.isSameClaim(epochRecord{Epoch: e.record.Epoch, Nonce: e.nonce})
-	return e.epochRecord, isNew && isClaim && e.leader.Epoch <= e.record.Epoch
+// isClaimApplied reports whether the records are those of a claim of this process that the store has applied although its answer has not
+// arrived, and under which no term has begun. The caller must hold e.mu.
+func (e *Elector) isClaimApplied() bool {
+	if e.term != nil || !e.isRecordOwn() || e.record.Epoch <= e.lastEpoch || e.leader.Epoch > e.record.Epoch {
+		return false
+	}
+	return e.epochRecord.isSameClaim(epochRecord{Epoch: e.record.Epoch, Nonce: e.nonce})
+}
+
+// adoptClaim begins the term of such a claim.
+func (e *Elector) adoptClaim(leader Leader, record epochRecord, version store.Version) {
+	e.config.Log.Info().Uint64("Epoch", uint64(record.Epoch)).Msg("claim was applied although its answer did not arrive")
+	e.beginTerm(leader, record, version)
 }
 
 // isSameClaim reports whether two records are of one claim. A later write of the leader record does not repeat the strength.
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -90,43 +90,54 @@
 	}
 }
 
-// decide makes one round of decideLoop. It claims, or reasserts, vacant leadership only after the delays for the
-// latency to the store, for a weaker VM and for lost terms, and a random one. It returns the time until the next round.
+// decide makes one round of decideLoop. It returns the time until the next round.
 func (e *Elector) decide(ctx context.Context) time.Duration {
 	e.mu.Lock()
-	term := e.term
-	overtaken := term != nil && (e.epochRecord.Epoch > term.Epoch || e.leader.Epoch > term.Epoch)
-	mayClaim := e.mayLead() && e.lease != 0
-	claim, applied := e.appliedClaim()
-	record, epochVersion := e.record, e.epochVersion
-	unwanted := term == nil && !e.mayLead() && e.isRecordOwn()
-	vacant := e.listed && mayClaim && e.isVacant()
-	if !vacant {
-		e.vacantSince = time.Time{}
-	} else if e.vacantSince.IsZero() {
-		e.vacantSince, e.claimJitter = e.config.Clock.Now(), rand.N(maxJitter)
-	}
-	delay := min(rankDelayFactor*e.storeLatency, maxRankDelay) + e.weakDelay() + e.lostTermDelay() + e.claimJitter
-	left := delay - e.config.Clock.Since(e.vacantSince)
-	delayPassed := vacant && left <= 0
+	step, wait := e.nextStep()
 	e.checkTermless()
 	e.mu.Unlock()
+	if step != nil {
+		step(ctx)
+	}
+	return wait
+}
+
+// nextStep returns what this daemon does about leadership now, or nil, and the time until the next round. It claims, or reasserts,
+// vacant leadership only after its delay. The caller must hold e.mu, and release it before it calls the step.
+func (e *Elector) nextStep() (step func(context.Context), wait time.Duration) {
+	term, left := e.term, e.claimDelayLeft()
 	switch {
-	case overtaken:
-		e.EndTerm(*term, "another daemon leads under a newer epoch")
-	case unwanted:
-		e.releaseRecord(ctx)
-	case applied && mayClaim:
-		e.config.Log.Info().Uint64("Epoch", uint64(record.Epoch)).Msg("claim was applied although its answer did not arrive")
-		e.beginTerm(record, claim, epochVersion)
-	case delayPassed && term != nil:
-		e.reassertLeadership(ctx, *term)
-	case delayPassed:
-		e.claim(ctx)
-	case vacant:
-		return min(left, decideInterval)
-	}
-	return decideInterval
+	case term != nil && (e.epochRecord.Epoch > term.Epoch || e.leader.Epoch > term.Epoch):
+		return func(context.Context) { e.EndTerm(*term, "another daemon leads under a newer epoch") }, decideInterval
+	case term == nil && !e.mayLead() && e.isRecordOwn():
+		return e.releaseRecord, decideInterval
+	case e.lease != 0 && e.isClaimApplied():
+		leader, record, version := e.record, e.epochRecord, e.epochVersion
+		return func(context.Context) { e.adoptClaim(leader, record, version) }, decideInterval
+	case e.vacantSince.IsZero():
+		return nil, decideInterval
+	case left > 0:
+		return nil, min(left, decideInterval)
+	case term != nil:
+		return func(ctx context.Context) { e.reassertLeadership(ctx, *term) }, decideInterval
+	default:
+		return e.claim, decideInterval
+	}
+}
+
+// claimDelayLeft notes whether this daemon finds leadership vacant and may claim it, and returns the time left of its delay before a claim:
+// for the latency to the store, for a weaker VM and for lost terms, and a random one. The caller must hold e.mu.
+func (e *Elector) claimDelayLeft() time.Duration {
+	now := e.config.Clock.Now()
+	if !e.listed || !e.mayLead() || e.lease == 0 || !e.isVacant() {
+		e.vacantSince = time.Time{}
+		return 0
+	}
+	if e.vacantSince.IsZero() {
+		e.vacantSince, e.claimJitter = now, rand.N(maxJitter)
+	}
+	delay := min(rankDelayFactor*e.storeLatency, maxRankDelay) + e.weakDelay() + e.lostTermDelay() + e.claimJitter
+	return delay - now.Sub(e.vacantSince)
 }
 
 // knownStrength returns the highest Strength of this daemon, those listed, and those that were listed until recently. The caller
