Let a question about a request wait for the report of its answer

Cause: the entry delivers an answer and reports it to the home in the background, so a question can reach the home before the report.

Change: the home lets a question about a request that is under way wait for the report, for 500 ms at most, as it does with a second call of the same id. A request that really is under way is then told of as before. The call of the question may take longer by that time.

--- a/internal/route/once/client.go
+++ b/internal/route/once/client.go
@@ -255,7 +255,7 @@
 	if !ok {
 		return nil, errs.After(errs.Unavailable, markInterval, "no lead of %s is known", minted.Home)
 	}
-	limited, cancel := clockwork.WithTimeout(ctx, c.config.Clock, callTimeout)
+	limited, cancel := clockwork.WithTimeout(ctx, c.config.Clock, callTimeout+askWait)
 	defer cancel()
 	var reply AskReply
 	if err := c.call(limited, leader, methodAsk, &AskArgs{ID: id}, &reply); err != nil {
--- a/internal/route/once/register.go
+++ b/internal/route/once/register.go
@@ -11,7 +11,10 @@
 )
 
 const (
-	askRetryAfter       = time.Second
+	askRetryAfter = time.Second
+	// askWait is how long a question waits for the answer of an id that is under way. It covers the report of an answer that the caller
+	// has already.
+	askWait             = 500 * time.Millisecond
 	tableFullRetryAfter = 5 * time.Second
 )
 
@@ -203,27 +206,38 @@
 	return a
 }
 
-// lookUpAnswer returns the answer to an id as far as it is known, without closing the id.
-func (t *Table) lookUpAnswer(id types.RequestID) (*types.Answer, error) {
+// ask returns the answer to an id as far as it is known, without closing the id. While the entry that was granted the id has reported
+// no answer, it waits for one for askWait: the entry reports an answer when it has delivered it, so a caller may ask before that.
+func (t *Table) ask(id types.RequestID) (*types.Answer, error) {
+	answer, r, err := t.lookUpAnswer(id)
+	if r == nil || !t.awaitAnswer(r, askWait) {
+		return answer, err
+	}
+	answer, _, err = t.lookUpAnswer(id)
+	return answer, err
+}
+
+// lookUpAnswer returns the answer to an id as far as it is known. It also returns the record of an id that has no answer yet.
+func (t *Table) lookUpAnswer(id types.RequestID) (*types.Answer, *record, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	minted, err := t.parseOwnID(id)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	m := markOf(minted)
 	g, ok := t.findOpenLedger(m)
 	if !ok {
-		return t.closedAnswer(id), nil
+		return t.closedAnswer(id), nil, nil
 	}
 	r, ok := g.find(id, m)
 	if !ok {
 		reason := errs.After(errs.NotFound, askRetryAfter, "no non-idempotent request with id %s was registered so far", id)
-		return unknownAnswer(id, reason, t.config.Self), nil
+		return unknownAnswer(id, reason, t.config.Self), nil, nil
 	}
 	if r.answer == nil {
 		reason := errs.After(errs.Unknown, askRetryAfter, "id %s was given to %s and is not settled", id, r.entry)
-		return unknownAnswer(id, reason, t.config.Self), nil
+		return unknownAnswer(id, reason, t.config.Self), r, nil
 	}
-	return r.answer, nil
+	return r.answer, nil, nil
 }
--- a/internal/route/once/service.go
+++ b/internal/route/once/service.go
@@ -30,9 +30,9 @@
 	return peer.Wire(s.table.recordAnswer(args))
 }
 
-// Ask returns the answer to an id as far as it is known.
+// Ask returns the answer to an id as far as it is known. It waits for that of an id that is under way, for askWait at most.
 func (s *Service) Ask(args *AskArgs, reply *AskReply) error {
-	answer, err := s.table.lookUpAnswer(args.ID)
+	answer, err := s.table.ask(args.ID)
 	if err != nil {
 		return peer.Wire(err)
 	}
