Ask runners in use often while answers are lost

While answers of runners were being lost, some short work was reported 1.2 s late and later, beside load and without (TestShortWorkIsInTimeWhileAnswersAreLost: "11 of 100 jobs took longer than 1.2s", later "6 of 100").

Cause: a busy runner is asked to wait for results for 300 ms only then, but a runner that had nothing to run at that moment for 1.2 s. If a task began and ended there meanwhile and that answer was lost, its end was noticed after 1.35 s. Runners of short tasks are often between two of them. Trace of the test at a load of 38 to 45 on 8 processors, confined to two of them: in all 7 late jobs of three runs the late task was on a runner whose renewal waited for 1.2 s, was sent before the start and was lost; starts were answered within 0.3 ms and the durable acceptance took up to 27 ms.

Change: a runner counts as busy until it had no runs for 5 s. The limit of 1,000 short polls a second stays, and idle runners are asked as seldom as before.

Evidence: TestRunnersInUseAreAskedOftenWhileAnswersAreLost fails on the former code: "had a run a moment ago: asked to wait for 1.2s, want 300ms". What is left comes from three and more lost answers of one runner in a row, and from the first task of a runner that was idle.

--- a/internal/flow/owner/answers_test.go
+++ b/internal/flow/owner/answers_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
@@ -127,6 +129,41 @@
 	checkPoll("after lossHold", longPollTimeout)
 }
 
+// Between two of its tasks a runner is likely to get the next one before it answers. While answers are lost, one that was asked to wait for
+// long then would leave the end of that task unnoticed for 1.35 s.
+func TestRunnersInUseAreAskedOftenWhileAnswersAreLost(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	f.addRunners(1)
+	o := f.newOwner()
+	t.Cleanup(o.Stop)
+	clock := clockwork.NewFakeClock()
+	o.config.Clock = clock
+	r := o.addRunner(runner(0))
+	r.Synced = true
+	o.renewLoops[r] = time.Time{}
+	checkWait := func(what string, want time.Duration) renewal {
+		t.Helper()
+		o.confirmedAt, o.answers.expectLossUntil = clock.Now(), clock.Now().Add(lossHold)
+		next, _, _ := o.nextRenewal(r)
+		if next.request.Wait != want {
+			t.Errorf("%s: asked to wait for %s, want %s", what, next.request.Wait, want)
+		}
+		return next
+	}
+	checkWait("never had a run", longPollTimeout)
+	run := r.PlaceTask(o.table.AddJob(job("j", step(1))).Occurrences[0].Steps[0].Tasks[0], 1)
+	run.Sent = true
+	next := checkWait("has a run", shortPollTimeout)
+	next.request.Wait = 0
+	o.renewLeases(r, next)
+	if len(r.Runs) > 0 {
+		t.Fatal("the run has not ended with the report that lacks it")
+	}
+	checkWait("had a run a moment ago", shortPollTimeout)
+	clock.Advance(idleTimeout)
+	checkWait("is idle", longPollTimeout)
+}
+
 // In a large fleet some answers are always lost, as when a relay fails. Polls must not become short for that, and a leader of 3,000
 // runners must not make so many of them that it lacks the processor for its other work.
 func TestPollsOfLargeFleetsAreLimited(t *testing.T) {
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -19,6 +19,9 @@
 	// runner while answers are being lost.
 	longPollTimeout  = 1200 * time.Millisecond
 	shortPollTimeout = 300 * time.Millisecond
+	// idleTimeout is how long a runner must have had no runs to count as idle. One that had some is likely to get more before
+	// its next answer.
+	idleTimeout = 5 * time.Second
 	// renewTimeout limits a renewal that does not wait for results.
 	renewTimeout = 900 * time.Millisecond
 	// renewBackoff is the pause after a failed renewal, and between checks of whether the store answers again.
@@ -34,7 +37,7 @@
 	if _, ok := o.renewLoops[r]; ok || r.Info.Address == "" {
 		return
 	}
-	o.renewLoops[r] = struct{}{}
+	o.renewLoops[r] = time.Time{}
 	o.loops.Go(o.guarded("lease renewal", func() { o.renewLoop(r) }))
 }
 
@@ -91,7 +94,7 @@
 	default:
 		next.request.Deadline = r.ExtendLease(now, leaseTTL)
 		if !r.FencePending {
-			next.request.Wait = o.pollTimeout(len(r.Runs) > 0)
+			next.request.Wait = o.pollTimeout(o.isInUse(r, now))
 		}
 	}
 	next.timeout = renewTimeout
@@ -101,6 +104,11 @@
 	return next, true, true
 }
 
+// isInUse reports whether a runner has runs, or had some within idleTimeout. The caller must hold o.mu.
+func (o *Owner) isInUse(r *tasks.Runner, now time.Time) bool {
+	return len(r.Runs) > 0 || now.Sub(o.renewLoops[r]) < idleTimeout
+}
+
 // renewLeases sends one renewal and returns the delay before the next.
 func (o *Owner) renewLeases(r *tasks.Runner, next renewal) time.Duration {
 	ctx, cancel := context.WithTimeout(o.ctx, next.timeout)
@@ -112,6 +120,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if len(r.Runs) > 0 {
+		o.renewLoops[r] = o.config.Clock.Now()
+	}
 	if err != nil {
 		return o.handleRenewFailure(r, next, err)
 	}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -163,8 +163,8 @@
 		notYetDurable map[specs.JobID]tasks.JobState
 		// acceptedNotDurable holds the accepted jobs whose acceptance is not durable yet.
 		acceptedNotDurable map[specs.JobID]struct{}
-		// renewLoops holds the runners that have a lease renewal loop.
-		renewLoops map[*tasks.Runner]struct{}
+		// renewLoops holds the runners that have a lease renewal loop, with when a renewal last found runs on them; zero for never.
+		renewLoops map[*tasks.Runner]time.Time
 		// rates tells which jobs are within the weights of the catalog with the version ratesVersion; it is nil until a
 		// catalog is known.
 		rates        *rates.Rates
@@ -196,7 +196,7 @@
 		turns:         stall.New(),
 		table:         tasks.New(),
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
-		renewLoops:    make(map[*tasks.Runner]struct{}),
+		renewLoops:    make(map[*tasks.Runner]time.Time),
 		usualPace:     make(map[types.ServiceName]float64),
 
 		unprovenLosses:       make(map[types.Address]unprovenLoss),
