Check the times of short work on a simulated clock

TestShortWorkIsInTimeWhileAnswersAreLost failed beside load: "11 of 100 jobs took longer than 1.2s" and "6 of 100". The other part was the machine: the test ran on the real clock.

Trace: 54 runs of the same jobs on the mended code at a load of 32 to 57 on 8 processors, each with a goroutine that only sleeps for 5 ms at a time. In all 16 runs with more than 5 late jobs it overslept by 0.4 to 4.8 s; the 20 runs in which it overslept by less than 0.4 s had 5 late jobs at most. The jobs that took 8 s and more in four of these runs were refused at their submission, by the admission of a leader that had stood still; the test took them for late.

The change of the product is guarded by TestRunnersInUseAreAskedOftenWhileAnswersAreLost. The runtime crashes in bubbles under the race detector (KNOWN-RED.txt), so the test has the build constraint !race and "make bounds" runs it, as it does the other times that are promised to callers. TestLostAnswersStartNothingTwice runs the jobs on the real clock under the race detector, for attempts that would run twice.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Decisions and comparisons over long arrivals on one goroutine; the race detector has nothing to find there.
 BOUNDS := ./internal/sched/trial ./internal/flow/order
 # Times that are promised to callers; the race detector multiplies them. The tests have the build constraint !race.
-TIMES := ./platform
+TIMES := ./platform ./internal/flow/owner
 
 .PHONY: all build dev check fmt format lint vet test bounds clean
 
@@ -40,7 +40,7 @@
 
 bounds:
 	go test -count=1 -timeout 5m $(BOUNDS)
-	go test -count=1 -timeout 5m -run TestLargeCatalogs $(TIMES)
+	go test -count=1 -timeout 5m -run 'TestLargeCatalogs|TestShortWorkIsInTime' $(TIMES)
 
 check: fmt vet lint build bounds test
 
--- a/internal/flow/owner/answers_test.go
+++ b/internal/flow/owner/answers_test.go
@@ -47,21 +47,24 @@
 	return agent.Report{}, errs.New(errs.Lost, "the answer was lost")
 }
 
-// While one answer in twelve is lost, callers of short work must get their results about as soon as otherwise. Results come with the
-// answers to waits alone, so a lost one must be noticed soon. No attempt may run twice.
-func TestShortWorkIsInTimeWhileAnswersAreLost(t *testing.T) {
+// losePeriod is the number of answers of which runShortWork loses one.
+const losePeriod = 12
+
+// runShortWork runs jobs of three short tasks while answers are lost, the first of them after the given number, and returns how long their
+// callers waited for the ends, in order. Those of the first second are left out: until then it is not known that answers are lost, and
+// waits that were open then run out. No attempt may run twice.
+func runShortWork(t *testing.T, firstLost int64) []time.Duration {
 	const (
-		jobs = 140
-		// warmUp is the number of jobs until it is known that answers are lost, and until the waits that were open then are over.
+		jobs   = 140
 		warmUp = 40
-		aim    = 1200 * time.Millisecond
 	)
 	w := quickWorld()
 	w.RunTime = func(specs.Ref) time.Duration { return 250 * time.Millisecond }
 	f := newFixture(t, w)
 	f.addRunners(24)
 	o := f.newOwner()
-	lossy := &lossyAgent{Agent: f.fleet, losePeriod: 12}
+	lossy := &lossyAgent{Agent: f.fleet, losePeriod: losePeriod}
+	lossy.calls.Store(losePeriod - 1 - firstLost)
 	o.config.Agents = lossy
 	f.runOwner(o)
 	f.submit(o, job("first", step(1)))
@@ -86,17 +89,14 @@
 		all = append(all, <-durations)
 	}
 	slices.Sort(all)
-	late := 0
-	for _, d := range all {
-		if d > aim {
-			late++
-		}
-	}
-	t.Logf("median %s, slowest %s, %d of %d late", all[len(all)/2], all[len(all)-1], late, len(all))
-	if late > len(all)/20 {
-		t.Errorf("%d of %d jobs took longer than %s, want at most one in twenty", late, len(all), aim)
-	}
 	f.checkNoViolations()
+	return all
+}
+
+// A lost answer must not make an attempt run twice. TestShortWorkIsInTimeWhileAnswersAreLost checks the times.
+func TestLostAnswersStartNothingTwice(t *testing.T) {
+	all := runShortWork(t, losePeriod-1)
+	t.Logf("median %s, slowest %s", all[len(all)/2], all[len(all)-1])
 }
 
 // A short poll costs a call, so it must end soon after the answers arrive again, and a runner that is away must not cause it.
