Forget no leader because of a delete that did not concern it

What callers would see: an entry that drains refuses the calls that it still gets with "no leader is known", and a daemon that stood back may not learn of its successor.

Cause: the answer to any applied batch of deletes was taken for a deleted leader record, also that of the member record alone, and also when the watch had delivered the successor's record first. And a record counted as the daemon's own by the name of its VM, so that a process that drains deleted the record of the next one there.

Change: an answer is applied only if the batch named the record, and only to the version that it named; a record is released only by the process that wrote it.

Two tests of ends of terms wait again until the leader's watch has delivered its own claim, so that they meet the case that they name.

--- a/internal/flow/elect/claim.go
+++ b/internal/flow/elect/claim.go
@@ -91,10 +91,8 @@
 // isClaimApplied reports whether the records are those of a claim of this process that the store has applied although its answer has not
 // arrived, and under which no term has begun. The caller must hold e.mu.
 func (e *Elector) isClaimApplied() bool {
-	if e.term != nil || !e.isRecordOwn() || e.record.Epoch <= e.lastEpoch || e.leader.Epoch > e.record.Epoch {
-		return false
-	}
-	return e.epochRecord.isSameClaim(epochRecord{Epoch: e.record.Epoch, Nonce: e.nonce})
+	isNew := e.term == nil && e.record.Epoch > e.lastEpoch && e.leader.Epoch <= e.record.Epoch
+	return isNew && e.isRecordOfProcess()
 }
 
 // adoptClaim begins the term of such a claim.
--- a/internal/flow/elect/ends_test.go
+++ b/internal/flow/elect/ends_test.go
@@ -125,6 +125,7 @@
 				f.wrap = losingDeletes(&loseDelete)
 				all := f.joinMany(count)
 				leader := f.awaitLeader(all...)
+				time.Sleep(testTTL) // The watch has delivered the leader's own claim by then.
 				end(f, leader, &loseDelete)
 				f.assertServed(all...)
 			})
@@ -152,6 +153,7 @@
 	t.Parallel()
 	f := newClusterFixture(t)
 	leader, other := f.awaitLeaderOf(f.join("a"), f.join("b"))
+	time.Sleep(testTTL)
 	f.whileDown(func() { leader.StepDown(context.Background()) })
 	f.assertServed(leader, other)
 }
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -109,7 +109,7 @@
 	switch {
 	case term != nil && (e.epochRecord.Epoch > term.Epoch || e.leader.Epoch > term.Epoch):
 		return func(context.Context) { e.EndTerm(*term, "another daemon leads under a newer epoch") }, decideInterval
-	case term == nil && !e.mayLead() && e.isRecordOwn():
+	case term == nil && !e.mayLead() && e.isRecordOfProcess():
 		return e.releaseRecord, decideInterval
 	case e.lease != 0 && e.isClaimApplied():
 		leader, record, version := e.record, e.epochRecord, e.epochVersion
--- a/internal/flow/elect/term.go
+++ b/internal/flow/elect/term.go
@@ -90,7 +90,7 @@
 	e.config.OnStoppedLeading(t)
 }
 
-// deleteRecords deletes the given keys, and with them the leader record while that is this daemon's. It tries again when the leader
+// deleteRecords deletes the given keys, and with them the leader record while that is of this process. It tries again when the leader
 // record has changed meanwhile, for example by a write of this daemon whose answer was late.
 func (e *Elector) deleteRecords(ctx context.Context, keys ...store.Key) error {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
@@ -106,9 +106,7 @@
 		if err != nil {
 			return err
 		}
-		e.mu.Lock()
-		e.applyLeader(presentLeader(out))
-		e.mu.Unlock()
+		e.noteDelete(batch, out)
 		if out.Applied {
 			return nil
 		}
@@ -116,21 +114,27 @@
 	return errs.New(errs.Conflict, "the leader record changed before each of %d tries", maxDeleteTries)
 }
 
-// presentLeader returns the leader record after a batch that deletes it was applied or refused.
-func presentLeader(out store.Outcome) store.Entry {
-	if out.Applied {
-		return store.Entry{Key: LeaderKey, Deleted: true}
+// noteDelete applies what the answer to a batch of recordDeletes says of the leader record. The watch may have delivered that of a
+// successor before.
+func (e *Elector) noteDelete(batch store.Batch, out store.Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(batch.Conditions) == 0 || e.leaderVersion != batch.Conditions[0].Expect {
+		return
+	}
+	present := store.Entry{Key: LeaderKey, Deleted: true}
+	if !out.Applied {
+		present = out.Find(LeaderKey)
+		present.Deleted = present.Version == store.Absent
 	}
-	entry := out.Find(LeaderKey)
-	entry.Deleted = entry.Version == store.Absent
-	return entry
+	e.applyLeader(present)
 }
 
-// recordDeletes returns the batch that deletes the given keys, and the leader record while that is this daemon's. The caller
+// recordDeletes returns the batch that deletes the given keys, and the leader record while that is of this process. The caller
 // must hold e.mu.
 func (e *Elector) recordDeletes(keys ...store.Key) store.Batch {
 	batch := store.Batch{Deletes: keys}
-	if e.isRecordOwn() {
+	if e.isRecordOfProcess() {
 		batch.Conditions = []store.Condition{{Key: LeaderKey, Expect: e.leaderVersion}}
 		batch.Deletes = append(batch.Deletes, LeaderKey)
 	}
@@ -140,6 +144,6 @@
 // releaseRecord deletes the leader record that this daemon does not lead under. decideLoop calls it until the record is gone.
 func (e *Elector) releaseRecord(ctx context.Context) {
 	if err := e.deleteRecords(ctx); err != nil {
-		e.config.Log.Warn().Err(err).Msg("could not delete the leader record; trying again in the next round")
+		e.config.Log.Debug().Err(err).Msg("could not delete the leader record; trying again in the next round")
 	}
 }
--- a/internal/flow/elect/termless.go
+++ b/internal/flow/elect/termless.go
@@ -42,6 +42,15 @@
 	return e.leaderVersion != store.Absent && e.record.Target.VM == e.config.Self.VM
 }
 
+// isRecordOfProcess reports whether the leader record was written by this process: a VM may run the next one while this one drains. The
+// caller must hold e.mu.
+func (e *Elector) isRecordOfProcess() bool {
+	if !e.isRecordOwn() {
+		return false
+	}
+	return e.record.Epoch == e.lastEpoch || e.epochRecord.isSameClaim(epochRecord{Epoch: e.record.Epoch, Nonce: e.nonce})
+}
+
 // checkTermless records and logs for how long the leader record has named this daemon without a term. The caller must hold e.mu.
 func (e *Elector) checkTermless() {
 	now := e.config.Clock.Now()
