Keep the changes of a step's tasks in one segment

What callers would see: a gang of which some members are done and the others wait for ever.

Change: an entry is cut only between records of different steps. A segment may be larger by the records of one step.

TestChangeOfAGangIsNotSplit failed before: 4 of 8 members done.

--- a/internal/flow/ledger/large_test.go
+++ b/internal/flow/ledger/large_test.go
@@ -40,3 +40,38 @@
 		})
 	}
 }
+
+// Guards against a gang of which one part is done and the other is not, because its records were split over two segments of which one
+// was in flight when the term ended. Before entries were split, the records of one change were in one segment.
+func TestChangeOfAGangIsNotSplit(t *testing.T) {
+	const count, members = 12_000, 8
+	f := newStoreFixture(t)
+	l, _ := f.openLedger()
+	gang := &specs.Job{ID: "gang", Queue: specs.Queue{Name: "q"}, Steps: []specs.Step{{Count: members, Gang: true}}}
+	f.mustAppend(l, Entry{Jobs: []*specs.Job{gang}})
+	records := placedRecords(count)
+	first, err := fittingRecords(records)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range members {
+		records[first-members/2+i] = tasks.Record{Task: &tasks.TaskChange{Ref: refOf("gang", i), State: tasks.Done, Attempt: 1}}
+	}
+	writes, err := l.Begin(Entry{Records: records})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := writes[1].Run(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	_, table := f.openLedger()
+	done := 0
+	for i := range members {
+		if table.Task(refOf("gang", i)).State == tasks.Done {
+			done++
+		}
+	}
+	if done != 0 && done != members {
+		t.Errorf("%d of %d members are done, want all or none", done, members)
+	}
+}
--- a/internal/flow/ledger/ledger.go
+++ b/internal/flow/ledger/ledger.go
@@ -227,7 +227,7 @@
 }
 
 // fittingRecords returns how many of the records, from the first on, are put into one segment: as many as stay below maxListBytes when
-// their number is halved until they do, at least one.
+// their number is halved until they do, and the rest of a step's, whose tasks may change together.
 func fittingRecords(records []tasks.Record) (int, error) {
 	count := len(records)
 	for count >= minSplitRecords {
@@ -240,9 +240,17 @@
 		}
 		count /= 2
 	}
+	for count > 0 && count < len(records) && isSameStep(records[count-1], records[count]) {
+		count++
+	}
 	return count, nil
 }
 
+// isSameStep reports whether two records are of tasks of one step.
+func isSameStep(a, b tasks.Record) bool {
+	return a.Task != nil && b.Task != nil && a.Task.Ref.StepRef == b.Task.Ref.StepRef
+}
+
 func (l *Ledger) beginWrite(s segment, jobs []*specs.Job) (*Write, error) {
 	value, err := json.Marshal(s)
 	if err != nil {
