Count refusals of the leader only while they go on

Two refusals a minute apart, with no call in between, counted as a leader that denies for a minute that it leads, and had it suspected. Found in a review.

TestRefusalsFarApartSuspectNobody failed before.

--- a/internal/flow/front/denials.go
+++ b/internal/flow/front/denials.go
@@ -20,8 +20,9 @@
 
 	mu    sync.Mutex
 	epoch types.Epoch
-	// since is when the leader of the epoch began to answer so; zero while it serves.
-	since time.Time
+	// since is when the leader of the epoch began to answer so, and latest when it last did; zero while it serves.
+	since  time.Time
+	latest time.Time
 }
 
 func newDenials(r metrics.Registry) *denials {
@@ -40,8 +41,9 @@
 		return false
 	}
 	d.counter.Inc(1)
-	if d.epoch != epoch || d.since.IsZero() {
+	if d.epoch != epoch || d.since.IsZero() || now.Sub(d.latest) > 2*deniedTimeout {
 		d.epoch, d.since = epoch, now
 	}
+	d.latest = now
 	return now.Sub(d.since) >= deniedTimeout
 }
--- a/internal/flow/front/denials_test.go
+++ b/internal/flow/front/denials_test.go
@@ -57,3 +57,14 @@
 		t.Errorf("got %v, want kind Unavailable with a RetryAfter", err)
 	}
 }
+
+// Guards against a leader that is replaced because of two refusals with a long time and no call in between, as at an entry with few callers:
+// the first may come before the leader's term has begun, the second while it drains.
+func TestRefusalsFarApartSuspectNobody(t *testing.T) {
+	now := time.Now()
+	d := newDenials(metrics.NewRegistry())
+	refusal := errs.New(errs.Fenced, "does not lead")
+	if d.note(1, refusal, now) || d.note(1, refusal, now.Add(time.Minute)) {
+		t.Error("two refusals one minute apart count as refusals for one minute on end")
+	}
+}
