Let failed writes excuse only the waits for writes

A single failed write each two seconds, beside others that succeed, kept the watchdog from ever noticing a plan or a tick that does not end; and one check that found the tables locked at the beginning of an outage could count the time before it.

Change: a failed write counts only for the waits for writes, until one is committed, and a check with locked tables counts locked checks alone.

TestStalledLoopBesideSingleFailedWritesIsAStall and TestLockedTablesEarlyInAnOutageAreNoStall failed before.

--- a/internal/flow/owner/watchdog.go
+++ b/internal/flow/owner/watchdog.go
@@ -22,12 +22,13 @@
 	turnTick        = "a tick does not end"
 )
 
-// watchdog tells a leader that makes no progress from one whose store is away.
+// watchdog tells a leader that makes no progress from one whose store is away. Each field counts checks, one after the other.
 type watchdog struct {
-	// answeringChecks is the number of checks since the store began to answer this leader without a failed write, and lockedChecks
-	// that of the latest checks, one after the other, at which the tables were locked.
-	answeringChecks int
-	lockedChecks    int
+	// answering counts checks at which the store answered this leader, accepting those at which no write had failed since the latest
+	// committed one either, and locked those at which the tables were locked.
+	answering int
+	accepting int
+	locked    int
 }
 
 // watchdogLoop gives the term up when a loop makes no progress although the store answers this leader: nothing fails then, so
@@ -38,7 +39,7 @@
 		o.sleep(watchdogInterval)
 		what, checks := o.turns.Check()
 		age := time.Duration(checks) * watchdogInterval
-		if !w.hasStalled(o, age) || o.ctx.Err() != nil {
+		if !w.hasStalled(o, what, age) || o.ctx.Err() != nil {
 			continue
 		}
 		o.counters.stalls.Inc(1)
@@ -48,24 +49,29 @@
 }
 
 // hasStalled makes one check and reports whether the oldest turn, which has lasted for age, is a stall of this leader. While the store is away
-// or refuses writes, turns may last, and when it is back it may answer a read before the oldest write; so only the time since then counts.
-// Tables that are found locked for maxTurn on end are a stall in any case.
-func (w *watchdog) hasStalled(o *Owner, age time.Duration) bool {
-	if o.mu.TryLock() {
-		w.lockedChecks = 0
-		w.noteAnswer(o.storeAnswers() && o.config.Clock.Since(o.failedTryAt) > storeAnswersWithin)
-		o.mu.Unlock()
-	} else {
-		w.lockedChecks++
+// turns may last, and when it is back it may answer a read before the oldest write; so only the time since then counts. Writes that are
+// refused are noticed by their failures. Tables that are found locked for maxTurn on end are a stall in any case.
+func (w *watchdog) hasStalled(o *Owner, what string, age time.Duration) bool {
+	if !o.mu.TryLock() {
+		w.locked++
+		return min(age, time.Duration(w.locked)*watchdogInterval) >= maxTurn
 	}
-	longest := time.Duration(max(w.answeringChecks, w.lockedChecks)) * watchdogInterval
-	return min(age, longest) >= maxTurn
+	defer o.mu.Unlock()
+	answers := o.storeAnswers()
+	w.locked = 0
+	w.answering = nextCount(w.answering, answers)
+	w.accepting = nextCount(w.accepting, answers && !o.failedTryAt.After(o.committedAt))
+	checks := w.answering
+	if what == waitInFlight || what == waitOldestWrite {
+		checks = w.accepting
+	}
+	return min(age, time.Duration(checks)*watchdogInterval) >= maxTurn
 }
 
-func (w *watchdog) noteAnswer(answers bool) {
-	if answers {
-		w.answeringChecks++
-	} else {
-		w.answeringChecks = 0
+// nextCount returns the number of checks, one after the other, at which a condition held, this one included.
+func nextCount(count int, holds bool) int {
+	if !holds {
+		return 0
 	}
+	return count + 1
 }
--- a/internal/flow/owner/watchdog_test.go
+++ b/internal/flow/owner/watchdog_test.go
@@ -20,7 +20,7 @@
 		if locked {
 			o.mu.Lock()
 		}
-		if w.hasStalled(o, 2*maxTurn+time.Second) {
+		if w.hasStalled(o, waitOldestWrite, 2*maxTurn+time.Second) {
 			t.Fatalf("check %d takes an outage for a stall", check)
 		}
 		if locked {
@@ -35,7 +35,7 @@
 	o := f.newLockedOwner()
 	var w watchdog
 	checks := 0
-	for !w.hasStalled(o, 2*maxTurn) {
+	for !w.hasStalled(o, turnPlan, 2*maxTurn) {
 		if checks++; checks > int(2*maxTurn/watchdogInterval) {
 			t.Fatalf("no stall after %d checks of locked tables", checks)
 		}
@@ -61,3 +61,41 @@
 		t.Error("the term ended although the leader goes on")
 	}
 }
+
+// Guards against a leader that makes no progress and is not replaced because now and then a try of a write fails, though others succeed.
+func TestStalledLoopBesideSingleFailedWritesIsAStall(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newOwner()
+	defer o.Stop()
+	var w watchdog
+	for check := range 600 {
+		o.mu.Lock()
+		o.confirmedAt = o.config.Clock.Now()
+		if check%20 == 0 {
+			o.failedTryAt = o.config.Clock.Now()
+		}
+		o.mu.Unlock()
+		if w.hasStalled(o, turnPlan, time.Duration(check)*watchdogInterval) {
+			return
+		}
+	}
+	t.Error("a turn that has lasted for 600 checks is no stall although the store confirms the epoch at each of them")
+}
+
+// Guards against an outage that is taken for a stall at its first check with locked tables, after a long time without failures.
+func TestLockedTablesEarlyInAnOutageAreNoStall(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newOwner()
+	defer o.Stop()
+	o.confirmedAt = o.config.Clock.Now()
+	var w watchdog
+	for range 50 {
+		w.hasStalled(o, waitOldestWrite, 0)
+	}
+	o.confirmedAt = o.config.Clock.Now().Add(-maxTurn)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if w.hasStalled(o, waitOldestWrite, maxTurn) {
+		t.Error("one check with locked tables takes an outage of 3 s for a stall")
+	}
+}
