Check a refused fence once a second, and believe two runners

One runner with a foreign fence caused 27 reads of the epoch in 2 s, and one read that failed ended the term in the name of another leader.

Change: one check a second, and without an answer of the store the refusals of two runners are needed.

--- a/internal/flow/owner/confirm.go
+++ b/internal/flow/owner/confirm.go
@@ -81,14 +81,17 @@
 // handleFenced handles a runner's refusal of the fence that is in use for it: the term ends unless the store shows that the epoch is still
 // that of this term. A single runner that holds a foreign fence must not end one term after the other. The caller must hold o.mu.
 func (o *Owner) handleFenced(r *tasks.Runner) {
-	if o.checksFence {
+	now := o.config.Clock.Now()
+	o.fencedBy[r.Info.ID] = struct{}{}
+	if now.Sub(o.fenceCheckedAt) < confirmInterval {
 		return
 	}
-	o.checksFence = true
+	o.fenceCheckedAt = now
 	go o.guarded("check of the epoch", func() { o.checkFence(r) })()
 }
 
-// checkFence reads the epoch after a runner has refused the fence in use. A runner that holds the fence of no leader cannot be reached.
+// checkFence reads the epoch after a runner has refused the fence in use. A runner that holds the fence of no leader cannot be reached. If
+// the store does not answer, the refusals of two runners are enough.
 func (o *Owner) checkFence(r *tasks.Runner) {
 	ctx, cancel := context.WithTimeout(o.ctx, confirmTimeout)
 	defer cancel()
@@ -96,15 +99,14 @@
 	if o.ctx.Err() != nil {
 		return
 	}
-	if err != nil || !leading {
-		o.endTerm("runner " + string(r.Info.ID) + " has seen a later leader")
-		return
-	}
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.checksFence = false
-	if r.UnreachableSince.IsZero() {
-		o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Msg("runner refuses this leader's fence although no other daemon leads; it is not used")
+	isFenced := (err == nil && !leading) || (err != nil && len(o.fencedBy) > 1)
+	if !isFenced && o.table.Runners[r.Info.ID] == r && r.UnreachableSince.IsZero() {
+		o.config.Log.Warn().Str("Runner", string(r.Info.ID)).Msg("runner refuses this leader's fence although no other daemon is known to lead; it is not used")
 		o.noteUnreachable(r, false)
 	}
+	o.mu.Unlock()
+	if isFenced {
+		o.endTerm("runner " + string(r.Info.ID) + " has seen a later leader")
+	}
 }
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -150,8 +150,9 @@
 		catalogVersion specs.CatalogVersion
 		// confirmedAt is when the latest request was sent whose answer showed that the epoch is still that of this term.
 		confirmedAt time.Time
-		// checksFence is set while the epoch is read because a runner has refused the fence in use.
-		checksFence bool
+		// fencedBy holds the runners that have refused the fence in use, and fenceCheckedAt is when the epoch was last read because of one.
+		fencedBy       map[specs.RunnerID]struct{}
+		fenceCheckedAt time.Time
 		// directoryAt is the time to which the tables contain the changes of the directory.
 		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
@@ -198,6 +199,7 @@
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]time.Time),
 		usualPace:     make(map[types.ServiceName]float64),
+		fencedBy:      make(map[specs.RunnerID]struct{}),
 
 		unprovenLosses:       make(map[types.Address]unprovenLoss),
 		acceptedNotDurable:   make(map[specs.JobID]struct{}),
