Play power losses, scarce processor and more faults of the store in the soak

Two checks are new. No daemon that has had no term for more than three leases (3 s) stays the recorded leader: the soak reads the record in the stand-in's store, and Elect.TermlessFor from the daemon that it names. After the last power loss a job is accepted within 12 s, the recover-s of the deployments.

--- a/internal/app/cmds/soak.go
+++ b/internal/app/cmds/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/urfave/cli/v3"
@@ -20,6 +21,13 @@
 	// flagShortTerms lets no term last until its snapshot is written.
 	flagShortTerms = "short-terms"
 	flagFormer     = "former"
+	flagKeepLogs   = "keep-logs"
+	flagStore      = "store-faults"
+	flagScarce     = "scarce-processor"
+	flagPower      = "power-losses"
+	flagTasks      = "tasks"
+	flagBuild      = "build"
+	flagOnly       = "only"
 
 	defaultSeeds = 3
 )
@@ -38,6 +46,13 @@
 			&cli.BoolFlag{Name: flagLarge, Usage: "write large catalogs, and give the daemons narrow links to the store"},
 			&cli.BoolFlag{Name: flagShortTerms, Usage: "kill each leader within two seconds, and refuse its snapshots of the ledger"},
 			&cli.StringFlag{Name: flagFormer, Usage: "path of a former build, with which the daemons begin, for upgrades and rollbacks"},
+			&cli.BoolFlag{Name: flagStore, Usage: "add rate limits, refusals to some daemons, lost and late answers of the store, and failures of the leader"},
+			&cli.BoolFlag{Name: flagScarce, Usage: "give each daemon one processor, and the weak ones a share of it"},
+			&cli.IntFlag{Name: flagPower, Usage: "how often all daemons are killed at once at the end, right after a job was accepted"},
+			&cli.IntFlag{Name: flagTasks, Value: soak.DefaultMaxTasks, Usage: "maximum number of tasks in a step of a job"},
+			&cli.BoolFlag{Name: flagKeepLogs, Usage: "keep the daemons' logs of runs that violate no guarantee as well, and print their path"},
+			&cli.StringFlag{Name: flagOnly, Usage: "inject this kind of failure alone, for example \"store refuses writes\""},
+			&cli.StringFlag{Name: flagBuild, Usage: "path of another build to run the daemons with, instead of this one"},
 			&cli.DurationFlag{Name: flagLength, Value: soak.DefaultLength, Usage: "how long failures are injected"},
 		},
 		Action: runSoak,
@@ -45,9 +60,13 @@
 }
 
 func runSoak(ctx context.Context, c *cli.Command) error {
-	executable, err := os.Executable()
-	if err != nil {
-		return errs.New(errs.Internal, "finding the path of this executable: %v", err)
+	executable := c.String(flagBuild)
+	if executable == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return errs.New(errs.Internal, "finding the path of this executable: %v", err)
+		}
+		executable = own
 	}
 	first, failed := c.Uint64(flagSeed), 0
 	for seed := first; seed < first+c.Uint64(flagSeeds) && ctx.Err() == nil; seed++ {
@@ -80,6 +99,8 @@
 		Seed: seed, Command: []string{executable, "platform"}, Former: former, Directory: directory, Daemons: c.Int(flagDaemons),
 		Runners: c.Int(flagRunners), Callers: c.Int(flagCallers), Length: c.Duration(flagLength),
 		NarrowLinks: c.Bool(flagNarrow), LargeCatalogs: c.Bool(flagLarge), ShortTerms: c.Bool(flagShortTerms),
+		StoreFaults: c.Bool(flagStore), ScarceProcessor: c.Bool(flagScarce), PowerLosses: c.Int(flagPower), MaxTasks: c.Int(flagTasks),
+		OnlyFault: c.String(flagOnly),
 	})
 	if err != nil {
 		return false, err
@@ -90,6 +111,10 @@
 	if len(report.Broken) > 0 {
 		return true, nil
 	}
+	if c.Bool(flagKeepLogs) {
+		_, err := fmt.Fprintln(writerOrStdout(c.Root().Writer), "  the daemons' logs are in "+directory)
+		return false, err
+	}
 	if err := os.RemoveAll(directory); err != nil {
 		return false, errs.New(errs.Internal, "removing the daemons' logs: %v", err)
 	}
--- a/internal/plat/store/memory.go
+++ b/internal/plat/store/memory.go
@@ -190,6 +190,35 @@
 	return out, err
 }
 
+// EndLeases ends the leases to which the keys are bound, and removes all keys that are bound to them.
+func (m *Memory) EndLeases(keys ...Key) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, key := range keys {
+		if id := m.entries[key].Lease; id != 0 {
+			delete(m.leases, id)
+			m.removeLeasedKeys(id)
+		}
+	}
+}
+
+// ExtendLeases extends all leases, as a store does that pauses them while it is down.
+func (m *Memory) ExtendLeases(by time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, held := range m.leases {
+		held.expiresAt = held.expiresAt.Add(by)
+		m.leases[id] = held
+	}
+}
+
+// LastVersion returns the version of the latest change.
+func (m *Memory) LastVersion() Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
 // put writes one key. The caller must hold m.mu.
 func (m *Memory) put(put Put) (Entry, error) {
 	if m.entries[put.Key].Version != put.Expect {
--- a/internal/plat/store/store_test.go
+++ b/internal/plat/store/store_test.go
@@ -172,3 +172,25 @@
 		t.Fatalf("got %+v, %v, want an empty page before the timeout of the caller", page, err)
 	}
 }
+
+// Guards against faults of the stand-in that end or keep another daemon's lease.
+func TestLeasesEndOrAreExtendedOnRequest(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	m := NewMemory(clock, "north")
+	s, ctx := m.As("a", meter.Discard()), t.Context()
+	ended, err := s.Grant(ctx, time.Second)
+	wantOK(t, err)
+	kept, err := s.Grant(ctx, time.Second)
+	wantOK(t, err)
+	for key, lease := range map[Key]LeaseID{"ended": ended, "kept": kept} {
+		_, err := s.Put(ctx, Put{Key: key, Value: json.RawMessage(`1`), Lease: lease})
+		wantOK(t, err)
+	}
+	m.EndLeases("ended")
+	m.ExtendLeases(time.Second)
+	clock.Advance(1500 * time.Millisecond)
+	wantKind(t, s.Renew(ctx, ended), errs.NotFound)
+	_, err = s.Get(ctx, "ended")
+	wantKind(t, err, errs.NotFound)
+	wantOK(t, s.Renew(ctx, kept))
+}
--- a/internal/proof/soak/book.go
+++ b/internal/proof/soak/book.go
@@ -43,6 +43,8 @@
 		mu         sync.Mutex
 		jobs       map[specs.JobID]*job
 		violations []string
+		// lastAcceptedAt is when a job was last accepted for the first time.
+		lastAcceptedAt time.Duration
 	}
 )
 
@@ -81,11 +83,19 @@
 	switch {
 	case a.Accepted() && j.acceptedAt == 0:
 		j.acceptedAt = r.elapsed()
+		r.lastAcceptedAt = j.acceptedAt
 	case !a.Accepted() && !a.NotRun():
 		j.inDoubt = true
 	}
 }
 
+// hasAcceptedSince reports whether a job was accepted after a time.
+func (r *recorder) hasAcceptedSince(since time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastAcceptedAt > since
+}
+
 // recordCancelSent records that a cancellation is about to be sent.
 func (r *recorder) recordCancelSent(id specs.JobID) {
 	r.mu.Lock()
--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -60,13 +60,13 @@
 	return c.harness.daemons[c.rand.IntN(len(c.harness.daemons))]
 }
 
-// call makes one call to a random daemon. It records a violation if the connection broke although the daemon's process
+// call makes one call to a random daemon. It records a violation if the connection broke although the same process of the daemon
 // ran before and after the call and was never paused or killed. A refused connection or a timeout is no violation.
 func (c *caller) call(what string, id specs.JobID, send func(d *daemon) stand.Answer) stand.Answer {
 	d := c.randomDaemon()
-	undisrupted := d.isUndisrupted()
+	called := d.undisrupted()
 	a := send(d)
-	if a.Status == 0 && !a.Refused && !a.TimedOut && undisrupted && d.isUndisrupted() {
+	if a.Status == 0 && !a.Refused && !a.TimedOut && called != nil && d.undisrupted() == called {
 		c.harness.recorder.addViolation("%s of job %s: daemon %s broke the connection, although it was neither paused nor killed", what, id, d.config.Name)
 	}
 	return a
@@ -95,7 +95,7 @@
 // randomParts returns the steps of a job: one step, or two of which the second starts after the first. Each has a few
 // tasks and may be a gang.
 func (c *caller) randomParts() []stand.Step {
-	const maxTasks = 4
+	maxTasks := c.harness.config.MaxTasks
 	part := func() stand.Step {
 		return stand.Step{
 			Count: 1 + c.rand.IntN(maxTasks), CPU: int64(taskCores), Memory: int64(taskMemory), Gang: c.rand.IntN(2) == 0,
--- a/internal/proof/soak/daemon.go
+++ b/internal/proof/soak/daemon.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/platform/stand"
 )
@@ -27,6 +29,12 @@
 	listenTimeout = 15 * time.Second
 	// rollbackShare is the number of restarts of which one is of the former build.
 	rollbackShare = 3
+	// With ScarceProcessor one in weakShare daemons is strong and has strongCores; the others run for slowRunTime and are paused for
+	// slowPause, again and again.
+	weakShare   = 3
+	strongCores = 4
+	slowRunTime = 20 * time.Millisecond
+	slowPause   = 30 * time.Millisecond
 )
 
 type (
@@ -56,6 +64,8 @@
 		stopSentAt time.Time
 		// disrupted is set when the process was paused or killed; how it ends is then not checked.
 		disrupted bool
+		// killed is set when the process was sent SIGKILL, and may not have ended yet.
+		killed bool
 	}
 )
 
@@ -72,6 +82,9 @@
 	if h.config.NarrowLinks {
 		config.LinkMbps = narrowLinkMbps
 	}
+	if h.config.ScarceProcessor && len(h.daemons)%weakShare == 0 {
+		config.Cores = strongCores
+	}
 	settingsPath, err := config.WriteSettings(h.config.Directory)
 	if err != nil {
 		return nil, err
@@ -84,8 +97,20 @@
 	return &daemon{harness: h, config: config, settingsPath: settingsPath, storeProxy: storeProxy, logFile: logFile}, nil
 }
 
+// awaitKilled waits for the end of a process that was killed.
+func (d *daemon) awaitKilled() {
+	d.mu.Lock()
+	p := d.process
+	isKilled := p != nil && p.killed
+	d.mu.Unlock()
+	if isKilled {
+		<-p.done
+	}
+}
+
 // start starts a process unless one is running.
 func (d *daemon) start() error {
+	d.awaitKilled()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.process != nil && d.process.isRunning() {
@@ -99,6 +124,9 @@
 	arguments := append(append([]string{}, command[1:]...), "--settings", d.settingsPath, "--metrics-port", port)
 	p := &process{command: exec.Command(command[0], arguments...), done: make(chan struct{})}
 	p.command.Stdout, p.command.Stderr = d.logFile, d.logFile
+	if d.harness.config.ScarceProcessor {
+		p.command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	}
 	if err := p.command.Start(); err != nil {
 		return errs.New(errs.Internal, "starting the daemon's process: %v", err)
 	}
@@ -137,7 +165,7 @@
 			d.mu.Unlock()
 			return
 		}
-		if d.harness.clock.Now().After(deadline) && d.isUndisrupted() {
+		if d.harness.clock.Now().After(deadline) && d.undisrupted() == p {
 			d.harness.recorder.addViolation("daemon %s was not listening %s after its start", d.config.Name, listenTimeout)
 			return
 		}
@@ -181,10 +209,22 @@
 		return
 	}
 	d.process.disrupted = d.process.disrupted || disrupts
+	d.process.killed = d.process.killed || s == syscall.SIGKILL
 	// An error means that the process has just ended, which reap handles.
 	_ = d.process.command.Process.Signal(s)
 }
 
+// slowDown pauses the process for most of the time until ctx ends, as a processor that is short does.
+func (d *daemon) slowDown(ctx context.Context) {
+	clock := d.harness.clock
+	for ctx.Err() == nil {
+		d.signal(syscall.SIGSTOP, false)
+		every.Sleep(ctx, clock, slowPause)
+		d.signal(syscall.SIGCONT, false)
+		every.Sleep(ctx, clock, slowRunTime)
+	}
+}
+
 // isListening reports whether the daemon's latest process has begun to listen.
 func (d *daemon) isListening() bool {
 	d.mu.Lock()
@@ -227,11 +267,14 @@
 	}
 }
 
-// isUndisrupted reports whether the daemon's process is running and was never paused or killed.
-func (d *daemon) isUndisrupted() bool {
+// undisrupted returns the daemon's process if it is running and was never paused or killed, otherwise nil.
+func (d *daemon) undisrupted() *process {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.process != nil && d.process.isRunning() && !d.process.disrupted
+	if d.process == nil || !d.process.isRunning() || d.process.disrupted {
+		return nil
+	}
+	return d.process
 }
 
 // close kills the process, if one is running, and closes the proxy and the log.
--- a/internal/proof/soak/faults.go
+++ b/internal/proof/soak/faults.go
@@ -2,23 +2,26 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
-	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
-	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
 )
 
 const (
 	// seriesCount is the number of fault series that run concurrently.
 	seriesCount = 3
+	// The further series have random streams of their own.
+	catalogStream = seriesCount
+	termStream    = seriesCount + 1
+	powerStream   = seriesCount + 2
+	gateStream    = seriesCount + 3
 	// minFaultDuration and maxFaultDuration bound how long one fault lasts, maxFaultDelay the time between two faults of
 	// a series.
 	minFaultDuration = 200 * time.Millisecond
@@ -78,29 +81,60 @@
 	}
 }
 
+// faultKinds returns the kinds of fault of a run.
+func (c Config) faultKinds() []faultKind {
+	kinds := faultKinds()
+	if c.StoreFaults {
+		kinds = append(kinds, storeFaultKinds()...)
+	}
+	if c.OnlyFault == "" {
+		return kinds
+	}
+	return slices.DeleteFunc(kinds, func(k faultKind) bool { return k.name != c.OnlyFault })
+}
+
+// seriesCount returns the number of fault series that run concurrently.
+func (c Config) seriesCount() int {
+	if c.OnlyFault != "" {
+		return 1
+	}
+	return seriesCount
+}
+
+func newFaultSeries(h *harness, stream uint64) *faultSeries {
+	return &faultSeries{harness: h, rand: rand.New(rand.NewPCG(h.config.Seed, stream))}
+}
+
 // injectFaults runs the fault series for the length of the run, then restores everything.
 func (h *harness) injectFaults(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, h.config.Length)
 	defer cancel()
 	var group sync.WaitGroup
-	for i := range seriesCount {
-		s := &faultSeries{harness: h, rand: rand.New(rand.NewPCG(h.config.Seed, uint64(i)))}
+	for i := range h.config.seriesCount() {
+		s := newFaultSeries(h, uint64(i))
 		group.Go(func() { s.run(ctx) })
 	}
 	if h.config.LargeCatalogs {
-		s := &faultSeries{harness: h, rand: rand.New(rand.NewPCG(h.config.Seed, seriesCount))}
+		s := newFaultSeries(h, catalogStream)
 		group.Go(func() { s.growCatalog(ctx) })
 	}
 	if h.config.ShortTerms {
-		s := &faultSeries{harness: h, rand: rand.New(rand.NewPCG(h.config.Seed, seriesCount+1))}
+		s := newFaultSeries(h, termStream)
 		group.Go(func() { s.shortenTerms(ctx) })
 	}
+	if h.config.ScarceProcessor {
+		for _, d := range h.daemons {
+			if d.config.Cores < strongCores {
+				group.Go(func() { d.slowDown(ctx) })
+			}
+		}
+	}
 	group.Wait()
 	h.restore()
 }
 
 func (s *faultSeries) run(ctx context.Context) {
-	kinds := faultKinds()
+	kinds := s.harness.config.faultKinds()
 	for ctx.Err() == nil {
 		f := kinds[s.rand.IntN(len(kinds))]
 		f.run(s, ctx)
@@ -111,7 +145,9 @@
 // restore ends every fault and starts the daemons that are not running.
 func (h *harness) restore() {
 	h.platform.Memory.Faults.SetDown(false)
+	h.platform.Memory.Faults.SetDelay(0)
 	h.platform.Memory.Faults.LoseAnswers(0)
+	h.gate.restore()
 	h.platform.Memory.Faults.RefuseWrites("")
 	h.platform.Fleet.LoseStarts(0, 0)
 	h.runnerProxy.setFault(linkFault{})
@@ -192,15 +228,7 @@
 }
 
 func (s *faultSeries) killAllDaemons(ctx context.Context) {
-	duration := s.randomDuration()
-	s.harness.recordFault("kill all", "for %s", duration)
-	for _, d := range s.harness.daemons {
-		d.signal(syscall.SIGKILL, true)
-	}
-	every.Sleep(ctx, s.harness.clock, duration)
-	for _, d := range s.harness.daemons {
-		s.harness.ensureRunning(d)
-	}
+	s.cutPower(ctx, s.randomDuration())
 }
 
 // faultStoreLinks sets a fault on the connections of one daemon, or of all, to the store.
@@ -350,25 +378,6 @@
 	}
 }
 
-// leader returns the daemon that the leader record names, or nil.
-func (h *harness) leader() *daemon {
-	control := h.platform.Memory.As("dc1", meter.Discard())
-	page, err := control.List(context.Background(), elect.LeaderKey)
-	if err != nil || len(page.Entries) == 0 {
-		return nil
-	}
-	var record elect.Leader
-	if json.Unmarshal(page.Entries[0].Value, &record) != nil {
-		return nil
-	}
-	for _, d := range h.daemons {
-		if d.config.Name == record.Target.VM {
-			return d
-		}
-	}
-	return nil
-}
-
 // growCatalog writes one large catalog after the other until ctx ends.
 func (s *faultSeries) growCatalog(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/proof/soak/gate.go
@@ -0,0 +1,406 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+)
+
+const (
+	storePath    = "/kv-"
+	watchPath    = "/kv-watch"
+	renewPath    = "/kv-keep/"
+	memberPrefix = "Flow/Control/Member/"
+
+	// The store takes writeRate writes and readRate reads per second of all daemons together. A renewal counts as
+	// 1/renewalsPerRead reads. With StoreFaults the rates are at times divided by up to maxRateDivisor.
+	writeRate       = 1200
+	readRate        = 6000
+	renewalsPerRead = 10
+	maxRateDivisor  = 600
+	// Without an answer, a call is carried out at once, or with lateShare between minLate and maxLate later, or never.
+	lossShare = 0.35
+	lateShare = 0.3
+	minLate   = time.Second
+	maxLate   = 6 * time.Second
+	// slowDelay is the time that a slow store takes for each call.
+	slowDelay = 300 * time.Millisecond
+	// The store refuses some daemons, or limits its rates, for maxRefusal at most. outageTime is how long an outage lasts.
+	maxRefusal = 9 * time.Second
+	outageTime = 4500 * time.Millisecond
+)
+
+// The answers to a daemon that the store refuses.
+const (
+	refuseUnavailable refusal = iota
+	refuseLimited
+	refuseReset
+	refuseSilent
+	refusalCount
+)
+
+type (
+	// refusal is how the store refuses the calls of a daemon.
+	refusal int
+
+	// storeGate passes calls on to the store, with the faults that depend on the call or on its daemon.
+	storeGate struct {
+		harness *harness
+		next    http.Handler
+		writes  *rate.Limiter
+		reads   *rate.Limiter
+
+		mu      sync.Mutex
+		rand    *rand.Rand
+		refused map[*daemon]refusal
+		// loses is set while answers are lost.
+		loses bool
+		// refusesWrites is set while all writes are beyond the rate, but not the reads, among them the renewals.
+		refusesWrites bool
+		// historyFrom is the version from which on the store has its history.
+		historyFrom uint64
+	}
+
+	// noAnswer takes the answer to a call that the daemon never gets.
+	noAnswer struct{}
+)
+
+func newStoreGate(h *harness) *storeGate {
+	g := &storeGate{harness: h, refused: make(map[*daemon]refusal), rand: rand.New(rand.NewPCG(h.config.Seed, gateStream))}
+	g.writes = rate.NewLimiter(writeRate, writeRate)
+	g.reads = rate.NewLimiter(readRate*renewalsPerRead, readRate*renewalsPerRead)
+	return g
+}
+
+// wrap returns the handler that serves a platform's calls through the gate.
+func (g *storeGate) wrap(next http.Handler) http.Handler {
+	g.next = next
+	return g
+}
+
+func (noAnswer) Header() http.Header         { return http.Header{} }
+func (noAnswer) Write(b []byte) (int, error) { return len(b), nil }
+func (noAnswer) WriteHeader(int)             {}
+
+// ServeHTTP serves a call to the platform. Only calls to the store have faults.
+func (g *storeGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, storePath) || !g.harness.config.StoreFaults {
+		g.next.ServeHTTP(w, r)
+		return
+	}
+	switch how, isRefused := g.findRefusal(r); {
+	case isRefused:
+		refuse(w, r, how)
+	case !g.takeRate(r):
+		refuse(w, r, refuseLimited)
+	case r.URL.Path == watchPath && g.isHistoryGone(r):
+		w.WriteHeader(http.StatusGone)
+	case g.isLost():
+		g.lose(r)
+		refuse(w, r, refuseSilent)
+	default:
+		g.next.ServeHTTP(w, r)
+	}
+}
+
+func refuse(w http.ResponseWriter, r *http.Request, how refusal) {
+	switch how {
+	case refuseUnavailable:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case refuseLimited:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case refuseSilent:
+		// The server notices that the caller gives up only once it has read the body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *storeGate) findRefusal(r *http.Request) (refusal, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for d, how := range g.refused {
+		if d.storeProxy.isFrom(r.RemoteAddr) {
+			return how, true
+		}
+	}
+	return 0, false
+}
+
+// takeRate reports whether a call is within the rate of its kind.
+func (g *storeGate) takeRate(r *http.Request) bool {
+	switch {
+	case strings.HasPrefix(r.URL.Path, renewPath):
+		return g.reads.Allow()
+	case r.Method == http.MethodGet:
+		return g.reads.AllowN(time.Now(), renewalsPerRead)
+	default:
+		return g.acceptsWrites() && g.writes.Allow()
+	}
+}
+
+func (g *storeGate) acceptsWrites() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.refusesWrites
+}
+
+func (g *storeGate) setRefusesWrites(refuses bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refusesWrites = refuses
+}
+
+func (g *storeGate) isHistoryGone(r *http.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	return err == nil && after < g.historyFrom
+}
+
+func (g *storeGate) isLost() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.loses && g.rand.Float64() < lossShare
+}
+
+// lose carries out a call whose answer is lost: at once, later, or never.
+func (g *storeGate) lose(r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	g.mu.Lock()
+	draw, delay := g.rand.Float64(), minLate+time.Duration(g.rand.Int64N(int64(maxLate-minLate)))
+	g.mu.Unlock()
+	late := r.Clone(context.WithoutCancel(r.Context()))
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	switch {
+	case r.Method == http.MethodGet:
+	case draw < lateShare:
+		go func() {
+			g.harness.clock.Sleep(delay)
+			g.serveSilently(late)
+		}()
+	case draw < 2*lateShare:
+		g.serveSilently(late)
+	}
+}
+
+func (g *storeGate) serveSilently(r *http.Request) {
+	defer func() {
+		// A handler that breaks the connection panics; here there is none.
+		_ = recover()
+	}()
+	g.next.ServeHTTP(noAnswer{}, r)
+}
+
+// setRefused sets how the store refuses the daemons.
+func (g *storeGate) setRefused(daemons []*daemon, how refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, d := range daemons {
+		g.refused[d] = how
+	}
+}
+
+// serveAgain ends the refusal of the daemons.
+func (g *storeGate) serveAgain(daemons []*daemon) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, d := range daemons {
+		delete(g.refused, d)
+	}
+}
+
+func (g *storeGate) setLoses(loses bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loses = loses
+}
+
+// divideRates sets the rates of the store to fractions of the usual ones.
+func (g *storeGate) divideRates(writeDivisor, readDivisor int) {
+	setRate(g.writes, writeRate/writeDivisor)
+	setRate(g.reads, readRate*renewalsPerRead/readDivisor)
+}
+
+func setRate(l *rate.Limiter, perSecond int) {
+	l.SetLimit(rate.Limit(perSecond))
+	l.SetBurst(perSecond)
+}
+
+// restore ends all faults of the gate.
+func (g *storeGate) restore() {
+	g.mu.Lock()
+	clear(g.refused)
+	g.loses, g.refusesWrites = false, false
+	g.mu.Unlock()
+	g.divideRates(1, 1)
+}
+
+// storeFaultKinds returns the kinds of fault that StoreFaults adds.
+func storeFaultKinds() []faultKind {
+	return []faultKind{
+		{"store refuses", (*faultSeries).refuseDaemons},
+		{"store refuses writes", (*faultSeries).refuseWrites},
+		{"store limited", (*faultSeries).limitRates},
+		{"store loses answers", (*faultSeries).loseShareOfAnswers},
+		{"store very slow", (*faultSeries).slowStore},
+		{"store history dropped", (*faultSeries).dropHistory},
+		{"store outage", (*faultSeries).interruptStore},
+		{"leader killed", (*faultSeries).killLeader},
+		{"leader paused", (*faultSeries).pauseLeader},
+		{"stop in turn", (*faultSeries).stopInTurn},
+	}
+}
+
+// refuseDaemons refuses a third of the daemons, among them the leader every second time. Every second time their leases end at once.
+func (s *faultSeries) refuseDaemons(ctx context.Context) {
+	h := s.harness
+	first, targets := s.rand.IntN(len(h.daemons)), []*daemon{}
+	for i := range max(1, len(h.daemons)/3) {
+		targets = append(targets, h.daemons[(first+i)%len(h.daemons)])
+	}
+	if leader := h.leader(); leader != nil && s.rand.IntN(2) == 0 {
+		targets = append(targets, leader)
+	}
+	how, endsLeases := refusal(s.rand.IntN(int(refusalCount))), s.rand.IntN(2) == 0
+	duration := s.randomRefusal()
+	h.recordFault("store refuses", "%d daemons from %s to %s, how %d, leases ended %t, for %s",
+		len(targets), targets[0].config.Name, targets[len(targets)-1].config.Name, how, endsLeases, duration)
+	h.gate.setRefused(targets, how)
+	if endsLeases {
+		h.endLeases(targets)
+	}
+	every.Sleep(ctx, h.clock, duration)
+	h.gate.serveAgain(targets)
+}
+
+// randomRefusal returns how long the store refuses daemons or limits its rates.
+func (s *faultSeries) randomRefusal() time.Duration {
+	return minFaultDuration + time.Duration(s.rand.Int64N(int64(maxRefusal-minFaultDuration)))
+}
+
+func (h *harness) endLeases(daemons []*daemon) {
+	var keys []store.Key
+	for _, d := range daemons {
+		keys = append(keys, store.Key(memberPrefix+string(d.config.Name)))
+	}
+	if leader := h.leader(); leader != nil {
+		for _, d := range daemons {
+			if d == leader {
+				keys = append(keys, elect.LeaderKey)
+			}
+		}
+	}
+	h.platform.Memory.EndLeases(keys...)
+}
+
+func (s *faultSeries) refuseWrites(ctx context.Context) {
+	duration := s.randomRefusal()
+	s.harness.recordFault("store refuses writes", "for %s", duration)
+	s.harness.gate.setRefusesWrites(true)
+	every.Sleep(ctx, s.harness.clock, duration)
+	s.harness.gate.setRefusesWrites(false)
+}
+
+// limitRates limits the rate of writes, and every second time that of reads as well.
+func (s *faultSeries) limitRates(ctx context.Context) {
+	writes, reads := 1+s.rand.IntN(maxRateDivisor), 1
+	if s.rand.IntN(2) == 0 {
+		reads += s.rand.IntN(maxRateDivisor)
+	}
+	duration := s.randomRefusal()
+	s.harness.recordFault("store limited", "to 1/%d of its writes and 1/%d of its reads, for %s", writes, reads, duration)
+	s.harness.gate.divideRates(writes, reads)
+	every.Sleep(ctx, s.harness.clock, duration)
+	s.harness.gate.divideRates(1, 1)
+}
+
+func (s *faultSeries) loseShareOfAnswers(ctx context.Context) {
+	duration := s.randomDuration()
+	s.harness.recordFault("store loses answers", "%g of them, for %s", lossShare, duration)
+	s.harness.gate.setLoses(true)
+	every.Sleep(ctx, s.harness.clock, duration)
+	s.harness.gate.setLoses(false)
+}
+
+func (s *faultSeries) slowStore(ctx context.Context) {
+	duration := s.randomDuration()
+	s.harness.recordFault("store very slow", "by %s, for %s", slowDelay, duration)
+	s.harness.platform.Memory.Faults.SetDelay(slowDelay)
+	every.Sleep(ctx, s.harness.clock, duration)
+	s.harness.platform.Memory.Faults.SetDelay(0)
+}
+
+func (s *faultSeries) dropHistory(context.Context) {
+	g := s.harness.gate
+	s.harness.recordFault("store history dropped", "all")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.historyFrom = uint64(s.harness.platform.Memory.LastVersion())
+}
+
+// interruptStore takes the store down for outageTime. Leases pause meanwhile every second time.
+func (s *faultSeries) interruptStore(ctx context.Context) {
+	memory, pauses := s.harness.platform.Memory, s.rand.IntN(2) == 0
+	s.harness.recordFault("store outage", "for %s, leases pause %t", outageTime, pauses)
+	memory.Faults.SetDown(true)
+	every.Sleep(ctx, s.harness.clock, outageTime)
+	if pauses {
+		memory.ExtendLeases(outageTime)
+	}
+	memory.Faults.SetDown(false)
+}
+
+func (s *faultSeries) killLeader(ctx context.Context) {
+	duration := s.randomDuration()
+	if d := s.harness.leader(); d != nil {
+		s.harness.recordFault("leader killed", "%s, for %s", d.config.Name, duration)
+		d.signal(syscall.SIGKILL, true)
+		every.Sleep(ctx, s.harness.clock, duration)
+		s.harness.ensureRunning(d)
+	}
+}
+
+func (s *faultSeries) pauseLeader(ctx context.Context) {
+	duration := s.randomDuration()
+	if d := s.harness.leader(); d != nil {
+		s.harness.recordFault("leader paused", "%s, for %s", d.config.Name, duration)
+		d.signal(syscall.SIGSTOP, true)
+		every.Sleep(ctx, s.harness.clock, duration)
+		d.signal(syscall.SIGCONT, true)
+	}
+}
+
+// stopInTurn stops the leader and starts it again, then its successor, and so on, until ctx ends or as many times as a third of the
+// daemons.
+func (s *faultSeries) stopInTurn(ctx context.Context) {
+	for range max(1, len(s.harness.daemons)/3) {
+		d := s.harness.leader()
+		if d == nil || ctx.Err() != nil {
+			return
+		}
+		s.harness.recordFault("stop in turn", "%s", d.config.Name)
+		if d.terminate() {
+			d.awaitExit()
+			s.harness.ensureRunning(d)
+		}
+	}
+}
--- a/internal/proof/soak/proxy.go
+++ b/internal/proof/soak/proxy.go
@@ -173,6 +173,18 @@
 	}
 }
 
+// isFrom reports whether an address is that of one of the connections that the proxy has made.
+func (p *proxy) isFrom(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.connections {
+		if c.LocalAddr().String() == address {
+			return true
+		}
+	}
+	return false
+}
+
 // setFault replaces the current fault.
 func (p *proxy) setFault(f linkFault) {
 	p.mu.Lock()
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -31,6 +31,8 @@
 	DefaultRunners = 6
 	DefaultCallers = 6
 	DefaultLength  = 12 * time.Second
+	// DefaultMaxTasks is the default of Config.MaxTasks.
+	DefaultMaxTasks = 4
 )
 
 const (
@@ -98,6 +100,16 @@
 		// ShortTerms kills the leader every second or two and refuses its snapshots, so that no term lasts until its snapshot is
 		// written and the ledger's ring fills.
 		ShortTerms bool
+		// StoreFaults adds the faults of the store that depend on the call or on its daemon, and those of the leader.
+		StoreFaults bool
+		// ScarceProcessor gives each daemon one processor, and the weak ones only a share of it.
+		ScarceProcessor bool
+		// PowerLosses is the number of times that all daemons are killed at once after the other faults, right after a job was accepted.
+		PowerLosses int
+		// OnlyFault, if not empty, is the name of the only kind of fault, of which one is injected at a time.
+		OnlyFault string
+		// MaxTasks is the maximum number of tasks in a step of a job; zero means DefaultMaxTasks.
+		MaxTasks int
 	}
 
 	// Report is the result of a run.
@@ -111,6 +123,8 @@
 		Cancelled int
 		Refused   int
 		Starts    int
+		// LongestTermless is the longest time for which the leader record was seen to name a daemon without a term.
+		LongestTermless time.Duration
 		// Broken lists the broken promises in the order in which they were detected.
 		Broken []string
 		// Events lists the injected faults in order, with the time since the start of the run.
@@ -125,6 +139,7 @@
 		clock       clockwork.Clock
 		startedAt   time.Time
 		platform    *stand.Platform
+		gate        *storeGate
 		runnerProxy *proxy
 		daemons     []*daemon
 		recorder    *recorder
@@ -139,6 +154,8 @@
 		catalogVersion int
 		// violationCount is the number of recorded violations that the runners saw.
 		violationCount int
+		// longestTermless is the longest time for which the leader record was seen to name a daemon without a term.
+		longestTermless time.Duration
 	}
 )
 
@@ -160,7 +177,9 @@
 		loops.Go(func() { newCaller(h, i).run(callCtx) })
 	}
 	loops.Go(func() { h.watchViolations(callCtx) })
+	loops.Go(func() { h.watchLeader(callCtx) })
 	h.injectFaults(ctx)
+	h.losePower(ctx)
 	stopCalls()
 	loops.Wait()
 	h.awaitCompletion(ctx)
@@ -171,7 +190,13 @@
 }
 
 func newHarness(c Config) (*harness, error) {
+	if len(c.faultKinds()) == 0 {
+		return nil, errs.New(errs.Invalid, "there is no kind of fault with the name %q", c.OnlyFault)
+	}
 	clock := clockwork.NewRealClock()
+	if c.MaxTasks == 0 {
+		c.MaxTasks = DefaultMaxTasks
+	}
 	h := &harness{config: c, clock: clock, startedAt: clock.Now(), faultCounts: make(map[string]int), catalogVersion: firstCatalog}
 	h.recorder = newRecorder(clock, h.startedAt)
 	platform, err := stand.Start(clock, agent.FleetConfig{
@@ -185,6 +210,8 @@
 		return nil, err
 	}
 	h.platform = platform
+	h.gate = newStoreGate(h)
+	platform.Intercept(h.gate.wrap)
 	if h.runnerProxy, err = newProxy(clock, platform.Address, 0); err != nil {
 		return nil, err
 	}
@@ -371,7 +398,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := &Report{
-		Seed: h.config.Seed, Daemons: h.config.Daemons, Faults: h.faultCounts, Events: h.events,
+		LongestTermless: h.longestTermless,
+		Seed:            h.config.Seed, Daemons: h.config.Daemons, Faults: h.faultCounts, Events: h.events,
 		Starts: h.platform.Fleet.StartCount(), Directory: h.config.Directory,
 	}
 	h.recorder.fillReport(r)
@@ -385,7 +413,7 @@
 	lines := []string{
 		fmt.Sprintf("seed %d: %d daemons, %d jobs, %d accepted, %d completed, %d cancelled, %d refused, %d starts, %d broken",
 			r.Seed, r.Daemons, r.Jobs, r.Accepted, r.Completed, r.Cancelled, r.Refused, r.Starts, len(r.Broken)),
-		fmt.Sprintf("  failures: %v", r.Faults),
+		fmt.Sprintf("  failures: %v; the leader record named a daemon without a term for %s at most", r.Faults, r.LongestTermless),
 	}
 	if len(r.Broken) > 0 {
 		lines = append(lines, r.Broken...)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -132,6 +132,11 @@
 	runWith(t, soak.Config{Seed: 5, Length: 20 * time.Second, Callers: 24, ShortTerms: true})
 }
 
+// Callers go on while the store refuses some daemons, loses answers and limits its rates, and after all daemons were killed at once.
+func TestSoakWithStoreFaults(t *testing.T) {
+	runWith(t, soak.Config{Seed: 8, Length: shortLength, StoreFaults: true, ScarceProcessor: true, PowerLosses: 1})
+}
+
 // While VMs are replaced, daemons of the build in production and of this one share the ledger and the election, in any order.
 func TestSoakWithAFormerBuild(t *testing.T) {
 	former := buildFormer(t)
