--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -137,6 +137,11 @@
 	runWith(t, soak.Config{Seed: 8, Length: shortLength, StoreFaults: true, ScarceProcessor: true, PowerLosses: 1})
 }
 
+// A leader that ends its term while the store takes no write must not stay the recorded one.
+func TestNoDaemonStaysRecordedWithoutATerm(t *testing.T) {
+	runWith(t, soak.Config{Seed: 11, Length: soak.DefaultLength, StoreFaults: true, OnlyFault: "store refuses writes", PowerLosses: 1})
+}
+
 // While VMs are replaced, daemons of the build in production and of this one share the ledger and the election, in any order.
 func TestSoakWithAFormerBuild(t *testing.T) {
 	former := buildFormer(t)
