Play an outage of the store after which answers are lost in the soak

The one delete of the leader record then meets lost answers, while the leases have paused and the record is still there.

--- a/internal/proof/soak/gate.go
+++ b/internal/proof/soak/gate.go
@@ -264,6 +264,7 @@
 		{"store very slow", (*faultSeries).slowStore},
 		{"store history dropped", (*faultSeries).dropHistory},
 		{"store outage", (*faultSeries).interruptStore},
+		{"store outage and losses", (*faultSeries).interruptStoreWithLosses},
 		{"leader killed", (*faultSeries).killLeader},
 		{"leader paused", (*faultSeries).pauseLeader},
 		{"stop in turn", (*faultSeries).stopInTurn},
@@ -369,6 +370,19 @@
 	memory.Faults.SetDown(false)
 }
 
+// interruptStoreWithLosses takes the store down while leases pause. The store then loses answers for a while.
+func (s *faultSeries) interruptStoreWithLosses(ctx context.Context) {
+	h, duration := s.harness, s.randomDuration()
+	h.recordFault("store outage and losses", "for %s, then answers are lost for %s", outageTime, duration)
+	h.platform.Memory.Faults.SetDown(true)
+	every.Sleep(ctx, h.clock, outageTime)
+	h.platform.Memory.ExtendLeases(outageTime)
+	h.gate.setLoses(true)
+	h.platform.Memory.Faults.SetDown(false)
+	every.Sleep(ctx, h.clock, duration)
+	h.gate.setLoses(false)
+}
+
 func (s *faultSeries) killLeader(ctx context.Context) {
 	duration := s.randomDuration()
 	if d := s.harness.leader(); d != nil {
