Omit no line of the election from the log

A daemon writes 300 lines of a level in a second at most.

The elector's few lines are exempt from the limit.

--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -126,7 +126,9 @@
 	f.adviceCache = newAdviceCache()
 	f.relays = relay.NewServer(relay.ServerConfig{Agents: c.Agents, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics})
 	f.elector = elect.New(elect.Config{
-		Self: c.Self, Strength: c.Strength, Store: c.Store, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, TTL: c.TTL,
+		Self: c.Self, Strength: c.Strength, Store: c.Store, Clock: c.Clock, Metrics: c.Metrics, TTL: c.TTL,
+		// Its lines are few, and must not be omitted for others of the same second: they alone tell who led, and why a term ended.
+		Log:              c.Log.Sample(nil),
 		OnStartedLeading: f.startLeading, OnStoppedLeading: f.stopLeading,
 	})
 	f.feed = feed.New(feed.Config{
