Write the hooks of the elector's test store once

Five tests wrapped the store's writes each by themselves. They pass an answer through hookAnswers now.

--- a/internal/flow/elect/ends_test.go
+++ b/internal/flow/elect/ends_test.go
@@ -19,14 +19,23 @@
 // vacancyTimeout is how long after a failure the record may name a daemon without a term.
 const vacancyTimeout = 10 * testTTL
 
-// hookedStore calls a hook in place of each Apply; the hook may call it through.
+// hookedStore passes the outcome of each Apply that was answered through a hook, on behalf of its daemon.
 type hookedStore struct {
 	store.Batcher
-	apply func(ctx context.Context, batch store.Batch, through func(context.Context, store.Batch) (store.Outcome, error)) (store.Outcome, error)
+	answer func(batch store.Batch, out store.Outcome) (store.Outcome, error)
 }
 
 func (h *hookedStore) Apply(ctx context.Context, batch store.Batch) (store.Outcome, error) {
-	return h.apply(ctx, batch, h.Batcher.Apply)
+	out, err := h.Batcher.Apply(ctx, batch)
+	if err != nil {
+		return out, err
+	}
+	return h.answer(batch, out)
+}
+
+// hookAnswers lets the hook see, hold and lose the answers that daemons which join from now on get to their writes.
+func (f *clusterFixture) hookAnswers(answer func(batch store.Batch, out store.Outcome) (store.Outcome, error)) {
+	f.wrap = func(_ types.VMID, b store.Batcher) store.Batcher { return &hookedStore{Batcher: b, answer: answer} }
 }
 
 func deletesLeader(batch store.Batch) bool {
@@ -122,7 +131,7 @@
 				t.Parallel()
 				var loseDelete atomic.Bool
 				f := newClusterFixture(t)
-				f.wrap = losingDeletes(&loseDelete)
+				f.hookAnswers(losingDeletes(&loseDelete))
 				all := f.joinMany(count)
 				leader := f.awaitLeader(all...)
 				time.Sleep(testTTL) // The watch has delivered the leader's own claim by then.
@@ -134,17 +143,12 @@
 }
 
 // losingDeletes loses the answer to the next delete of the leader record once lose is set.
-func losingDeletes(lose *atomic.Bool) func(types.VMID, store.Batcher) store.Batcher {
-	return func(_ types.VMID, b store.Batcher) store.Batcher {
-		return &hookedStore{Batcher: b, apply: func(
-			ctx context.Context, batch store.Batch, through func(context.Context, store.Batch) (store.Outcome, error),
-		) (store.Outcome, error) {
-			out, err := through(ctx, batch)
-			if err == nil && deletesLeader(batch) && lose.CompareAndSwap(true, false) {
-				return store.Outcome{}, errs.New(errs.Lost, "the answer is lost")
-			}
-			return out, err
-		}}
+func losingDeletes(lose *atomic.Bool) func(store.Batch, store.Outcome) (store.Outcome, error) {
+	return func(batch store.Batch, out store.Outcome) (store.Outcome, error) {
+		if deletesLeader(batch) && lose.CompareAndSwap(true, false) {
+			return store.Outcome{}, errs.New(errs.Lost, "the answer is lost")
+		}
+		return out, nil
 	}
 }
 
@@ -163,18 +167,13 @@
 	t.Parallel()
 	claimed, proceed := make(chan struct{}, 1), make(chan struct{})
 	f := newClusterFixture(t)
-	f.wrap = func(_ types.VMID, b store.Batcher) store.Batcher {
-		return &hookedStore{Batcher: b, apply: func(
-			ctx context.Context, batch store.Batch, through func(context.Context, store.Batch) (store.Outcome, error),
-		) (store.Outcome, error) {
-			out, err := through(ctx, batch)
-			if err == nil && putsLeader(batch) {
-				claimed <- struct{}{}
-				<-proceed
-			}
-			return out, err
-		}}
-	}
+	f.hookAnswers(func(batch store.Batch, out store.Outcome) (store.Outcome, error) {
+		if putsLeader(batch) {
+			claimed <- struct{}{}
+			<-proceed
+		}
+		return out, nil
+	})
 	d := f.join("a")
 	<-claimed
 	d.StepDown(context.Background())
@@ -280,33 +279,34 @@
 }
 
 func (l *lateWrites) wrap(_ types.VMID, b store.Batcher) store.Batcher {
-	return &hookedStore{Batcher: b, apply: func(
-		ctx context.Context, batch store.Batch, through func(context.Context, store.Batch) (store.Outcome, error),
-	) (store.Outcome, error) {
-		delay := time.Duration(l.delay.Load())
-		if delay == 0 {
-			return through(ctx, batch)
-		}
-		time.AfterFunc(delay, func() { _, _ = through(context.WithoutCancel(ctx), batch) })
-		<-ctx.Done()
-		return store.Outcome{}, errs.New(errs.Lost, "no answer: %v", ctx.Err())
-	}}
+	return &lateStore{Batcher: b, writes: l}
+}
+
+// lateStore is a store whose writes are lateWrites.
+type lateStore struct {
+	store.Batcher
+	writes *lateWrites
+}
+
+func (s *lateStore) Apply(ctx context.Context, batch store.Batch) (store.Outcome, error) {
+	delay := time.Duration(s.writes.delay.Load())
+	if delay == 0 {
+		return s.Batcher.Apply(ctx, batch)
+	}
+	time.AfterFunc(delay, func() { _, _ = s.Batcher.Apply(context.WithoutCancel(ctx), batch) })
+	<-ctx.Done()
+	return store.Outcome{}, errs.New(errs.Lost, "no answer: %v", ctx.Err())
 }
 
 // Guards against a daemon that claims again and again while the answers to its claims are lost, and never leads.
 func TestClaimWhoseAnswerIsLostBeginsATerm(t *testing.T) {
 	t.Parallel()
 	f := newClusterFixture(t)
-	f.wrap = func(_ types.VMID, b store.Batcher) store.Batcher {
-		return &hookedStore{Batcher: b, apply: func(
-			ctx context.Context, batch store.Batch, through func(context.Context, store.Batch) (store.Outcome, error),
-		) (store.Outcome, error) {
-			out, err := through(ctx, batch)
-			if err == nil && putsLeader(batch) {
-				return store.Outcome{}, errs.New(errs.Lost, "the answer is lost")
-			}
-			return out, err
-		}}
-	}
+	f.hookAnswers(func(batch store.Batch, out store.Outcome) (store.Outcome, error) {
+		if putsLeader(batch) {
+			return store.Outcome{}, errs.New(errs.Lost, "the answer is lost")
+		}
+		return out, nil
+	})
 	f.assertServed(f.joinMany(2)...)
 }
--- a/internal/flow/elect/release_test.go
+++ b/internal/flow/elect/release_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
 )
 
@@ -31,20 +30,15 @@
 	var held atomic.Bool
 	proceed := make(chan struct{})
 	f := newClusterFixture(t)
-	f.wrap = func(_ types.VMID, b store.Batcher) store.Batcher {
-		return &hookedStore{Batcher: b, apply: func(
-			ctx context.Context, batch store.Batch, through func(context.Context, store.Batch) (store.Outcome, error),
-		) (store.Outcome, error) {
-			out, err := through(ctx, batch)
-			if err == nil && deletesLeader(batch) {
-				once.Do(func() {
-					held.Store(true)
-					<-proceed
-				})
-			}
-			return out, err
-		}}
-	}
+	f.hookAnswers(func(batch store.Batch, out store.Outcome) (store.Outcome, error) {
+		if deletesLeader(batch) {
+			once.Do(func() {
+				held.Store(true)
+				<-proceed
+			})
+		}
+		return out, nil
+	})
 	leader, other := f.awaitLeaderOf(f.join("a"), f.join("b"))
 	go func() {
 		deadline := time.Now().Add(vacancyTimeout)
@@ -74,17 +68,12 @@
 	t.Parallel()
 	var deletes atomic.Int64
 	f := newClusterFixture(t)
-	f.wrap = func(_ types.VMID, b store.Batcher) store.Batcher {
-		return &hookedStore{Batcher: b, apply: func(
-			ctx context.Context, batch store.Batch, through func(context.Context, store.Batch) (store.Outcome, error),
-		) (store.Outcome, error) {
-			out, err := through(ctx, batch)
-			if err == nil && out.Applied && deletesLeader(batch) {
-				deletes.Add(1)
-			}
-			return out, err
-		}}
-	}
+	f.hookAnswers(func(batch store.Batch, out store.Outcome) (store.Outcome, error) {
+		if out.Applied && deletesLeader(batch) {
+			deletes.Add(1)
+		}
+		return out, nil
+	})
 	former := f.join("a")
 	f.awaitLeader(former)
 	former.StepDown(context.Background())
