Tell the store's calls apart in the platform's stand-in

The soak's gate knew the paths of the store's interface and read the time by itself. The stand-in says what kind of call a request makes, and the gate takes the run's clock. No fault is changed.

--- a/internal/proof/soak/gate.go
+++ b/internal/proof/soak/gate.go
@@ -6,8 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,12 +15,10 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
+	"github.com/magnoliawalk/magnoliawalk/platform/stand"
 )
 
 const (
-	storePath    = "/kv-"
-	watchPath    = "/kv-watch"
-	renewPath    = "/kv-keep/"
 	memberPrefix = "Flow/Control/Member/"
 
 	// The store takes writeRate writes and readRate reads per second of all daemons together. A renewal counts as
@@ -71,7 +67,7 @@
 		// refusesWrites is set while all writes are beyond the rate, but not the reads, among them the renewals.
 		refusesWrites bool
 		// historyFrom is the version from which on the store has its history.
-		historyFrom uint64
+		historyFrom store.Version
 	}
 
 	// noAnswer takes the answer to a call that the daemon never gets.
@@ -97,16 +93,17 @@
 
 // ServeHTTP serves a call to the platform. Only calls to the store have faults.
 func (g *storeGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.HasPrefix(r.URL.Path, storePath) || !g.harness.config.StoreFaults {
+	call := stand.StoreCallOf(r)
+	if call == stand.OtherCall || !g.harness.config.StoreFaults {
 		g.next.ServeHTTP(w, r)
 		return
 	}
 	switch how, isRefused := g.findRefusal(r); {
 	case isRefused:
 		refuse(w, r, how)
-	case !g.takeRate(r):
+	case !g.takeRate(call):
 		refuse(w, r, refuseLimited)
-	case r.URL.Path == watchPath && g.isHistoryGone(r):
+	case call == stand.WatchCall && g.isHistoryGone(r):
 		w.WriteHeader(http.StatusGone)
 	case g.isLost():
 		g.lose(r)
@@ -143,14 +140,15 @@
 }
 
 // takeRate reports whether a call is within the rate of its kind.
-func (g *storeGate) takeRate(r *http.Request) bool {
-	switch {
-	case strings.HasPrefix(r.URL.Path, renewPath):
-		return g.reads.Allow()
-	case r.Method == http.MethodGet:
-		return g.reads.AllowN(time.Now(), renewalsPerRead)
+func (g *storeGate) takeRate(call stand.StoreCall) bool {
+	now := g.harness.clock.Now()
+	switch call {
+	case stand.RenewCall:
+		return g.reads.AllowN(now, 1)
+	case stand.ReadCall, stand.WatchCall:
+		return g.reads.AllowN(now, renewalsPerRead)
 	default:
-		return g.acceptsWrites() && g.writes.Allow()
+		return g.acceptsWrites() && g.writes.AllowN(now, 1)
 	}
 }
 
@@ -169,8 +167,7 @@
 func (g *storeGate) isHistoryGone(r *http.Request) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	return err == nil && after < g.historyFrom
+	return stand.WatchedFrom(r) < g.historyFrom
 }
 
 func (g *storeGate) isLost() bool {
@@ -355,7 +352,7 @@
 	s.harness.recordFault("store history dropped", "all")
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.historyFrom = uint64(s.harness.platform.Memory.LastVersion())
+	g.historyFrom = s.harness.platform.Memory.LastVersion()
 }
 
 // interruptStore takes the store down for outageTime. Leases pause meanwhile every second time.
