--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -182,7 +182,8 @@
 		c.Metrics = metrics.NewRegistry()
 	}
 	return &Elector{
-		config: c, metrics: newElectMetrics(c.Metrics), nonce: store.Nonce(uuid.NewString()), members: make(map[types.VMID]Member), recordsChanged: make(chan struct{}, 1),
+		config: c, metrics: newElectMetrics(c.Metrics), nonce: store.Nonce(uuid.NewString()),
+		members: make(map[types.VMID]Member), recordsChanged: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/flow/elect/termless.go
+++ b/internal/flow/elect/termless.go
@@ -51,11 +51,12 @@
 	return e.record.Epoch == e.lastEpoch || e.epochRecord.isSameClaim(epochRecord{Epoch: e.record.Epoch, Nonce: e.nonce})
 }
 
-// checkTermless records and logs for how long the leader record has named this daemon without a term. The caller must hold e.mu.
+// checkTermless records and logs for how long the leader record has named this daemon without a term. A daemon that knows a newer leader only
+// lacks the news of the record, as when it is cut off from the store. The caller must hold e.mu.
 func (e *Elector) checkTermless() {
 	now := e.config.Clock.Now()
 	t := &e.termless
-	if e.term != nil || !e.isRecordOwn() {
+	if e.term != nil || !e.isRecordOwn() || e.leader.Epoch > e.record.Epoch {
 		if !t.loggedAt.IsZero() {
 			e.config.Log.Info().Dur("For", now.Sub(t.since)).Msg("the leader record no longer names this daemon without a term")
 		}
