Say once a second how late the leader is, and what takes its time

To tell whether a leader that falls behind sends starts again, loses renewals, throws gangs away or is called too often, its lines had to be counted, and most of them are omitted under load. One line a second now holds the lateness of the leader's timers, the starts and writes in flight, the time in plans and ticks, and the counts of calls, answers and early ends since the last one. It is a warning when a timer was late by 100 ms, so that the limit of lines at level info does not omit it. New counters: starts sent again and discarded, submissions of known jobs, requests for states; new gauges: lateness and starts in flight.

Tests of flow/owner passed. What the line costs was not measured.

--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -32,6 +32,7 @@
 		return errs.New(errs.Unavailable, "the leader has not read the ledger yet")
 	}
 	if o.isKnown(job.ID) {
+		o.counters.jobsRepeated.Inc(1)
 		o.onAcceptanceDurable(job.ID, durable)
 		return nil
 	}
@@ -135,6 +136,7 @@
 func (o *Owner) jobState(id specs.JobID) (tasks.JobState, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.counters.states.Inc(1)
 	if !o.open {
 		return "", errs.New(errs.Unavailable, "the leader has not read the ledger yet")
 	}
--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -4,12 +4,17 @@
 
 // counters holds the metrics of the leader.
 type counters struct {
-	jobsAccepted     metrics.Counter
-	jobsRejected     metrics.Counter
-	jobsEnded        metrics.Counter
+	jobsAccepted metrics.Counter
+	jobsRejected metrics.Counter
+	jobsEnded    metrics.Counter
+	// jobsRepeated counts submissions of jobs that are known, states the requests for the state of a job.
+	jobsRepeated     metrics.Counter
+	states           metrics.Counter
 	starts           metrics.Counter
 	startsRejected   metrics.Counter
 	startsUnanswered metrics.Counter
+	startsRepeated   metrics.Counter
+	startsDiscarded  metrics.Counter
 	runsLost         metrics.Counter
 	stops            metrics.Counter
 	stopsBeforeLeave metrics.Counter
@@ -49,7 +54,9 @@
 	return counters{
 		jobs: gauge("Jobs"), jobsWaiting: gauge("JobsWaiting"), runs: gauge("Runs"), coresFree: gauge("CoresFree"),
 		jobsAccepted: count("JobsAccepted"), jobsRejected: count("JobsRefused"), jobsEnded: count("JobsEnded"),
+		jobsRepeated: count("JobsRepeated"), states: count("States"),
 		starts: count("Starts"), startsRejected: count("StartsRejected"), startsUnanswered: count("StartsUnanswered"),
+		startsRepeated: count("StartsRepeated"), startsDiscarded: count("StartsDiscarded"),
 		runsLost: count("RunsLost"), stops: count("Stops"), stopsBeforeLeave: count("StopsBeforeLeave"), runsFailed: count("RunsFailed"),
 		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
 		renewals: count("Holds"), renewFailures: count("HoldFailures"), reportsTruncated: count("HoldsTruncated"),
--- /dev/null
+++ b/internal/flow/owner/load.go
@@ -0,0 +1,144 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+const (
+	// latenessInterval is how often the lateness of the leader's timers is measured, loadLogInterval how often a line on the load is
+	// written.
+	latenessInterval = 100 * time.Millisecond
+	loadLogInterval  = time.Second
+	// minLoggedLateness is the lateness from which on the line is a warning.
+	minLoggedLateness = 100 * time.Millisecond
+)
+
+type (
+	// load measures how far the leader is behind its work, and what takes its time. Its methods require Owner.mu.
+	load struct {
+		// lateness is by how much a timer was late at the latest measurement: how long whatever comes in waits for the processor.
+		lateness time.Duration
+		// inFlight counts the starts that have been sent and not answered.
+		inFlight int
+		// sums holds the amounts since the latest line.
+		sums loadSums
+		// counts are those whose differences a line holds.
+		counts  []loadCount
+		metrics loadMetrics
+	}
+
+	loadSums struct {
+		plans, ticks time.Duration
+		// worstLateness is the greatest lateness, oldestStart the longest time from the decision on a start until it was sent.
+		worstLateness, oldestStart time.Duration
+	}
+
+	// loadCount is a counter with its value in the latest line.
+	loadCount struct {
+		field   string
+		counter metrics.Counter
+		logged  int64
+	}
+
+	loadMetrics struct {
+		lateness       metrics.Gauge
+		startsInFlight metrics.Gauge
+		decisionToSend metrics.Timer
+	}
+)
+
+func newLoad(r metrics.Registry, c *counters, w *wasteCounters) load {
+	l := load{
+		metrics: loadMetrics{
+			lateness:       metrics.GetOrRegisterGauge("Owner.LatenessMs", r),
+			startsInFlight: metrics.GetOrRegisterGauge("Owner.StartsInFlight", r),
+			decisionToSend: metrics.GetOrRegisterTimer("Owner.DecisionToStart", r),
+		},
+		counts: []loadCount{
+			{field: "Accepted", counter: c.jobsAccepted},
+			{field: "Refused", counter: c.jobsRejected},
+			{field: "Repeated", counter: c.jobsRepeated},
+			{field: "States", counter: c.states},
+			{field: "Ended", counter: c.jobsEnded},
+			{field: "Starts", counter: c.starts},
+			{field: "StartsRepeated", counter: c.startsRepeated},
+			{field: "StartsUnanswered", counter: c.startsUnanswered},
+			{field: "StartsRejected", counter: c.startsRejected},
+			{field: "StartsDiscarded", counter: c.startsDiscarded},
+			{field: "Renewals", counter: c.renewals},
+			{field: "RenewalsFailed", counter: c.renewFailures},
+			{field: "AdviceCalls", counter: c.adviceCalls},
+			{field: "AdviceFailed", counter: c.adviceFailures},
+			{field: "GangBroken", counter: w.runs[tasks.EndedGangBroken]},
+			{field: "LeaseExpired", counter: w.runs[tasks.EndedLeaseExpired]},
+			{field: "Moved", counter: w.runs[tasks.EndedSlow]},
+			{field: "Stalled", counter: w.runs[tasks.EndedStalled]},
+		},
+	}
+	// The counters go on over the terms of a daemon.
+	for i := range l.counts {
+		l.counts[i].logged = l.counts[i].counter.Count()
+	}
+	return l
+}
+
+// loadLoop measures the lateness of the leader's timers, and writes a line on its load once in each loadLogInterval.
+func (o *Owner) loadLoop() {
+	began := o.config.Clock.Now()
+	loggedAt := began
+	for o.ctx.Err() == nil {
+		o.sleep(latenessInterval)
+		now := o.config.Clock.Now()
+		o.mu.Lock()
+		o.load.noteLateness(now.Sub(began) - latenessInterval)
+		if now.Sub(loggedAt) >= loadLogInterval {
+			o.logLoad(now.Sub(loggedAt))
+			loggedAt = now
+		}
+		o.mu.Unlock()
+		began = o.config.Clock.Now()
+	}
+}
+
+func (l *load) noteLateness(late time.Duration) {
+	l.lateness = late
+	l.sums.worstLateness = max(l.sums.worstLateness, late)
+	l.metrics.lateness.Update(late.Milliseconds())
+	l.metrics.startsInFlight.Update(int64(l.inFlight))
+}
+
+// noteDurable notes how long after the decision on a start its intent was durable, so that it can be sent.
+func (l *load) noteDurable(took time.Duration) {
+	l.metrics.decisionToSend.Update(took)
+	l.sums.oldestStart = max(l.sums.oldestStart, took)
+}
+
+// logLoad writes a line on the load of the given period, a warning when the leader is late. The caller must hold o.mu.
+func (o *Owner) logLoad(period time.Duration) {
+	l := &o.load
+	line := o.config.Log.Info()
+	if l.sums.worstLateness >= minLoggedLateness {
+		line = o.config.Log.Warn()
+	}
+	line.Dur("Period", period).Dur("Lateness", l.sums.worstLateness).Int64("JobsWaiting", o.counters.jobsWaiting.Value()).
+		Int64("Runs", o.counters.runs.Value()).Int("InFlight", l.inFlight).Int("Writes", len(o.inFlight)).Dur("OldestStart", l.sums.oldestStart).
+		Dur("Plans", l.sums.plans).Dur("Ticks", l.sums.ticks).Func(l.countFields).Msg("load of the leader")
+	l.sums = loadSums{}
+}
+
+// countFields adds the differences of the counts that are not zero.
+func (l *load) countFields(e *zerolog.Event) {
+	for i := range l.counts {
+		c := &l.counts[i]
+		total := c.counter.Count()
+		if total > c.logged {
+			e.Int64(c.field, total-c.logged)
+		}
+		c.logged = total
+	}
+}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -174,6 +174,7 @@
 		usualPace map[types.ServiceName]float64
 		// answers tells how long to wait for an answer of a runner.
 		answers answers
+		load    load
 		// losses holds the runners that became unreachable within lossMemory, the oldest first.
 		losses []runnerLoss
 		// unprovenLosses holds the runners that were out of reach until their leases expired, by address.
@@ -184,7 +185,7 @@
 // New returns an owner whose term begins with Run.
 func New(c Config) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Owner{
+	o := &Owner{
 		config:        c,
 		ctx:           ctx,
 		cancel:        cancel,
@@ -205,6 +206,8 @@
 		acceptedNotDurable:   make(map[specs.JobID]struct{}),
 		organisationCounters: newOrganisationCounters(c.Metrics),
 	}
+	o.load = newLoad(c.Metrics, &o.counters, &o.waste)
+	return o
 }
 
 // Run leads until ctx ends, Stop is called or leadership is lost.
@@ -228,7 +231,7 @@
 		o.adoptPlacedTasks()
 		o.collectCachedAdvice()
 	})()
-	loops := []func(){func() { o.writeLoop(jobLedger) }, o.planLoop, o.tickLoop, o.directoryLoop, o.watchdogLoop}
+	loops := []func(){func() { o.writeLoop(jobLedger) }, o.planLoop, o.tickLoop, o.directoryLoop, o.watchdogLoop, o.loadLoop}
 	for _, loop := range loops {
 		o.loops.Go(o.guarded("loop of the leader", loop))
 	}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -57,7 +57,9 @@
 	for _, a := range plan.AdviceCalls {
 		o.requestAdvice(a)
 	}
-	return o.config.Clock.Since(began)
+	took := o.config.Clock.Since(began)
+	o.load.sums.plans += took
+	return took
 }
 
 // recordStart records the intent of a start; the start is sent once the intent is durable. All starts of a gang's attempt
@@ -70,7 +72,8 @@
 	}
 	o.recordAddress(s.Runner)
 	run := s.Runner.PlaceTask(t, attempt)
-	s.Runner.LastStartAt = o.config.Clock.Now()
+	now := o.config.Clock.Now()
+	s.Runner.LastStartAt = now
 	if s.Quiet {
 		s.Runner.KeepQuiet(run)
 		o.counters.quietStarts.Inc(1)
@@ -79,7 +82,10 @@
 	c := t.Change()
 	c.State, c.Attempt, c.Runner = tasks.Placed, attempt, s.Runner.Info.ID
 	run.StartCheckpoint, run.Checkpoint = c.Saved, c.Saved
-	o.record(tasks.Record{Task: c}, func() { o.dispatchStart(run) })
+	o.record(tasks.Record{Task: c}, func() {
+		o.load.noteDurable(o.config.Clock.Since(now))
+		o.dispatchStart(run)
+	})
 }
 
 // dispatchStart sends the start of a durable intent, or discards the run when it is not wanted any more, when its
@@ -96,6 +102,7 @@
 	isUnwanted := run.StartCancelled || o.isUnwanted(run) || o.isOverQuota(run)
 	mayStart := r.Usable(now) && !r.IsOvercommitted() && o.knowsDirectory() && o.isLeadershipConfirmed()
 	if isUnwanted || stale || !mayStart {
+		o.counters.startsDiscarded.Inc(1)
 		o.discardRun(run)
 		return
 	}
@@ -122,11 +129,14 @@
 	}
 	if !run.Sent {
 		run.SentAt = now
+	} else {
+		o.counters.startsRepeated.Inc(1)
 	}
 	run.Sent, run.InFlight = true, true
 	run.SentFence = r.Fence
 	run.Tries++
 	o.counters.starts.Inc(1)
+	o.load.inFlight++
 	info := r.Info
 	timeout := o.startTimeout(run.Tries)
 	go o.guarded("answer of a runner", func() {
@@ -135,6 +145,7 @@
 		err := o.config.Agents.Start(ctx, info, request)
 		o.mu.Lock()
 		defer o.mu.Unlock()
+		o.load.inFlight--
 		if o.ctx.Err() == nil {
 			took := o.config.Clock.Since(now)
 			o.counters.startLatency.Update(took)
--- a/internal/flow/owner/tick.go
+++ b/internal/flow/owner/tick.go
@@ -41,6 +41,7 @@
 	o.applyWeights()
 	o.organisationCounters.updateWaiting(o.table.Jobs)
 	every.Wake(o.planWake)
+	o.load.sums.ticks += o.config.Clock.Since(now)
 }
 
 // updateGauges updates the gauges of the jobs, the runs and the free cores. The caller must hold o.mu.
