Count a late crash of the soak's stand-in against the task that caused it

Cause: the stand-in. Such an attempt crashes its runner 10 ms after it began, but a busy stand-in carried the crash out only after up to 430 ms, when the attempt was done by its run time of 20 to 300 ms. The leader saw the crashes and was right to give the job up, and the check knew of too few.

Change: an attempt that crashes its runner is not done before, and a runner crashes only while the attempt still runs there, so that each crash counts. The check stays as it is.

--- a/internal/plat/agent/crash.go
+++ b/internal/plat/agent/crash.go
@@ -8,8 +8,13 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
-// crashDelay is how long a task works before it crashes its runner.
-const crashDelay = 10 * time.Millisecond
+const (
+	// crashDelay is how long a task works before it crashes its runner.
+	crashDelay = 10 * time.Millisecond
+	// crashingRunTime is how long an attempt runs that crashes its runner, unless it is ended before: it must not be done when a busy
+	// machine carries the crash out late.
+	crashingRunTime = time.Hour
+)
 
 // Restart crashes a runner with everything that runs on it. After the delay, another runner starts at its address.
 func (f *Fleet) Restart(id specs.RunnerID, after time.Duration) {
@@ -36,17 +41,30 @@
 	return specs.RunnerID(fmt.Sprintf("%.3s-%d", id, f.restarts))
 }
 
-// crashUnder crashes the runner shortly after it began an attempt, if the task does that.
-func (f *Fleet) crashUnder(id specs.RunnerID, ref specs.Ref) {
-	if f.world.Crashes == nil || !f.world.Crashes(ref) {
+func (f *Fleet) willCrash(ref specs.Ref) bool {
+	return f.world.Crashes != nil && f.world.Crashes(ref)
+}
+
+// runTime returns how long an attempt runs unless it is ended before.
+func (f *Fleet) runTime(ref specs.Ref) time.Duration {
+	if f.willCrash(ref) {
+		return crashingRunTime
+	}
+	return f.world.RunTime(ref)
+}
+
+// crashUnder crashes the runner shortly after it began an attempt, if the task does that and the attempt still runs then.
+func (f *Fleet) crashUnder(id specs.RunnerID, ref specs.Ref, run *runState) {
+	if !f.willCrash(ref) {
 		return
 	}
 	go func() {
 		<-f.clock.After(crashDelay)
 		f.mu.Lock()
-		isGone := f.runners[id] == nil
+		s := f.runners[id]
+		isRunning := s != nil && s.runs[ref] == run
 		f.mu.Unlock()
-		if isGone {
+		if !isRunning {
 			return
 		}
 		if f.world.OnCrash != nil {
--- a/internal/plat/agent/gang.go
+++ b/internal/plat/agent/gang.go
@@ -52,7 +52,7 @@
 		return
 	}
 	g.working, g.workingAt = true, now
-	end := now.Add(max(f.world.RunTime(specs.Ref{StepRef: ref.StepRef})-g.done, minResumedRun))
+	end := now.Add(max(f.gangRunTime(g, ref.StepRef)-g.done, minResumedRun))
 	for member, runner := range g.members {
 		if r := runner.runs[member]; r != nil {
 			r.endAt = end
@@ -61,6 +61,16 @@
 	}
 }
 
+// gangRunTime returns how long a gang runs without a break: as its first task would, unless a member crashes its runner.
+func (f *Fleet) gangRunTime(g *gang, step specs.StepRef) time.Duration {
+	for member := range g.members {
+		if f.willCrash(member) {
+			return crashingRunTime
+		}
+	}
+	return f.world.RunTime(specs.Ref{StepRef: step})
+}
+
 // endDueGang ends the gang of a run that is due: as Done when every member ran to the end under its lease and none fails,
 // else as GangBroken. A member that waited too long for the others ends as GangIncomplete, and they as GangBroken. The caller
 // must hold f.mu.
--- a/internal/plat/agent/requests.go
+++ b/internal/plat/agent/requests.go
@@ -174,14 +174,14 @@
 	s.highestAttempt[r.Ref] = r.Attempt
 	f.checkStart(s, r)
 	f.begun = append(f.begun, StartedAttempt{Ref: r.Ref, Attempt: r.Attempt, Runner: s.info.ID, At: f.clock.Now(), Checkpoint: r.Checkpoint})
-	run := &runState{attempt: r.Attempt, from: r.Checkpoint, endAt: f.clock.Now().Add(f.world.RunTime(r.Ref))}
+	run := &runState{attempt: r.Attempt, from: r.Checkpoint, endAt: f.clock.Now().Add(f.runTime(r.Ref))}
 	run.willFail = f.world.Fails != nil && f.world.Fails(s.info.ID, r.Ref, r.Attempt)
 	s.runs[r.Ref] = run
 	if f.world.GangSize != nil && f.world.GangSize(r.Ref.StepRef) > 0 {
 		f.joinGang(s, r.Ref, run, f.world.GangSize(r.Ref.StepRef))
 	}
 	s.notifyWaiters()
-	f.crashUnder(s.info.ID, r.Ref)
+	f.crashUnder(s.info.ID, r.Ref, run)
 	return nil
 }
 
