Limit the share of the leader's time that ticks take

Each tick, ten times a second, went through all jobs, runs, runners and ended jobs under the lock of the tables, however long that took: a leader that is behind spends more on each tick the more jobs wait. Ticks now take at most one part in 16 of the time, but are no rarer than every 500 ms, and the gauges, the usual paces and the removal of ended jobs are updated once a second.

TestOrganisationCounters asks for the gauges where they are updated now.

--- a/internal/flow/owner/fixture_test.go
+++ b/internal/flow/owner/fixture_test.go
@@ -25,7 +25,7 @@
 
 // fixture holds stand-ins of the store and the runners, over which a test creates owners.
 type fixture struct {
-	t     *testing.T
+	t     testing.TB
 	clock clockwork.Clock
 	store *store.Memory
 	fleet *agent.Fleet
@@ -43,7 +43,7 @@
 	}
 }
 
-func newFixture(t *testing.T, w agent.FleetConfig) *fixture {
+func newFixture(t testing.TB, w agent.FleetConfig) *fixture {
 	clock := clockwork.NewRealClock()
 	return &fixture{t: t, clock: clock, store: store.NewMemory(clock, "r1"), fleet: agent.NewFleet(clock, w)}
 }
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -170,7 +170,7 @@
 		// catalog is known.
 		rates        *rates.Rates
 		ratesVersion specs.CatalogVersion
-		// usualPace is the median pace of the runners of each service at the latest tick.
+		// usualPace is the median pace of the runners of each service at the latest summary.
 		usualPace map[types.ServiceName]float64
 		// answers tells how long to wait for an answer of a runner.
 		answers answers
--- a/internal/flow/owner/tick.go
+++ b/internal/flow/owner/tick.go
@@ -9,15 +9,32 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
-// tickLoop applies what depends on time alone, once in each tickInterval.
+const (
+	// tickShareDivisor limits the share of the time that ticks take, 1/tickShareDivisor, as long as they are no rarer than
+	// maxTickInterval: their cost grows with the jobs and the runners, and a leader that is behind needs the time for its calls.
+	tickShareDivisor = 16
+	maxTickInterval  = 500 * time.Millisecond
+	// summaryInterval is how often what changes slowly is updated: the gauges, the usual paces and the ended jobs.
+	summaryInterval = time.Second
+)
+
+// tickLoop applies what depends on time alone, once in each tickInterval, or as often as tickShareDivisor allows if that is rarer.
 func (o *Owner) tickLoop() {
+	var summarisedAt time.Time
+	delay := tickInterval
 	for o.ctx.Err() == nil {
-		o.sleep(tickInterval)
-		o.tick()
+		o.sleep(delay)
+		took := o.tick()
+		if now := o.config.Clock.Now(); now.Sub(summarisedAt) >= summaryInterval {
+			summarisedAt = now
+			took += o.summarise()
+		}
+		delay = min(max(tickInterval, (tickShareDivisor-1)*took), maxTickInterval)
 	}
 }
 
-func (o *Owner) tick() {
+// tick applies timeouts and measures the backlog. It returns how long that took without the wait for the tables.
+func (o *Owner) tick() time.Duration {
 	defer o.turns.Begin(turnTick)()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -25,7 +42,6 @@
 	o.applyCatalog()
 	o.checkUnansweredWrites()
 	o.table.Advance(now)
-	o.table.PurgeEnded(now.Add(-o.config.Bounds.StatusRetention))
 	for id, r := range o.table.Runners {
 		o.expireRuns(r, now)
 		o.resendStops(r, now)
@@ -35,12 +51,24 @@
 		}
 	}
 	o.backlog = order.MeasureBacklog(o.table, now)
+	o.applyWeights()
+	every.Wake(o.planWake)
+	return o.config.Clock.Since(now)
+}
+
+// summarise updates what changes slowly, and removes the ended jobs whose state is not kept any longer. It returns how long that took
+// without the wait for the tables.
+func (o *Owner) summarise() time.Duration {
+	defer o.turns.Begin(turnTick)()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.config.Clock.Now()
+	o.table.PurgeEnded(now.Add(-o.config.Bounds.StatusRetention))
 	o.updateUsualPaces()
 	o.updateGauges(now)
 	o.updateOrganisations(now)
-	o.applyWeights()
 	o.organisationCounters.updateWaiting(o.table.Jobs)
-	every.Wake(o.planWake)
+	return o.config.Clock.Since(now)
 }
 
 // updateGauges updates the gauges of the jobs, the runs and the free cores. The caller must hold o.mu.
--- a/internal/flow/owner/weights_test.go
+++ b/internal/flow/owner/weights_test.go
@@ -422,14 +422,14 @@
 		f.submitMany("j", 3)
 		f.table.Jobs["j0"].Ran = true
 		for name, want := range map[string]int64{"organisation.org.": 2, "others.": 1} {
-			f.tick()
+			f.summarise()
 			gauge, ok := f.config.Metrics.Get(admissionPrefix + name + "JobsWaiting").(metrics.Gauge)
 			if !ok || gauge.Value() != want {
 				t.Errorf("%s: want %d waiting jobs", name, want)
 			}
 		}
 		f.table.Jobs = make(map[specs.JobID]*tasks.Job)
-		f.tick()
+		f.summarise()
 		if gauge, ok := f.config.Metrics.Get(admissionPrefix + "others.JobsWaiting").(metrics.Gauge); !ok || gauge.Value() != 0 {
 			t.Error("jobs that have ended count as waiting")
 		}
