--- a/internal/flow/owner/load.go
+++ b/internal/flow/owner/load.go
@@ -112,6 +112,13 @@
 	l.metrics.startsInFlight.Update(int64(l.inFlight))
 }
 
+// noteTick adds the time of a tick.
+func (o *Owner) noteTick(took time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.load.sums.ticks += took
+}
+
 // noteDurable notes how long after the decision on a start its intent was durable, so that it can be sent.
 func (l *load) noteDurable(took time.Duration) {
 	l.metrics.decisionToSend.Update(took)
