--- a/internal/proof/soak/faults.go
+++ b/internal/proof/soak/faults.go
@@ -11,7 +11,6 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
-	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 )
 
 const (
@@ -231,103 +230,6 @@
 	s.cutPower(ctx, s.randomDuration())
 }
 
-// faultStoreLinks sets a fault on the connections of one daemon, or of all, to the store.
-func (s *faultSeries) faultStoreLinks(ctx context.Context, kind string, f linkFault) {
-	targets := s.harness.daemons
-	if s.rand.IntN(2) == 0 {
-		targets = []*daemon{s.randomDaemon()}
-	}
-	duration := s.randomDuration()
-	s.harness.recordFault(kind, "%d daemons from %s on, for %s", len(targets), targets[0].config.Name, duration)
-	for _, d := range targets {
-		d.storeProxy.setFault(f)
-	}
-	every.Sleep(ctx, s.harness.clock, duration)
-	for _, d := range targets {
-		d.storeProxy.setFault(linkFault{})
-	}
-}
-
-func (s *faultSeries) randomDelay() time.Duration {
-	return time.Duration(s.rand.Int64N(int64(maxChunkDelay)))
-}
-
-func (s *faultSeries) slowStoreLinks(ctx context.Context) {
-	s.faultStoreLinks(ctx, "store slow", linkFault{delay: s.randomDelay()})
-}
-
-func (s *faultSeries) blockStoreLinks(ctx context.Context) {
-	s.faultStoreLinks(ctx, "store silent", linkFault{holdRequests: true, holdAnswers: true})
-}
-
-func (s *faultSeries) blockStoreAnswers(ctx context.Context) {
-	s.faultStoreLinks(ctx, "store answers held", linkFault{holdAnswers: true})
-}
-
-func (s *faultSeries) resetStoreLinks(context.Context) {
-	d := s.randomDaemon()
-	s.harness.recordFault("store connections reset", "%s", d.config.Name)
-	d.storeProxy.resetConnections()
-}
-
-func (s *faultSeries) takeStoreDown(ctx context.Context) {
-	duration := s.randomDuration()
-	s.harness.recordFault("store down", "for %s", duration)
-	s.harness.platform.Memory.Faults.SetDown(true)
-	every.Sleep(ctx, s.harness.clock, duration)
-	s.harness.platform.Memory.Faults.SetDown(false)
-}
-
-func (s *faultSeries) loseStoreAnswers(context.Context) {
-	s.harness.recordFault("store answers lost", "%d calls", lostStoreAnswers)
-	s.harness.platform.Memory.Faults.LoseAnswers(lostStoreAnswers)
-}
-
-// faultRunnerLinks sets a fault on the connections to all runners.
-func (s *faultSeries) faultRunnerLinks(ctx context.Context, kind string, f linkFault) {
-	duration := s.randomDuration()
-	s.harness.recordFault(kind, "for %s", duration)
-	s.harness.runnerProxy.setFault(f)
-	every.Sleep(ctx, s.harness.clock, duration)
-	s.harness.runnerProxy.setFault(linkFault{})
-}
-
-func (s *faultSeries) slowRunnerLinks(ctx context.Context) {
-	s.faultRunnerLinks(ctx, "runners slow", linkFault{delay: s.randomDelay()})
-}
-
-func (s *faultSeries) blockRunnerAnswers(ctx context.Context) {
-	s.faultRunnerLinks(ctx, "runner answers held", linkFault{holdAnswers: true})
-}
-
-func (s *faultSeries) resetRunnerLinks(context.Context) {
-	s.harness.recordFault("runner connections reset", "all")
-	s.harness.runnerProxy.resetConnections()
-}
-
-// oldestRunner returns the runner that was added first: IDs count up, so it has the lowest. It waits while all runners restart.
-func (s *faultSeries) oldestRunner() specs.RunnerID {
-	// List of the stand-in always returns a nil error.
-	runners, _, _ := s.harness.platform.Fleet.List(context.Background())
-	for len(runners) == 0 {
-		s.harness.clock.Sleep(pollInterval)
-		runners, _, _ = s.harness.platform.Fleet.List(context.Background())
-	}
-	oldest := runners[0].ID
-	for _, r := range runners {
-		oldest = min(oldest, r.ID)
-	}
-	return oldest
-}
-
-func (s *faultSeries) makeRunnerUnreachable(ctx context.Context) {
-	id, duration := s.oldestRunner(), s.randomDuration()
-	s.harness.recordFault("runner cut", "%s, for %s", id, duration)
-	s.harness.platform.Fleet.SetUnreachable(id, true)
-	every.Sleep(ctx, s.harness.clock, duration)
-	s.harness.platform.Fleet.SetUnreachable(id, false)
-}
-
 // retryChange retries a change that the platform may reject for the moment, as a runner or an operator would. It records
 // a violation if the change still fails after changeTimeout.
 func (h *harness) retryChange(change func() error) {
@@ -340,27 +242,6 @@
 	}
 }
 
-func (s *faultSeries) crashRunner(context.Context) {
-	id := s.oldestRunner()
-	s.harness.recordFault("runner crash", "%s", id)
-	s.harness.retryChange(func() error { return s.harness.platform.CrashRunner(id) })
-	s.harness.retryChange(s.harness.addRunner)
-}
-
-func (s *faultSeries) drainRunner(ctx context.Context) {
-	id := s.oldestRunner()
-	s.harness.recordFault("runner drains", "%s", id)
-	s.harness.retryChange(func() error { return s.harness.platform.DrainRunner(id) })
-	every.Sleep(ctx, s.harness.clock, s.randomDuration())
-	s.harness.retryChange(func() error { return s.harness.platform.CrashRunner(id) })
-	s.harness.retryChange(s.harness.addRunner)
-}
-
-func (s *faultSeries) delayStarts(context.Context) {
-	s.harness.recordFault("starts late", "%d by %s", lostStarts, lateStartDelay)
-	s.harness.platform.Fleet.LoseStarts(lostStarts, lateStartDelay)
-}
-
 // shortenTerms refuses snapshots of the ledger and kills one leader after the other until ctx ends.
 func (s *faultSeries) shortenTerms(ctx context.Context) {
 	s.harness.recordFault("snapshots refused", "until the end")
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -9,10 +9,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
-	"io"
-	"os"
-	"slices"
 	"sync"
 	"time"
 
@@ -226,45 +222,6 @@
 	return h, nil
 }
 
-// runTime returns how long a task runs. It depends only on the task's job ID and index.
-func runTime(ref specs.Ref) time.Duration {
-	const minMs, stepCount, stepMs = 20, 8, 40
-	sum := ref.Index
-	for _, b := range []byte(ref.Job) {
-		sum += int(b)
-	}
-	return time.Duration(minMs+sum%stepCount*stepMs) * time.Millisecond
-}
-
-// isCrashing reports whether a task crashes each runner that begins it: the first task of one in crashingShare jobs does.
-func isCrashing(ref specs.Ref) bool {
-	return hasCrashingTask(ref.Job) && ref.Step == 0 && ref.Index == 0
-}
-
-func hasCrashingTask(id specs.JobID) bool {
-	h := fnv.New32a()
-	h.Write([]byte(id))
-	return h.Sum32()%crashingShare == 0
-}
-
-// restartRunner crashes a runner. Another one starts after restartDelay.
-func (h *harness) restartRunner(id specs.RunnerID) {
-	h.retryChange(func() error { return h.platform.CrashRunner(id) })
-	h.clock.Sleep(restartDelay)
-	h.retryChange(h.addRunner)
-}
-
-func (h *harness) addRunner() error {
-	h.mu.Lock()
-	h.runnerCount++
-	id := specs.RunnerID(fmt.Sprintf("w%03d", h.runnerCount))
-	h.mu.Unlock()
-	return h.platform.AddRunner(agent.Runner{
-		ID: id, Service: service, DataCentre: "dc1", Address: h.runnerProxy.address,
-		Capacity: types.Resources{Cores: runnerCores, Memory: types.GiB},
-	})
-}
-
 // storeRate returns the rate of a daemon's link to the store, or zero when it has no limit.
 func (h *harness) storeRate() int64 {
 	if h.config.LargeCatalogs {
@@ -393,46 +350,3 @@
 	h.runnerProxy.close()
 	h.platform.Close()
 }
-
-func (h *harness) report() *Report {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	r := &Report{
-		LongestTermless: h.longestTermless,
-		Seed:            h.config.Seed, Daemons: h.config.Daemons, Faults: h.faultCounts, Events: h.events,
-		Starts: h.platform.Fleet.StartCount(), Directory: h.config.Directory,
-	}
-	h.recorder.fillReport(r)
-	slices.Sort(r.Broken)
-	r.Broken = slices.Compact(r.Broken)
-	return r
-}
-
-// Print writes the counts, and for a run with broken promises those, the injected faults and the path of the logs.
-func (r *Report) Print(out io.Writer) error {
-	lines := []string{
-		fmt.Sprintf("seed %d: %d daemons, %d jobs, %d accepted, %d completed, %d cancelled, %d refused, %d starts, %d broken",
-			r.Seed, r.Daemons, r.Jobs, r.Accepted, r.Completed, r.Cancelled, r.Refused, r.Starts, len(r.Broken)),
-		fmt.Sprintf("  failures: %v; the leader record named a daemon without a term for %s at most", r.Faults, r.LongestTermless),
-	}
-	if len(r.Broken) > 0 {
-		lines = append(lines, r.Broken...)
-		lines = append(lines, r.Events...)
-		lines = append(lines, "  the daemons' logs are in "+r.Directory)
-	}
-	for _, line := range lines {
-		if _, err := fmt.Fprintln(out, line); err != nil {
-			return errs.New(errs.Internal, "printing the report: %v", err)
-		}
-	}
-	return nil
-}
-
-// NewDirectory creates a temporary directory for a run's settings and logs and returns its path.
-func NewDirectory(seed uint64) (string, error) {
-	path, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
-	if err != nil {
-		return "", errs.New(errs.Internal, "creating a temporary directory: %v", err)
-	}
-	return path, nil
-}
