Give each runner of the soak an address of its own

Cause: all runners of the soak had the address of one proxy. The leader takes another runner that answers, or is listed later, at a runner's address as the proof that the first one has crashed, and on the platform each runner has an address of its own. So the soak proved a crash at once, whoever else was there, could prove one that had not happened (a runner whose leases expired while it was silent counted as crashed as soon as any other was listed), and never played the connections to hundreds of addresses.

Change: the proxy listens on one address for each runner, and the runner that follows a crashed or drained one starts at its address. A runner that two faults crash is followed by one runner, not by two. The checks stay as they are.

--- a/internal/proof/soak/proxy.go
+++ b/internal/proof/soak/proxy.go
@@ -34,14 +34,14 @@
 
 	// proxy listens on loopback and forwards connections to a target.
 	proxy struct {
-		clock    clockwork.Clock
-		address  types.Address
-		target   types.Address
-		listener net.Listener
+		clock   clockwork.Clock
+		address types.Address
+		target  types.Address
 		// rate limits the answers on all connections together, in bytes per second; zero means no limit.
 		rate int64
 
-		mu sync.Mutex
+		mu        sync.Mutex
+		listeners []net.Listener
 		// freeAt is when the answers that were accepted so far have passed the link.
 		freeAt      time.Time
 		fault       linkFault
@@ -51,21 +51,31 @@
 )
 
 func newProxy(clock clockwork.Clock, target types.Address, rate int64) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	p := &proxy{clock: clock, target: target, rate: rate, connections: make(map[net.Conn]struct{})}
+	address, err := p.listen()
 	if err != nil {
-		return nil, errs.New(errs.Unavailable, "listening for proxied connections: %v", err)
-	}
-	p := &proxy{
-		clock: clock, address: types.Address(listener.Addr().String()), target: target, listener: listener, rate: rate,
-		connections: make(map[net.Conn]struct{}),
+		return nil, err
 	}
-	go p.accept()
+	p.address = address
 	return p, nil
 }
 
-func (p *proxy) accept() {
+// listen makes the proxy listen on one more address, which it returns.
+func (p *proxy) listen() (types.Address, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errs.New(errs.Unavailable, "listening for proxied connections: %v", err)
+	}
+	p.mu.Lock()
+	p.listeners = append(p.listeners, listener)
+	p.mu.Unlock()
+	go p.accept(listener)
+	return types.Address(listener.Addr().String()), nil
+}
+
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		caller, err := p.listener.Accept()
+		caller, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -209,8 +219,10 @@
 func (p *proxy) close() {
 	p.mu.Lock()
 	p.closed = true
+	for _, l := range p.listeners {
+		// It accepts nothing more, even if Close returns an error.
+		_ = l.Close()
+	}
 	p.mu.Unlock()
-	// The listener accepts nothing more, even if Close returns an error.
-	_ = p.listener.Close()
 	p.resetConnections()
 }
--- a/internal/proof/soak/runnerfaults.go
+++ b/internal/proof/soak/runnerfaults.go
@@ -33,8 +33,7 @@
 func (s *faultSeries) crashRunner(context.Context) {
 	id := s.oldestRunner()
 	s.harness.recordFault("runner crash", "%s", id)
-	s.harness.retryChange(func() error { return s.harness.platform.CrashRunner(id) })
-	s.harness.retryChange(s.harness.addRunner)
+	s.harness.restartRunner(id, 0)
 }
 
 func (s *faultSeries) drainRunner(ctx context.Context) {
@@ -42,8 +41,7 @@
 	s.harness.recordFault("runner drains", "%s", id)
 	s.harness.retryChange(func() error { return s.harness.platform.DrainRunner(id) })
 	every.Sleep(ctx, s.harness.clock, s.randomDuration())
-	s.harness.retryChange(func() error { return s.harness.platform.CrashRunner(id) })
-	s.harness.retryChange(s.harness.addRunner)
+	s.harness.restartRunner(id, 0)
 }
 
 func (s *faultSeries) delayStarts(context.Context) {
--- a/internal/proof/soak/runners.go
+++ b/internal/proof/soak/runners.go
@@ -31,20 +31,30 @@
 	return h.Sum32()%crashingShare == 0
 }
 
-// restartRunner crashes a runner. Another one starts after restartDelay.
-func (h *harness) restartRunner(id specs.RunnerID) {
+// restartRunner crashes a runner, unless it has crashed already. Another one starts at its address after the delay.
+func (h *harness) restartRunner(id specs.RunnerID, delay time.Duration) {
+	h.mu.Lock()
+	address, isRunning := h.runnerAddresses[id]
+	delete(h.runnerAddresses, id)
+	h.mu.Unlock()
+	if !isRunning {
+		return
+	}
 	h.retryChange(func() error { return h.platform.CrashRunner(id) })
-	h.clock.Sleep(restartDelay)
-	h.retryChange(h.addRunner)
+	h.clock.Sleep(delay)
+	next := h.newRunner(address)
+	h.retryChange(func() error { return h.platform.AddRunner(next) })
 }
 
-func (h *harness) addRunner() error {
+// newRunner returns a runner with an ID of its own at an address, where no other one may be.
+func (h *harness) newRunner(address types.Address) agent.Runner {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.runnerCount++
 	id := specs.RunnerID(fmt.Sprintf("w%03d", h.runnerCount))
-	h.mu.Unlock()
-	return h.platform.AddRunner(agent.Runner{
-		ID: id, Service: service, DataCentre: "dc1", Address: h.runnerProxy.address,
+	h.runnerAddresses[id] = address
+	return agent.Runner{
+		ID: id, Service: service, DataCentre: "dc1", Address: address,
 		Capacity: types.Resources{Cores: runnerCores, Memory: types.GiB},
-	})
+	}
 }
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -145,9 +145,11 @@
 		mu          sync.Mutex
 		faultCounts map[string]int
 		events      []string
-		// runnerCount is the number of runners added so far, catalogVersion the version of the latest catalog.
-		runnerCount    int
-		catalogVersion int
+		// runnerCount is the number of runners added so far, runnerAddresses the address of each that has not crashed, and
+		// catalogVersion the version of the latest catalog.
+		runnerCount     int
+		runnerAddresses map[specs.RunnerID]types.Address
+		catalogVersion  int
 		// violationCount is the number of recorded violations that the runners saw.
 		violationCount int
 		// longestTermless is the longest time for which the leader record was seen to name a daemon without a term.
@@ -193,13 +195,16 @@
 	if c.MaxTasks == 0 {
 		c.MaxTasks = DefaultMaxTasks
 	}
-	h := &harness{config: c, clock: clock, startedAt: clock.Now(), faultCounts: make(map[string]int), catalogVersion: firstCatalog}
+	h := &harness{
+		config: c, clock: clock, startedAt: clock.Now(), faultCounts: make(map[string]int), catalogVersion: firstCatalog,
+		runnerAddresses: make(map[specs.RunnerID]types.Address),
+	}
 	h.recorder = newRecorder(clock, h.startedAt)
 	platform, err := stand.Start(clock, agent.FleetConfig{
 		RunTime:  runTime,
 		Takes:    func(specs.Ref) types.Resources { return types.Resources{Cores: taskCores, Memory: taskMemory} },
 		GangSize: h.recorder.gangSize,
-		Crashes:  isCrashing, OnCrash: h.restartRunner,
+		Crashes:  isCrashing, OnCrash: func(id specs.RunnerID) { h.restartRunner(id, restartDelay) },
 		GangTimeout: gangTimeout, GangCheckpoint: gangCheckpoint, MaxLeaseTTL: maxLeaseTTL, StopTimeout: stopTimeout,
 	})
 	if err != nil {
@@ -215,7 +220,11 @@
 		return nil, err
 	}
 	for range c.Runners {
-		if err := h.addRunner(); err != nil {
+		address, err := h.runnerProxy.listen()
+		if err != nil {
+			return nil, err
+		}
+		if err := platform.AddRunner(h.newRunner(address)); err != nil {
 			return nil, err
 		}
 	}
