Spend less processor time on a plan of a large fleet

A plan holds the lock of the tables, and under load one follows the other, so its cost delays reports, starts and callers. For each step it looked up each allowed runner twice by its id, also the full ones; compared the runners of gangs with those that a call in flight names, one by one; sorted with all keys of a comparison; and iterated over a map of occurrences for each job. Now runners that were allowed are kept with the advice, answers are looked up for runners with room alone, the asked runners are marked, and keys are compared only as far as they decide.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -30,9 +30,16 @@
 // serveAdvised starts as many tasks of the step as fit on the runners that the advice service allows, and plans a call
 // for the advice that is missing.
 func (p *pass) serveAdvised(s *tasks.Step) {
-	runners := p.allowedRunners(s)
+	isAllowed := true
+	var runners []*runnerCapacity
+	if s.Spec.Gang {
+		runners = p.allowedRunners(s)
+		isAllowed = len(runners) > 0
+	} else {
+		runners, isAllowed = p.fittingAllowedRunners(s)
+	}
 	switch {
-	case len(runners) == 0:
+	case !isAllowed:
 		p.requestAdvice(s, true)
 	case !p.placeTasks(s, runners):
 		p.requestAdvice(s, false)
@@ -57,15 +64,48 @@
 // allowedRunners returns the usable runners on which the advice service allows the step to run.
 func (p *pass) allowedRunners(s *tasks.Step) []*runnerCapacity {
 	var out []*runnerCapacity
-	for _, incarnation := range s.Advice.Allowed {
-		r := p.capacityOf(incarnation)
-		if r != nil && s.Advice.Answers[incarnation].Allowed && canRun(s, r) {
+	for i := range s.Advice.Allowed {
+		if r := p.everAllowed(s, i); r != nil && p.isAllowed(s, i) && canRun(s, r) {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
+// fittingAllowedRunners returns those of the allowed runners on which a task of the step fits now, and whether there are any allowed
+// ones. Under overload nearly all of them are full.
+func (p *pass) fittingAllowedRunners(s *tasks.Step) (fitting []*runnerCapacity, isAllowed bool) {
+	need := taskResources(s)
+	for i := range s.Advice.Allowed {
+		r := p.everAllowed(s, i)
+		if r == nil || (isAllowed && !need.Fits(r.free)) {
+			continue
+		}
+		if !canRun(s, r) || !p.isAllowed(s, i) {
+			continue
+		}
+		isAllowed = true
+		if need.Fits(r.free) {
+			fitting = append(fitting, r)
+		}
+	}
+	return fitting, isAllowed
+}
+
+// everAllowed returns the capacity of the runner that Advice.Allowed holds at the index, or nil when it may not get tasks.
+func (p *pass) everAllowed(s *tasks.Step, index int) *runnerCapacity {
+	r := p.table.AllowedRunner(&s.Advice, index)
+	if r == nil {
+		return nil
+	}
+	return p.usable(r)
+}
+
+// isAllowed reports whether the latest answer allowed the runner that Advice.Allowed holds at the index.
+func (p *pass) isAllowed(s *tasks.Step, index int) bool {
+	return s.Advice.Answers[s.Advice.Allowed[index]].Allowed
+}
+
 // requestAdvice plans calls for advice on runners that the service was never asked about: as many as should hold the
 // waiting tasks askedCapacityFactor times, given the share of the runners that its queue is usually allowed, but at least
 // minAskedRunners and at most maxNamed. Runners that have free capacity now come first, since a ticket for a full
@@ -137,16 +177,20 @@
 func (c *candidates) addEmptiest() {
 	var fitting []gangShare
 	for _, r := range c.pass.runners[c.step.Job.Spec.Queue.Service] {
-		if n := c.pass.countFitting(c.step, r); n > 0 && c.mayRun(r) {
+		if n := c.pass.countFitting(c.step, r); n > 0 {
 			fitting = append(fitting, gangShare{runner: r, count: n})
 		}
 	}
-	slices.SortStableFunc(fitting, func(a, b gangShare) int { return cmp.Compare(b.count, a.count) })
+	slices.SortFunc(fitting, func(a, b gangShare) int {
+		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.runner.runner.Position(), b.runner.runner.Position()))
+	})
 	for _, f := range fitting {
 		if c.isEnough() {
 			return
 		}
-		c.addRunner(f.runner, f.count)
+		if c.mayRun(f.runner) {
+			c.addRunner(f.runner, f.count)
+		}
 	}
 }
 
--- a/internal/flow/order/backlog.go
+++ b/internal/flow/order/backlog.go
@@ -77,7 +77,7 @@
 func (b *Backlog) add(p *pass, j *tasks.Job) {
 	key := newBacklogKey(j)
 	b.limits[key.organisation] = limitsOf(j.Organisation)
-	for _, o := range j.Occurrences {
+	for _, o := range j.Created() {
 		if p.now.After(o.Due.Add(lateFactor * j.Allowance())) {
 			continue
 		}
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -33,7 +33,7 @@
 	if s.Advice.Pending > 0 {
 		// The capacity on the runners that the call in flight names stays reserved, so that the gang fits when the
 		// tickets arrive.
-		p.subtractShares(s, p.fitGang(s, askedRunners(s, runners)))
+		p.subtractShares(s, p.fitGang(s, p.askedRunners(s, runners)))
 		return true
 	}
 	shares := p.fitGang(s, runners)
@@ -85,10 +85,15 @@
 }
 
 // askedRunners returns those of the runners that the latest calls for advice on the step named.
-func askedRunners(s *tasks.Step, runners []*runnerCapacity) []*runnerCapacity {
+func (p *pass) askedRunners(s *tasks.Step, runners []*runnerCapacity) []*runnerCapacity {
+	for _, incarnation := range s.Advice.Asked {
+		if r := p.capacityOf(incarnation); r != nil {
+			r.askedFor = s
+		}
+	}
 	var out []*runnerCapacity
 	for _, r := range runners {
-		if slices.Contains(s.Advice.Asked, r.runner.Incarnation()) {
+		if r.askedFor == s {
 			out = append(out, r)
 		}
 	}
@@ -161,13 +166,14 @@
 func (p *pass) fitAny(s *tasks.Step, runners []*runnerCapacity) []gangShare {
 	type candidate struct {
 		gangShare
-		cost float64
+		cost  float64
+		index int
 	}
 	var fitting []candidate
 	total := 0
-	for _, r := range runners {
+	for i, r := range runners {
 		if n := p.countFitting(s, r); n > 0 {
-			fitting = append(fitting, candidate{gangShare: gangShare{runner: r, count: n}, cost: cost(s.Tasks[0], r)})
+			fitting = append(fitting, candidate{gangShare: gangShare{runner: r, count: n}, cost: cost(s.Tasks[0], r), index: i})
 			total += n
 		}
 	}
@@ -175,7 +181,9 @@
 	if total < left {
 		return nil
 	}
-	slices.SortStableFunc(fitting, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortFunc(fitting, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.index, b.index))
+	})
 	var out []gangShare
 	for _, c := range fitting {
 		c.count = min(left, c.count)
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -108,7 +108,7 @@
 		// capacity is that of all usable runners.
 		capacity  types.Resources
 		headrooms map[*tasks.Organisation]*headroom
-		// mostUrgent is the lowest priority number of the jobs in the table.
+		// mostUrgent is the lowest priority number of the jobs in the table; it is not set if there are no organisations.
 		mostUrgent int
 		// lastHeadroom is the one that was looked up last, most often by the same step.
 		lastHeadroom *headroom
@@ -131,6 +131,8 @@
 	runnerCapacity struct {
 		runner *tasks.Runner
 		free   types.Resources
+		// askedFor is the step for which askedRunners has last found the runner among those asked about.
+		askedFor *tasks.Step
 	}
 
 	// stepPlacement is the state of placing the tasks of one step, one by one.
@@ -166,7 +168,9 @@
 		return p.out
 	}
 	p.collectRunners()
-	p.mostUrgent = mostUrgent(t)
+	if len(t.Organisations) > 0 {
+		p.mostUrgent = mostUrgent(t)
+	}
 	entries := p.sortedEntries(compare)
 	p.holdRunners()
 	p.keepPlaces(entries)
@@ -213,7 +217,7 @@
 		if j.Ending {
 			continue
 		}
-		for _, o := range j.Occurrences {
+		for _, o := range j.Created() {
 			for _, s := range o.Steps {
 				if s.CanStart() {
 					out = append(out, p.newEntry(s))
@@ -256,13 +260,16 @@
 // byUrgency ranks steps by tier, work that can still be done in time first, then by priority, then by how little time
 // is left and how small the work is.
 func byUrgency(a, b entry) int {
-	return cmp.Or(
-		cmp.Compare(a.tier, b.tier),
-		cmp.Compare(a.step.Job.Spec.Queue.Priority, b.step.Job.Spec.Queue.Priority),
-		a.rank.Compare(b.rank),
-		cmp.Compare(a.step.Ref.Job, b.step.Ref.Job),
-		cmp.Compare(a.step.Ref.Step, b.step.Ref.Step),
-	)
+	if c := cmp.Compare(a.tier, b.tier); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.step.Job.Spec.Queue.Priority, b.step.Job.Spec.Queue.Priority); c != 0 {
+		return c
+	}
+	if c := a.rank.Compare(b.rank); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(a.step.Ref.Job, b.step.Ref.Job), cmp.Compare(a.step.Ref.Step, b.step.Ref.Step))
 }
 
 // collectRunners collects the runners that may get tasks.
@@ -298,16 +305,25 @@
 // current one.
 func (p *pass) capacityOf(i tasks.Incarnation) *runnerCapacity {
 	r := p.table.Runners[i.Runner]
-	if r == nil || r.Info.Boot != i.Boot || p.capacities[r.Position()].runner == nil {
+	if r == nil || r.Info.Boot != i.Boot {
+		return nil
+	}
+	return p.usable(r)
+}
+
+// usable returns the capacity of a runner of the table, or nil when it may not get tasks.
+func (p *pass) usable(r *tasks.Runner) *runnerCapacity {
+	c := &p.capacities[r.Position()]
+	if c.runner == nil {
 		return nil
 	}
-	return &p.capacities[r.Position()]
+	return c
 }
 
 // hasWaitingStep reports whether tasks of some step can start.
 func hasWaitingStep(t *tasks.Table) bool {
 	for _, j := range t.Jobs {
-		for _, o := range j.Occurrences {
+		for _, o := range j.Created() {
 			for _, s := range o.Steps {
 				if s.CanStart() {
 					return true
--- a/internal/flow/order/restart.go
+++ b/internal/flow/order/restart.go
@@ -74,7 +74,7 @@
 		return shares
 	}
 	if s.Advice.Pending > 0 {
-		return p.fitRestart(s, askedRunners(s, runners))
+		return p.fitRestart(s, p.askedRunners(s, runners))
 	}
 	shares := p.fitRestart(s, runners)
 	if shares == nil {
--- a/internal/flow/tasks/advice.go
+++ b/internal/flow/tasks/advice.go
@@ -20,6 +20,8 @@
 		// Allowed lists the runners that any answer has allowed, in the order of the answers, including those that a
 		// later answer did not allow; RunnerAdvice.Allowed tells of the latest answer.
 		Allowed []Incarnation
+		// allowedRunners holds the runners that were found for Allowed, which AllowedRunner looks up again once they are replaced.
+		allowedRunners []*Runner
 		// Place is where a gang fitted when the latest calls for its tickets were made; nil if they were made to find runners.
 		Place []PlaceShare
 	}
@@ -106,6 +108,23 @@
 	}
 }
 
+// AllowedRunner returns the runner whose incarnation a.Allowed holds at the index, or nil when that is no longer the current one.
+func (t *Table) AllowedRunner(a *Advice, index int) *Runner {
+	for len(a.allowedRunners) < len(a.Allowed) {
+		a.allowedRunners = append(a.allowedRunners, nil)
+	}
+	i := a.Allowed[index]
+	if r := a.allowedRunners[index]; r != nil && r.Incarnation() == i && t.isCurrent(r) {
+		return r
+	}
+	r := t.Runners[i.Runner]
+	if r != nil && r.Info.Boot != i.Boot {
+		r = nil
+	}
+	a.allowedRunners[index] = r
+	return r
+}
+
 // Ticket returns the ticket for a runner; false means that there is none that is valid up to the given time.
 func (a *Advice) Ticket(incarnation Incarnation, until time.Time) (agent.Ticket, bool) {
 	answer, ok := a.Answers[incarnation]
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -106,6 +106,8 @@
 		Attempted   bool
 		Ran         bool
 		Occurrences map[int]*Occurrence
+		// created holds the occurrences in the order in which they were created.
+		created []*Occurrence
 		// Advised and Started are when the first advice arrived and the first start was sent; zero before, or when
 		// that was under a former leader.
 		Advised time.Time
@@ -223,6 +225,12 @@
 	return t.ordered
 }
 
+// isCurrent reports whether the table holds the runner. It is cheaper than a look-up by id.
+func (t *Table) isCurrent(r *Runner) bool {
+	ordered := t.OrderedRunners()
+	return r.position < len(ordered) && ordered[r.position] == r
+}
+
 // Advance creates the occurrences of scheduled jobs that are due.
 func (t *Table) Advance(now time.Time) {
 	for _, j := range t.Jobs {
@@ -260,9 +268,16 @@
 		o.Steps = append(o.Steps, newStep(j, o, i))
 	}
 	j.Occurrences[number] = o
+	j.created = append(j.created, o)
 	return o
 }
 
+// Created returns the occurrences in the order in which they were created, for passes over many jobs, where an iteration over the
+// map would take most of the time. The caller must not change the slice.
+func (j *Job) Created() []*Occurrence {
+	return j.created
+}
+
 func newStep(j *Job, o *Occurrence, index int) *Step {
 	spec := &j.Spec.Steps[index]
 	ref := specs.StepRef{Job: j.Spec.ID, Occurrence: o.Number, Step: index}
