Remember strong daemons for as long as they were listed

On the large fleet a VM with 0.19 of a processor led after an outage of the store in which all leases expired.

Cause: the strongest member was remembered for 20 s after its record was last written, and not after it was last listed. The record of a member is written once. An outage 20 s after the last of them thus found weak daemons that knew of no stronger one, and whichever was nearest to the store claimed at once.

Change: a member that is removed, or that a new list lacks, is remembered from then on.

TestWeakDaemonRemembersStrongOnesThatWereListedForLong failed before: "the weak daemon waits 0s after the strong one was listed, want 1s".

--- a/internal/flow/elect/elect_test.go
+++ b/internal/flow/elect/elect_test.go
@@ -348,6 +348,34 @@
 	}
 }
 
+// Guards against a weak leader after an outage of the store that comes long after the strong daemons have registered: their records do not
+// change while they are listed.
+func TestWeakDaemonRemembersStrongOnesThatWereListedForLong(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	memory := store.NewMemory(clock, "r1")
+	batcher, ok := memory.As("r1", meter.Discard()).(store.Batcher)
+	if !ok {
+		t.Fatal("the in-memory store does not support batches")
+	}
+	strong := New(Config{Self: peer.Target{VM: "strong"}, Strength: 1, Store: batcher, Clock: clock, Log: zerolog.Nop()})
+	weak := New(Config{Self: peer.Target{VM: "weak"}, Strength: 0.2, Store: batcher, Clock: clock, Log: zerolog.Nop()})
+	list := func() {
+		if _, err := weak.listControl(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := strong.register(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	list()
+	clock.Advance(strengthMemory + time.Second)
+	memory.EndLeases(strong.memberKey())
+	list()
+	if got := weak.weakDelay(); got != 2*weakDelayStep {
+		t.Errorf("the weak daemon waits %s after the strong one was listed, want %s", got, 2*weakDelayStep)
+	}
+}
+
 // When all daemons have restarted and their leases have expired, none is listed. A weak daemon that starts first must still let the
 // strong ones claim leadership: as the leader of a large fleet it would serve almost nobody.
 func TestWeakDaemonLetsStrongOnesClaimAfterAllHaveRestarted(t *testing.T) {
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -41,7 +41,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	clear(e.members)
+	e.forgetMembers()
 	e.applyEntry(store.Entry{Key: LeaderKey, Deleted: true})
 	for _, entry := range page.Entries {
 		e.applyEntry(entry)
--- a/internal/flow/elect/records.go
+++ b/internal/flow/elect/records.go
@@ -58,6 +58,7 @@
 func (e *Elector) applyMember(entry store.Entry) {
 	vm := types.VMID(strings.TrimPrefix(string(entry.Key), string(memberPrefix)))
 	if entry.Deleted {
+		e.rememberStrength(e.members[vm].Strength)
 		delete(e.members, vm)
 		return
 	}
@@ -70,6 +71,15 @@
 	e.rememberStrength(m.Strength)
 }
 
+// forgetMembers removes all members before they are listed anew. Those that the new list lacks were listed until now. The caller must hold
+// e.mu.
+func (e *Elector) forgetMembers() {
+	for _, m := range e.members {
+		e.rememberStrength(m.Strength)
+	}
+	clear(e.members)
+}
+
 // rememberStrength updates the highest Strength that was listed recently. The caller must hold e.mu.
 func (e *Elector) rememberStrength(strength Strength) {
 	now := e.config.Clock.Now()
