Leave leadership to the living leader after an outage of the store

In an outage all leases expire, and the leader's record with its own. The daemon nearest to the store claimed 0.1 s after the outage, before the living leader had registered again. The leader's writes of the outage were then refused ("epoch 2 was superseded"), callers of 150 to 200 accepted jobs got 504, the next leader read the ledger for 0.5 to 0.8 s and called all runners under new fences, and the first job started 2 to 5 s after the outage.

Change: a daemon that no call to the store has answered for as long as a lease lasts, leaves a missing record to its leader for 0.6 s after the store answers again, unless the leader was suspected before. The leader writes its record again without the delay of a claim meanwhile. A daemon that was not hit by the outage claims as before.

TestDistantLeaderKeepsItsTermThroughAnOutage failed before: "the leader has the term <nil>, want epoch 1".

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -149,6 +149,7 @@
 		// listed means that leader, epoch and members were read from the store; lastContact is when it last answered.
 		listed      bool
 		lastContact time.Time
+		contact     contact
 		// strongest is the highest Strength of a daemon that was listed within strengthMemory, the last time at
 		// strongestAt.
 		strongest   Strength
--- a/internal/flow/elect/lease.go
+++ b/internal/flow/elect/lease.go
@@ -33,6 +33,7 @@
 	defer cancel()
 	began := e.config.Clock.Now()
 	err := e.config.Store.Renew(limited, lease)
+	e.noteCall(err == nil || errs.Is(err, errs.NotFound))
 	if errs.Is(err, errs.NotFound) {
 		e.config.Log.Warn().Msg("lease in the store has expired; registering again")
 		return e.register(ctx)
@@ -59,6 +60,7 @@
 	defer cancel()
 	began := e.config.Clock.Now()
 	lease, err := e.config.Store.Grant(limited, e.config.TTL)
+	e.noteCall(err == nil)
 	if err != nil {
 		return err
 	}
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -36,6 +36,7 @@
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	page, err := e.config.Store.List(limited, controlPrefix)
+	e.noteCall(err == nil)
 	if err != nil {
 		return store.Absent, err
 	}
@@ -58,6 +59,7 @@
 	limited, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	page, err := e.config.Store.Watch(limited, controlPrefix, version)
+	e.noteCall(err == nil || errs.Is(err, errs.Conflict))
 	if errs.Is(err, errs.Conflict) {
 		return store.Absent, nil
 	}
@@ -126,16 +128,20 @@
 }
 
 // claimDelayLeft notes whether this daemon finds leadership vacant and may claim it, and returns the time left of its delay before a claim:
-// for the latency to the store, for a weaker VM and for lost terms, and a random one. The caller must hold e.mu.
+// for the latency to the store, for a weaker VM and for lost terms, and a random one. A leader reasserts its leadership without a delay
+// while the others leave it to it. The caller must hold e.mu.
 func (e *Elector) claimDelayLeft() time.Duration {
 	now := e.config.Clock.Now()
-	if !e.listed || !e.mayLead() || e.lease == 0 || !e.isVacant() {
+	if !e.listed || !e.mayLead() || e.lease == 0 || !e.isVacant() || e.awaitsFormerLeader(now) {
 		e.vacantSince = time.Time{}
 		return 0
 	}
 	if e.vacantSince.IsZero() {
 		e.vacantSince, e.claimJitter = now, rand.N(maxJitter)
 	}
+	if e.term != nil && e.contact.isOutageRecent(now) {
+		return 0
+	}
 	delay := min(rankDelayFactor*e.storeLatency, maxRankDelay) + e.weakDelay() + e.lostTermDelay() + e.claimJitter
 	return delay - now.Sub(e.vacantSince)
 }
