Sort only the steps that a plan comes to, and rank runners by counting

A plan serves at most 400 steps, but sorted all that wait, which took most of its time with thousands of them. It now takes the least 400 out and sorts these, and the next ones only if it comes to them; with surplus work it still sorts all. The runners that a call for a gang names, emptiest first, took a sort of the whole fleet for each gang; they are now found by the number of tasks that fit.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -175,23 +175,38 @@
 
 // addEmptiest names the runners on which the most tasks fit now.
 func (c *candidates) addEmptiest() {
-	var fitting []gangShare
-	for _, r := range c.pass.runners[c.step.Job.Spec.Queue.Service] {
-		if n := c.pass.countFitting(c.step, r); n > 0 {
-			fitting = append(fitting, gangShare{runner: r, count: n})
-		}
+	runners := c.pass.runners[c.step.Job.Spec.Queue.Service]
+	counts := c.pass.counts[:0]
+	highest := 0
+	for _, r := range runners {
+		n := c.pass.countFitting(c.step, r)
+		counts, highest = append(counts, n), max(highest, n)
 	}
-	slices.SortFunc(fitting, func(a, b gangShare) int {
-		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.runner.runner.Position(), b.runner.runner.Position()))
-	})
-	for _, f := range fitting {
+	c.pass.counts = counts
+	for highest > 0 {
+		highest = c.addWithCount(runners, counts, highest)
+	}
+}
+
+// addWithCount names the runners on which the given number of tasks fits, in the order of their ids. It returns the next lower count
+// that there is, or 0 if no more runners need to be named.
+func (c *candidates) addWithCount(runners []*runnerCapacity, counts []int, count int) int {
+	next := 0
+	for i, n := range counts {
+		if n != count {
+			if n < count {
+				next = max(next, n)
+			}
+			continue
+		}
 		if c.isEnough() {
-			return
+			return 0
 		}
-		if c.mayRun(f.runner) {
-			c.addRunner(f.runner, f.count)
+		if c.mayRun(runners[i]) {
+			c.addRunner(runners[i], n)
 		}
 	}
+	return next
 }
 
 // canCallAdvice reports whether a call for advice on the step may be made now: none is in flight, and the budget allows
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -9,7 +9,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -122,6 +121,8 @@
 		services map[*tasks.Organisation]types.Resources
 		// stepsLeft is how many more steps the plan serves.
 		stepsLeft int
+		// counts is reused for the number of tasks that fit on each runner of a service.
+		counts []int
 		// runnable tells of each demand met so far whether a runner could meet it.
 		runnable map[demand]bool
 		out      Plan
@@ -171,10 +172,10 @@
 	if len(t.Organisations) > 0 {
 		p.mostUrgent = mostUrgent(t)
 	}
-	entries := p.sortedEntries(compare)
+	entries := p.entries()
 	p.holdRunners()
-	p.keepPlaces(entries)
-	p.serveAll(entries)
+	p.keepPlaces(entries, compare)
+	p.serveAll(entries, compare)
 	p.out.WaitingForQuota = p.waitingForQuota()
 	return p.out
 }
@@ -210,8 +211,8 @@
 	}
 }
 
-// sortedEntries returns the steps whose tasks can start, in the order of the ranking.
-func (p *pass) sortedEntries(compare ranking) []entry {
+// entries returns the steps whose tasks can start, in no order.
+func (p *pass) entries() []entry {
 	var out []entry
 	for _, j := range p.table.Jobs {
 		if j.Ending {
@@ -225,7 +226,6 @@
 			}
 		}
 	}
-	slices.SortFunc(out, compare)
 	return out
 }
 
--- a/internal/flow/order/place.go
+++ b/internal/flow/order/place.go
@@ -1,6 +1,8 @@
 package order
 
 import (
+	"slices"
+
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
@@ -17,13 +19,17 @@
 
 // keepPlaces reserves, for each gang that waits for tickets, the capacity on which it fitted when the tickets were requested.
 // A call for tickets takes about half a second, in which small urgent tasks would otherwise take that capacity each time.
-func (p *pass) keepPlaces(sorted []entry) {
+func (p *pass) keepPlaces(entries []entry, compare ranking) {
+	var waiting []entry
+	for _, e := range entries {
+		if e.tier != overdue && len(e.step.Advice.Place) > 0 && p.isPlaceNeeded(e.step) {
+			waiting = append(waiting, e)
+		}
+	}
+	slices.SortFunc(waiting, compare)
 	cores := make(map[types.ServiceName]types.MilliCores)
-	for _, e := range sorted {
+	for _, e := range waiting {
 		s := e.step
-		if e.tier == overdue || len(s.Advice.Place) == 0 || !p.isPlaceNeeded(s) {
-			continue
-		}
 		service := s.Job.Spec.Queue.Service
 		wanted := taskResources(s).Times(len(s.Tasks)).Cores
 		if cores[service]+wanted > types.MilliCores(placeShareLimit*float64(p.cores[service])) {
--- a/internal/flow/order/quota_test.go
+++ b/internal/flow/order/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -455,7 +456,8 @@
 		return p.out
 	}
 	p.collectRunners()
-	entries := p.sortedEntries(byUrgency)
+	entries := p.entries()
+	slices.SortFunc(entries, byUrgency)
 	for _, e := range entries[:min(len(entries), maxSteps)] {
 		p.serve(e.step)
 	}
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"slices"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
@@ -61,15 +62,9 @@
 	return j.Organisation != nil && (j.Spec.Surplus || (p.table.LimitsKnown && !j.Organisation.Known))
 }
 
-// splitSurplus returns the entries within the weights and the surplus ones, each in the same order as before. Without
-// surplus work, the first result is the given slice.
+// splitSurplus returns the entries within the weights and the surplus ones, each in the same order as before.
 func (p *pass) splitSurplus(sorted []entry) (within, surplus []entry) {
-	first := firstIndex(sorted, func(e entry) bool { return p.isSurplus(e.step.Job) })
-	if first == len(sorted) {
-		return sorted, nil
-	}
-	within = append(within, sorted[:first]...)
-	for _, e := range sorted[first:] {
+	for _, e := range sorted {
 		if p.isSurplus(e.step.Job) {
 			surplus = append(surplus, e)
 		} else {
@@ -90,14 +85,21 @@
 }
 
 // serveAll serves the steps in four groups: those within the weights that are not overdue, the surplus ones that are not
-// overdue, those within the weights that are overdue, and the surplus ones that are overdue.
-func (p *pass) serveAll(sorted []entry) {
-	isOverdue := func(e entry) bool { return e.tier == overdue }
-	within, surplus := p.splitSurplus(sorted)
-	if len(surplus) == 0 {
-		p.serveInOrder(within)
+// overdue, those within the weights that are overdue, and the surplus ones that are overdue. Without surplus steps, only as many are
+// sorted as the plan comes to.
+func (p *pass) serveAll(entries []entry, compare ranking) {
+	if !slices.ContainsFunc(entries, func(e entry) bool { return p.isSurplus(e.step.Job) }) {
+		for len(entries) > 0 && p.stepsLeft > 0 {
+			n := min(len(entries), maxSteps)
+			sortLeast(entries, n, compare)
+			p.serveInOrder(entries[:n])
+			entries = entries[n:]
+		}
 		return
 	}
+	slices.SortFunc(entries, compare)
+	isOverdue := func(e entry) bool { return e.tier == overdue }
+	within, surplus := p.splitSurplus(entries)
 	split, splitSurplus := firstIndex(within, isOverdue), firstIndex(surplus, isOverdue)
 	p.serveInOrder(within[:split])
 	p.serveByShare(surplus[:splitSurplus])
