--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -30,14 +30,7 @@
 // serveAdvised starts as many tasks of the step as fit on the runners that the advice service allows, and plans a call
 // for the advice that is missing.
 func (p *pass) serveAdvised(s *tasks.Step) {
-	isAllowed := true
-	var runners []*runnerCapacity
-	if s.Spec.Gang {
-		runners = p.allowedRunners(s)
-		isAllowed = len(runners) > 0
-	} else {
-		runners, isAllowed = p.fittingAllowedRunners(s)
-	}
+	runners, isAllowed := p.advisedRunners(s)
 	switch {
 	case !isAllowed:
 		p.requestAdvice(s, true)
@@ -61,6 +54,16 @@
 	p.addAsked(s, wanted)
 }
 
+// advisedRunners returns the runners on which the step may be placed, for a step that is no gang only those on which a task fits now,
+// and whether the advice service allows any.
+func (p *pass) advisedRunners(s *tasks.Step) (runners []*runnerCapacity, isAllowed bool) {
+	if !s.Spec.Gang {
+		return p.fittingAllowedRunners(s)
+	}
+	runners = p.allowedRunners(s)
+	return runners, len(runners) > 0
+}
+
 // allowedRunners returns the usable runners on which the advice service allows the step to run.
 func (p *pass) allowedRunners(s *tasks.Step) []*runnerCapacity {
 	var out []*runnerCapacity
