--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -30,14 +30,7 @@
 // serveAdvised starts as many tasks of the step as fit on the runners that the advice service allows, and plans a call
 // for the advice that is missing.
 func (p *pass) serveAdvised(s *tasks.Step) {
-	isAllowed := true
-	var runners []*runnerCapacity
-	if s.Spec.Gang {
-		runners = p.allowedRunners(s)
-		isAllowed = len(runners) > 0
-	} else {
-		runners, isAllowed = p.fittingAllowedRunners(s)
-	}
+	runners, isAllowed := p.advisedRunners(s)
 	switch {
 	case !isAllowed:
 		p.requestAdvice(s, true)
@@ -61,6 +54,16 @@
 	p.addAsked(s, wanted)
 }
 
+// advisedRunners returns the runners on which the step may be placed, for a step that is no gang only those on which a task fits now,
+// and whether the advice service allows any.
+func (p *pass) advisedRunners(s *tasks.Step) (runners []*runnerCapacity, isAllowed bool) {
+	if !s.Spec.Gang {
+		return p.fittingAllowedRunners(s)
+	}
+	runners = p.allowedRunners(s)
+	return runners, len(runners) > 0
+}
+
 // allowedRunners returns the usable runners on which the advice service allows the step to run.
 func (p *pass) allowedRunners(s *tasks.Step) []*runnerCapacity {
 	var out []*runnerCapacity
@@ -175,23 +178,38 @@
 
 // addEmptiest names the runners on which the most tasks fit now.
 func (c *candidates) addEmptiest() {
-	var fitting []gangShare
-	for _, r := range c.pass.runners[c.step.Job.Spec.Queue.Service] {
-		if n := c.pass.countFitting(c.step, r); n > 0 {
-			fitting = append(fitting, gangShare{runner: r, count: n})
-		}
+	runners := c.pass.runners[c.step.Job.Spec.Queue.Service]
+	counts := c.pass.counts[:0]
+	highest := 0
+	for _, r := range runners {
+		n := c.pass.countFitting(c.step, r)
+		counts, highest = append(counts, n), max(highest, n)
+	}
+	c.pass.counts = counts
+	for highest > 0 {
+		highest = c.addWithCount(runners, counts, highest)
 	}
-	slices.SortFunc(fitting, func(a, b gangShare) int {
-		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.runner.runner.Position(), b.runner.runner.Position()))
-	})
-	for _, f := range fitting {
+}
+
+// addWithCount names the runners on which the given number of tasks fits, in the order of their ids. It returns the next lower count
+// that there is, or 0 if no more runners need to be named.
+func (c *candidates) addWithCount(runners []*runnerCapacity, counts []int, count int) int {
+	next := 0
+	for i, n := range counts {
+		if n != count {
+			if n < count {
+				next = max(next, n)
+			}
+			continue
+		}
 		if c.isEnough() {
-			return
+			return 0
 		}
-		if c.mayRun(f.runner) {
-			c.addRunner(f.runner, f.count)
+		if c.mayRun(runners[i]) {
+			c.addRunner(runners[i], n)
 		}
 	}
+	return next
 }
 
 // canCallAdvice reports whether a call for advice on the step may be made now: none is in flight, and the budget allows
