Use one function to wait with a clock and a context

The client, an entry's retries, the registration of requests and the trial of routing each had a copy of every.Sleep; they call it now. The commands that take an ID share the action that reads it and makes the client. No change of what they do.

--- a/client/client.go
+++ b/client/client.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/route/once"
 )
@@ -164,14 +165,7 @@
 	if delay <= 0 {
 		return true
 	}
-	timer := c.config.Clock.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return every.Sleep(ctx, c.config.Clock, delay)
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
--- a/internal/app/cmds/work.go
+++ b/internal/app/cmds/work.go
@@ -134,21 +134,28 @@
 	return &cli.Command{
 		Name: name, Usage: usage, UsageText: "magnoliawalk job " + name + " ID",
 		Flags: remoteFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			id, err := argument(c, 0, "ID")
-			if err != nil {
-				return err
-			}
-			apiClient, err := newClient(c)
-			if err != nil {
-				return err
-			}
+		Action: withID(func(ctx context.Context, c *cli.Command, apiClient *client.Client, id string) error {
 			status, err := query(apiClient, ctx, types.JobID(id))
 			if err != nil {
 				return err
 			}
 			return showJob(c, *status)
-		},
+		}),
+	}
+}
+
+// withID returns an action that calls run with a client and the ID in the command's argument.
+func withID(run func(ctx context.Context, c *cli.Command, apiClient *client.Client, id string) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		id, err := argument(c, 0, "ID")
+		if err != nil {
+			return err
+		}
+		apiClient, err := newClient(c)
+		if err != nil {
+			return err
+		}
+		return run(ctx, c, apiClient, id)
 	}
 }
 
@@ -211,18 +218,10 @@
 		Usage:     "query the outcome of a non-idempotent request",
 		UsageText: "magnoliawalk request ask ID",
 		Flags:     remoteFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			id, err := argument(c, 0, "ID")
-			if err != nil {
-				return err
-			}
-			apiClient, err := newClient(c)
-			if err != nil {
-				return err
-			}
+		Action: withID(func(ctx context.Context, c *cli.Command, apiClient *client.Client, id string) error {
 			answer, err := apiClient.Ask(ctx, types.RequestID(id))
 			return showAnswer(c, answer, err)
-		},
+		}),
 	}
 }
 
--- a/internal/route/entry/run.go
+++ b/internal/route/entry/run.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
 	"github.com/magnoliawalk/magnoliawalk/internal/route/lend"
@@ -69,14 +70,7 @@
 	if e.config.Clock.Now().Add(wait).After(r.deadline) {
 		return false
 	}
-	timer := e.config.Clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return every.Sleep(ctx, e.config.Clock, wait)
 }
 
 // sendAttempt sends a request to the slot's runner once and releases the slot. The call is not cancelled when the
--- a/internal/route/once/client.go
+++ b/internal/route/once/client.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 )
@@ -160,7 +161,7 @@
 		if failingSince.IsZero() {
 			failingSince = now
 		}
-		if now.Sub(failingSince) >= registerRetryTimeout || !c.pause(ctx, retryBackoff.NextBackOff()) {
+		if now.Sub(failingSince) >= registerRetryTimeout || !every.Sleep(ctx, c.config.Clock, retryBackoff.NextBackOff()) {
 			return nil, err
 		}
 	}
@@ -188,18 +189,6 @@
 	return &reply, nil
 }
 
-// pause waits for the given time. It returns false when ctx ends first.
-func (c *Client) pause(ctx context.Context, wait time.Duration) bool {
-	timer := c.config.Clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ReportAnswer reports the final answer of an id to its home. It tries once now and again at each Tick, until the home
 // has acknowledged or rejected the answer or pendingTimeout has passed. An answer that can't be sent is discarded if
 // maxPending others are already waiting.
--- a/internal/route/trial/link.go
+++ b/internal/route/trial/link.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/every"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/runner"
@@ -37,17 +38,7 @@
 
 // waitDelay waits for the delay; it returns false when ctx ends first.
 func (d *delayedRunner) waitDelay(ctx context.Context, delay time.Duration) bool {
-	if delay == 0 {
-		return true
-	}
-	timer := d.cell.Config.Clock.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return delay == 0 || every.Sleep(ctx, d.cell.Config.Clock, delay)
 }
 
 func (d *delayedRunner) delayTo(to types.Site) time.Duration {
