Count the done tasks of the stand-in's runners as they are done

Cause, by reading: each query of a job's state went through all tasks that were ever done, and copied the runs of every runner, under the lock.

Change: the stand-in keeps the count of each job, and copies the runs of a runner only when one is due. What it checks stays as it is.

The tests of the stand-in and of the leader pass.

--- a/internal/plat/agent/gang.go
+++ b/internal/plat/agent/gang.go
@@ -90,7 +90,7 @@
 		}
 	}
 	for member, runner := range run.gang.members {
-		f.doneAt[member] = run.endAt
+		f.noteDone(member, run.endAt)
 		runner.addResult(member, Done, run.endAt)
 	}
 }
--- a/internal/plat/agent/memory.go
+++ b/internal/plat/agent/memory.go
@@ -24,9 +24,10 @@
 		runners map[specs.RunnerID]*runnerState
 		changes []Change
 		changed chan struct{}
-		// doneAt holds when tasks were done, acknowledged those whose result a leader acknowledged before the lease
-		// expired, and lastStartAt when an attempt of a task last started.
+		// doneAt holds when tasks were done, doneCounts how many tasks of each job, acknowledged those whose result a leader
+		// acknowledged before the lease expired, and lastStartAt when an attempt of a task last started.
 		doneAt         map[specs.Ref]time.Time
+		doneCounts     map[specs.JobID]int
 		acknowledged   map[specs.Ref]bool
 		lastStartAt    map[specs.Ref]time.Time
 		violations     []string
@@ -110,7 +111,7 @@
 func NewFleet(clock clockwork.Clock, w FleetConfig) *Fleet {
 	return &Fleet{
 		clock: clock, world: w, runners: make(map[specs.RunnerID]*runnerState), changed: make(chan struct{}),
-		doneAt: make(map[specs.Ref]time.Time), acknowledged: make(map[specs.Ref]bool), lastStartAt: make(map[specs.Ref]time.Time),
+		doneAt: make(map[specs.Ref]time.Time), doneCounts: make(map[specs.JobID]int), acknowledged: make(map[specs.Ref]bool), lastStartAt: make(map[specs.Ref]time.Time),
 		unreachable: make(map[specs.RunnerID]bool), gangs: make(map[gangKey]*gang), crashes: make(map[specs.Ref]int),
 	}
 }
@@ -204,13 +205,15 @@
 	for _, s := range f.runners {
 		f.endDueRuns(s)
 	}
-	n := 0
-	for ref := range f.doneAt {
-		if ref.Job == job {
-			n++
-		}
+	return f.doneCounts[job]
+}
+
+// noteDone notes that a task was done. The caller must hold f.mu.
+func (f *Fleet) noteDone(ref specs.Ref, at time.Time) {
+	if _, known := f.doneAt[ref]; !known {
+		f.doneCounts[ref.Job]++
 	}
-	return n
+	f.doneAt[ref] = at
 }
 
 // publishChange adds a change to the history and wakes the calls of Changes. The caller must hold f.mu.
--- a/internal/plat/agent/requests.go
+++ b/internal/plat/agent/requests.go
@@ -106,6 +106,9 @@
 	if expired {
 		s.expiredUpTo = s.lastResult
 	}
+	if !expired && !s.hasDueRun(now) {
+		return
+	}
 	for ref, run := range maps.Clone(s.runs) {
 		switch {
 		case s.runs[ref] != run:
@@ -120,12 +123,21 @@
 		case run.gang != nil:
 			f.endDueGang(s, ref, run)
 		default:
-			f.doneAt[ref] = run.endAt
+			f.noteDone(ref, run.endAt)
 			f.endRun(s, ref, Done)
 		}
 	}
 }
 
+func (s *runnerState) hasDueRun(now time.Time) bool {
+	for _, run := range s.runs {
+		if !now.Before(run.endAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // endRun ends a run with an outcome, and with it the other members of its gang. The caller must hold f.mu.
 func (f *Fleet) endRun(s *runnerState, ref specs.Ref, outcome Outcome) {
 	run := s.runs[ref]
