Let a late leader begin no more than it finishes

A leader that was past its capacity for some seconds did not come back when the cause was gone. It asked for advice on all that waits, and the tickets expired before it came to use them: so it asked again, and starts were discarded, or rejected by their runners, and gangs were thrown away. It took answers that it read late for lost ones, sent starts again and asked the runners four times as often.

The leader now measures how long its goroutines wait for the processor (timers alone do not show it: the runtime runs a goroutine that a timer wakes before the others). A window over the tasks whose start is in progress, or that wait for advice, shrinks while that is above 80 ms and grows again while work waits for it. The limits of starts and renewals include the lateness, and a late leader does not poll more often. Tickets are counted from before the answer waited to be read; starts that would arrive after their tickets are not sent, and of a gang none is if one member's ticket is stale.

--- a/internal/core/timing/timing.go
+++ b/internal/core/timing/timing.go
@@ -36,3 +36,8 @@
 	}
 	return min(max(e.mean+deviations*e.deviation, least), most)
 }
+
+// Mean returns the moving average of the times; zero without an observation.
+func (e *Estimator) Mean() time.Duration {
+	return e.mean
+}
--- a/internal/flow/owner/advice.go
+++ b/internal/flow/owner/advice.go
@@ -29,7 +29,7 @@
 	if s.Advice.Pending == 0 {
 		s.Advice.Asked = nil
 	}
-	s.Advice.Pending++
+	end := o.beginAdvice(s)
 	s.Advice.Place = a.Place
 	s.Advice.Asked = append(s.Advice.Asked, incarnations...)
 	// The share of the queue is learned only from calls whose first runner has no answer yet.
@@ -43,7 +43,7 @@
 		permits, err := o.config.Advise(ctx, s.Ref, *policy, incarnations)
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		s.Advice.Pending--
+		end()
 		if err != nil {
 			o.counters.adviceFailures.Inc(1)
 			o.config.Log.Info().Err(err).Str("Step", s.Ref.String()).Msg("advice call failed; a later plan asks again")
@@ -57,7 +57,9 @@
 		if firstAnswer {
 			o.table.Shares.Learn(s.Job.Spec.Queue.Name, len(incarnations), len(permits))
 		}
-		s.Advice.RecordAnswer(incarnations, permits, now.Add(policy.Validity-answerMargin))
+		// The answer has waited for this leader to read it.
+		transit := answerMargin + min(o.load.recent, policy.Validity/2)
+		s.Advice.RecordAnswer(incarnations, permits, now.Add(policy.Validity-transit))
 		every.Wake(o.planWake)
 	})()
 }
--- a/internal/flow/owner/answers.go
+++ b/internal/flow/owner/answers.go
@@ -81,13 +81,13 @@
 // become slower are noticed by their answers. The caller must hold o.mu.
 func (o *Owner) startTimeout(try int) time.Duration {
 	first := o.answers.starts.Timeout(minAnswerTimeout, maxAnswerTimeout)
-	return min(first<<(try-1), requestTimeout)
+	return min(first<<(try-1), requestTimeout) + o.load.delay()
 }
 
 // renewMargin returns how much longer than it waits for results a runner may take to answer a renewal. For a runner that has
 // not answered it grows with its silence, so that one which is away is called seldom. The caller must hold o.mu.
 func (o *Owner) renewMargin(silentSince time.Time) time.Duration {
-	margin := o.answers.renewals.Timeout(minRenewMargin, maxRenewMargin)
+	margin := o.answers.renewals.Timeout(minRenewMargin, maxRenewMargin) + o.load.delay()
 	if silentSince.IsZero() {
 		return margin
 	}
@@ -95,9 +95,10 @@
 }
 
 // pollTimeout returns how long a runner may wait for results before it answers a renewal. Results are noticed with the answer alone,
-// so while answers are being lost a busy runner is asked more often. The caller must hold o.mu.
+// so while answers are being lost a busy runner is asked more often, unless this leader is late: then its own turns delay the results, and
+// further calls would delay them more. The caller must hold o.mu.
 func (o *Owner) pollTimeout(busy bool) time.Duration {
-	if !busy || !o.answers.expectLoss(o.config.Clock.Now()) {
+	if !busy || o.isLate() || !o.answers.expectLoss(o.config.Clock.Now()) {
 		return longPollTimeout
 	}
 	spread := time.Second * time.Duration(len(o.table.Runners)) / maxShortPolls
--- a/internal/flow/owner/answers_test.go
+++ b/internal/flow/owner/answers_test.go
@@ -252,3 +252,34 @@
 		t.Errorf("margin %s once answers are quick again, want %s", got, minRenewMargin)
 	}
 }
+
+// An answer that a late leader has not read yet was taken for a lost one, and its request was sent again.
+func TestLimitsOfCallsIncludeTheLeadersLateness(t *testing.T) {
+	const late = 400 * time.Millisecond
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	for range 50 {
+		o.answers.starts.Observe(time.Millisecond)
+		o.answers.renewals.Observe(time.Millisecond)
+	}
+	start, renewal := o.startTimeout(1), o.renewMargin(time.Time{})
+	o.load.noteLateness(late)
+	if got := o.startTimeout(1); got < start+2*late {
+		t.Errorf("a start of a leader that is late by %s ends after %s, want at least %s", late, got, start+2*late)
+	}
+	if got := o.renewMargin(time.Time{}); got < renewal+2*late {
+		t.Errorf("a renewal of a leader that is late by %s ends %s after its wait, want at least %s", late, got, renewal+2*late)
+	}
+	for range minLostAnswers {
+		o.answers.noteStart(f.clock.Now(), 2, 0)
+	}
+	if got := o.pollTimeout(true); got != longPollTimeout {
+		t.Errorf("a late leader polls with a wait of %s, want %s", got, longPollTimeout)
+	}
+	for range int(10 * time.Second / latenessInterval) {
+		o.load.noteLateness(0)
+	}
+	if got := o.startTimeout(1); got > start+time.Millisecond {
+		t.Errorf("10 s after the leader was late a start ends after %s, want %s", got, start)
+	}
+}
--- a/internal/flow/owner/load.go
+++ b/internal/flow/owner/load.go
@@ -6,23 +6,29 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/sched"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
 const (
-	// latenessInterval is how often the lateness of the leader's timers is measured, loadLogInterval how often a line on the load is
+	// latenessInterval is how often the lateness of the leader is measured, loadLogInterval how often a line on the load is
 	// written.
 	latenessInterval = 100 * time.Millisecond
 	loadLogInterval  = time.Second
-	// minLoggedLateness is the lateness from which on the line is a warning.
-	minLoggedLateness = 100 * time.Millisecond
+	// recentDivisor is the part, 1/recentDivisor, by which the recent lateness falls with each measurement.
+	recentDivisor = 8
+	// turnsOfCall is how many turns of the leader the limit of a call includes: its request is sent in one and its answer read in another.
+	turnsOfCall = 2
 )
 
 type (
 	// load measures how far the leader is behind its work, and what takes its time. Its methods require Owner.mu.
 	load struct {
-		// lateness is by how much a timer was late at the latest measurement: how long whatever comes in waits for the processor.
+		// lateness is how long whatever comes in waits for the processor, by the latest measurement. Timers alone do not show it: the
+		// runtime lets a goroutine that a timer wakes run before the others.
 		lateness time.Duration
+		// recent is the lateness lately: a greater measurement raises it at once, a smaller one lowers it by a part.
+		recent time.Duration
 		// inFlight counts the starts that have been sent and not answered.
 		inFlight int
 		// sums holds the amounts since the latest line.
@@ -34,6 +40,8 @@
 
 	loadSums struct {
 		plans, ticks time.Duration
+		// waits is the longest that goroutines waited for the processor.
+		waits time.Duration
 		// worstLateness is the greatest lateness, oldestStart the longest time from the decision on a start until it was sent.
 		worstLateness, oldestStart time.Duration
 	}
@@ -48,6 +56,7 @@
 	loadMetrics struct {
 		lateness       metrics.Gauge
 		startsInFlight metrics.Gauge
+		window         metrics.Gauge
 		decisionToSend metrics.Timer
 	}
 )
@@ -57,6 +66,7 @@
 		metrics: loadMetrics{
 			lateness:       metrics.GetOrRegisterGauge("Owner.LatenessMs", r),
 			startsInFlight: metrics.GetOrRegisterGauge("Owner.StartsInFlight", r),
+			window:         metrics.GetOrRegisterGauge("Owner.Window", r),
 			decisionToSend: metrics.GetOrRegisterTimer("Owner.DecisionToStart", r),
 		},
 		counts: []loadCount{
@@ -87,15 +97,21 @@
 	return l
 }
 
-// loadLoop measures the lateness of the leader's timers, and writes a line on its load once in each loadLogInterval.
+// loadLoop measures the lateness of the leader, adapts its window, and writes a line on its load once in each loadLogInterval.
 func (o *Owner) loadLoop() {
+	meter := sched.NewMeter()
+	meter.Recent()
 	began := o.config.Clock.Now()
 	loggedAt := began
 	for o.ctx.Err() == nil {
 		o.sleep(latenessInterval)
 		now := o.config.Clock.Now()
 		o.mu.Lock()
-		o.load.noteLateness(now.Sub(began) - latenessInterval)
+		waits := meter.Recent()
+		o.load.sums.waits = max(o.load.sums.waits, waits)
+		o.load.noteLateness(max(now.Sub(began)-latenessInterval, waits))
+		o.window.adjust(o.load.lateness, len(o.table.Runners))
+		o.load.metrics.window.Update(int64(o.window.size))
 		if now.Sub(loggedAt) >= loadLogInterval {
 			o.logLoad(now.Sub(loggedAt))
 			loggedAt = now
@@ -107,11 +123,23 @@
 
 func (l *load) noteLateness(late time.Duration) {
 	l.lateness = late
+	l.recent = max(late, l.recent-l.recent/recentDivisor)
 	l.sums.worstLateness = max(l.sums.worstLateness, late)
 	l.metrics.lateness.Update(late.Milliseconds())
 	l.metrics.startsInFlight.Update(int64(l.inFlight))
 }
 
+// delay returns how much longer a call takes because the leader is late. It is added to the limits of calls, since an answer that the
+// leader has not read yet is not lost.
+func (l *load) delay() time.Duration {
+	return turnsOfCall * l.recent
+}
+
+// isLate reports whether the leader is too late to take on more than it must. The caller must hold o.mu.
+func (o *Owner) isLate() bool {
+	return o.load.recent > targetLateness
+}
+
 // noteDurable notes how long after the decision on a start its intent was durable, so that it can be sent.
 func (l *load) noteDurable(took time.Duration) {
 	l.metrics.decisionToSend.Update(took)
@@ -122,12 +150,15 @@
 func (o *Owner) logLoad(period time.Duration) {
 	l := &o.load
 	line := o.config.Log.Info()
-	if l.sums.worstLateness >= minLoggedLateness {
+	if l.sums.worstLateness > targetLateness {
 		line = o.config.Log.Warn()
 	}
-	line.Dur("Period", period).Dur("Lateness", l.sums.worstLateness).Int64("JobsWaiting", o.counters.jobsWaiting.Value()).
-		Int64("Runs", o.counters.runs.Value()).Int("InFlight", l.inFlight).Int("Writes", len(o.inFlight)).Dur("OldestStart", l.sums.oldestStart).
-		Dur("Plans", l.sums.plans).Dur("Ticks", l.sums.ticks).Func(l.countFields).Msg("load of the leader")
+	line.Dur("Period", period).Dur("Lateness", l.sums.worstLateness).Dur("Waits", l.sums.waits).
+		Int64("JobsWaiting", o.counters.jobsWaiting.Value()).Int64("Runs", o.counters.runs.Value()).
+		Int("InFlight", l.inFlight).Int("Writes", len(o.inFlight)).Func(o.window.fields).
+		Dur("StartTime", o.answers.starts.Mean()).Dur("RenewalTime", o.answers.renewals.Mean()).Dur("WriteLatency", o.writeLatency).
+		Dur("OldestStart", l.sums.oldestStart).Dur("Plans", l.sums.plans).Dur("Ticks", l.sums.ticks).
+		Func(l.countFields).Msg("load of the leader")
 	l.sums = loadSums{}
 }
 
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -175,6 +175,7 @@
 		// answers tells how long to wait for an answer of a runner.
 		answers answers
 		load    load
+		window  window
 		// losses holds the runners that became unreachable within lossMemory, the oldest first.
 		losses []runnerLoss
 		// unprovenLosses holds the runners that were out of reach until their leases expired, by address.
@@ -207,6 +208,7 @@
 		organisationCounters: newOrganisationCounters(c.Metrics),
 	}
 	o.load = newLoad(c.Metrics, &o.counters, &o.waste)
+	o.window = newWindow()
 	return o
 }
 
--- /dev/null
+++ b/internal/flow/owner/stale_ticket_test.go
@@ -0,0 +1,58 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+// gangWithTickets returns the runs of a gang of three whose starts were not sent, on runners of their own, with tickets that last for the
+// given times. The caller must hold o.mu.
+func gangWithTickets(f *fixture, o *Owner, left ...time.Duration) []*tasks.Run {
+	now := f.clock.Now()
+	o.directoryAt = now
+	o.noteConfirmed(now)
+	var runs []*tasks.Run
+	for i, t := range o.table.AddJob(job("j", gang(len(left)))).Occurrences[0].Steps[0].Tasks {
+		r := o.addRunner(runner(i))
+		r.Synced = true
+		run := r.PlaceTask(t, 1)
+		run.TicketUntil = now.Add(left[i])
+		c := t.Change()
+		c.State, c.Attempt, c.Runner = tasks.Placed, 1, r.Info.ID
+		o.table.Apply(tasks.Record{Task: c})
+		runs = append(runs, run)
+	}
+	return runs
+}
+
+func countSent(o *Owner, runs []*tasks.Run) int {
+	sent := 0
+	for _, run := range runs {
+		o.dispatchStart(run)
+		if run.Sent {
+			sent++
+		}
+	}
+	return sent
+}
+
+// The members of a gang whose last one had a stale ticket were started and thrown away.
+func TestGangWithAStaleTicketIsNotStartedInPart(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	if sent := countSent(o, gangWithTickets(f, o, time.Second, time.Second, time.Millisecond)); sent != 0 {
+		t.Errorf("%d starts were sent, want none", sent)
+	}
+}
+
+// A late leader sent starts whose tickets expired before the orders left it.
+func TestLateLeaderSendsNoStartThatArrivesTooLate(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	o.load.noteLateness(300 * time.Millisecond)
+	if sent := countSent(o, gangWithTickets(f, o, 250*time.Millisecond)); sent != 0 {
+		t.Errorf("%d starts were sent, want none", sent)
+	}
+}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -47,14 +47,14 @@
 	o.applyCatalog()
 	began := o.config.Clock.Now()
 	plan := order.MakePlan(o.table, began, order.Limits{
-		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency,
+		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency + o.load.recent,
 	})
 	o.counters.planDuration.UpdateSince(began)
-	for _, s := range plan.Starts {
+	for _, s := range o.window.takeStarts(plan.Starts) {
 		o.recordStart(s)
 	}
 	o.noteQuotaWaits(plan.WaitingForQuota, began)
-	for _, a := range plan.AdviceCalls {
+	for _, a := range o.window.takeAdvice(plan.AdviceCalls) {
 		o.requestAdvice(a)
 	}
 	took := o.config.Clock.Since(began)
@@ -82,9 +82,11 @@
 	c := t.Change()
 	c.State, c.Attempt, c.Runner = tasks.Placed, attempt, s.Runner.Info.ID
 	run.StartCheckpoint, run.Checkpoint = c.Saved, c.Saved
+	o.window.begin()
 	o.record(tasks.Record{Task: c}, func() {
 		o.load.noteDurable(o.config.Clock.Since(now))
 		o.dispatchStart(run)
+		o.endStart()
 	})
 }
 
@@ -98,10 +100,9 @@
 		return
 	}
 	now := o.config.Clock.Now()
-	stale := !run.TicketUntil.IsZero() && run.TicketUntil.Before(now.Add(ticketMargin/2))
 	isUnwanted := run.StartCancelled || o.isUnwanted(run) || o.isOverQuota(run)
 	mayStart := r.Usable(now) && !r.IsOvercommitted() && o.knowsDirectory() && o.isLeadershipConfirmed()
-	if isUnwanted || stale || !mayStart {
+	if isUnwanted || o.hasStaleTicket(run, now) || !mayStart {
 		o.counters.startsDiscarded.Inc(1)
 		o.discardRun(run)
 		return
@@ -109,6 +110,22 @@
 	o.sendStart(run)
 }
 
+// hasStaleTicket reports whether the ticket of a start may expire on its way to the runner, or that of another member of its gang: one
+// member that is rejected breaks the gang. The caller must hold o.mu.
+func (o *Owner) hasStaleTicket(run *tasks.Run, now time.Time) bool {
+	arrival := now.Add(ticketMargin/2 + o.load.recent)
+	isStale := func(r *tasks.Run) bool { return !r.TicketUntil.IsZero() && r.TicketUntil.Before(arrival) }
+	if isStale(run) || run.Task == nil || !run.Task.Step.Spec.Gang {
+		return isStale(run)
+	}
+	for _, m := range run.Task.Step.Tasks {
+		if m.Run != nil && m.Run.Key.Attempt == run.Key.Attempt && !m.Run.Sent && isStale(m.Run) {
+			return true
+		}
+	}
+	return false
+}
+
 // discardRun removes a run whose start was never sent, and requeues its task. The caller must hold o.mu.
 func (o *Owner) discardRun(run *tasks.Run) {
 	run.Runner.RemoveRun(run)
@@ -137,6 +154,7 @@
 	run.Tries++
 	o.counters.starts.Inc(1)
 	o.load.inFlight++
+	o.window.begin()
 	info := r.Info
 	timeout := o.startTimeout(run.Tries)
 	go o.guarded("answer of a runner", func() {
@@ -146,6 +164,7 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.load.inFlight--
+		o.endStart()
 		if o.ctx.Err() == nil {
 			took := o.config.Clock.Since(now)
 			o.counters.startLatency.Update(took)
