Ask runners with results less often while the writes are stalled

A runner with results that are not acknowledged answers each renewal at once. It now waits 300 ms instead of 40 ms between them until a write is committed.

--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -29,6 +29,9 @@
 	// acknowledgeDelay gives the write of results time to finish, so that the next renewal can acknowledge them; only
 	// durable results are acknowledged.
 	acknowledgeDelay = 40 * time.Millisecond
+	// stalledAcknowledgeDelay is acknowledgeDelay while the writes are stalled: a runner with results that are not acknowledged answers each
+	// renewal at once, and a large fleet would be asked ten times as often as usual.
+	stalledAcknowledgeDelay = 300 * time.Millisecond
 )
 
 // startRenewLoop starts the lease renewal loop of a runner, unless it has one or its address is not known. The caller
@@ -128,10 +131,14 @@
 	}
 	o.answers.noteRenewal(next.request, len(report.Results) > 0, o.config.Clock.Since(next.sentAt))
 	o.applyReport(r, next.request, report, next.sentAt)
-	if len(report.Results) > 0 {
+	switch {
+	case len(report.Results) == 0:
+		return 0
+	case o.stalledFor() > 0:
+		return stalledAcknowledgeDelay
+	default:
 		return acknowledgeDelay
 	}
-	return 0
 }
 
 // handleRenewFailure records a renewal that failed and returns the delay before the next. The failure says nothing when the tables hold
