Let a strong daemon take over from a weak leader

Strength decides who claims leadership while it is vacant, and nothing compared it again: a weak daemon that came to lead while all strong ones were away led for good once they were back.

Change: a daemon that has seen for four lease TTLs a leader of less than 0.4 of its strength claims leadership, unless it has lost two terms within the last minute. A leader of unknown strength is left alone.

TestStrongDaemonSucceedsAWeakLeader failed before: "timed out after 6s waiting for: the strong daemon leads".

--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -171,6 +171,7 @@
 		suspectedAt  time.Time
 		// lostTermsAt holds when this daemon's latest terms ended, the oldest first, maxLostTerms of them at most.
 		lostTermsAt []time.Time
+		outrank     outrank
 	}
 )
 
--- a/internal/flow/elect/loops.go
+++ b/internal/flow/elect/loops.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// isVacant reports whether the leader record is missing, belongs to a process that has ended, or belongs to a suspected
-// leader. The caller must hold e.mu.
+// isVacant reports whether the leader record is missing, belongs to a process that has ended, or belongs to a leader that is suspected, or
+// that this daemon has outranked. The caller must hold e.mu.
 func (e *Elector) isVacant() bool {
 	if e.leaderVersion == store.Absent {
 		return true
@@ -183,6 +183,9 @@
 	if e.term == nil && e.isRecordOwn() && e.leader.Epoch <= e.record.Epoch {
 		return true
 	}
+	if e.hasOutrankedLeader() {
+		return true
+	}
 	suspected := e.suspectEpoch != 0 && e.leader.Epoch == e.suspectEpoch && e.config.Clock.Since(e.suspectedAt) < suspectTimeout
 	return suspected && e.term == nil
 }
