Stop work on a leaving runner in time when ticks are rare

Ticks of a busy leader may be 500 ms apart, while the last moment for a stop on a draining runner was still reckoned with 100 ms. At a tick just before the last moment the run was kept; at the next one 0.1 s of the margin of 0.5 s was left, so that a stop that comes a little late lost the work since the last checkpoint, and its task waited for the lease to expire.

The delay of the next tick counts now. The case SavesNowAsTheNextCheckIsLate does not build on the code before, which had no such delay; with 100 ms in its place it keeps the run.

--- a/internal/flow/owner/leaving.go
+++ b/internal/flow/owner/leaving.go
@@ -20,6 +20,8 @@
 		// untilLeave is the time until the runner leaves, untilEnd the expected time until the run ends.
 		untilLeave time.Duration
 		untilEnd   time.Duration
+		// untilCheck is the time until the run is checked again, if that is longer than tickInterval.
+		untilCheck time.Duration
 		// measured means that untilEnd follows from the progress of the run, not from an estimate.
 		measured bool
 		// saves means that a stop saves what the run has done, or that it has nothing to save.
@@ -43,7 +45,7 @@
 // its lease has expired. So a run that is not expected to end in time is stopped: at the last moment, or at once if a stop saves
 // nothing and the progress of the run shows that it will not end in time.
 func (r leavingRun) decide(stopTimeout time.Duration) leaveDecision {
-	isLastMoment := r.untilLeave <= stopTimeout+leaveMargin+tickInterval
+	isLastMoment := r.untilLeave <= stopTimeout+leaveMargin+max(r.untilCheck, tickInterval)
 	switch {
 	case r.untilEnd <= r.untilLeave-leaveMargin:
 		return keepRunning
@@ -83,7 +85,7 @@
 // leavingRun returns the facts by which it is decided what happens to a run on a runner that leaves. The caller must hold o.mu.
 func (o *Owner) leavingRun(run *tasks.Run, now time.Time) leavingRun {
 	spec := run.Task.Step.Spec
-	out := leavingRun{untilLeave: run.Runner.LeavesAt.Sub(now), saves: spec.Checkpoint || spec.Service}
+	out := leavingRun{untilLeave: run.Runner.LeavesAt.Sub(now), untilCheck: o.tickDelay, saves: spec.Checkpoint || spec.Service}
 	if spec.Service {
 		out.untilEnd = maxLeaveTime
 		return out
--- a/internal/flow/owner/leaving_test.go
+++ b/internal/flow/owner/leaving_test.go
@@ -20,6 +20,8 @@
 		{"SavesLater", leavingRun{untilLeave: 3 * time.Second, untilEnd: 9 * time.Second, saves: true, measured: true}, keepRunning},
 		// Without a stop the work since the last checkpoint is lost, and the task waits until its lease has expired.
 		{"SavesNow", leavingRun{untilLeave: 900 * time.Millisecond, untilEnd: 9 * time.Second, saves: true}, stopToMove},
+		// A late leader checks seldom, so that the next check comes when a stop no longer saves the work.
+		{"SavesNowAsTheNextCheckIsLate", leavingRun{untilLeave: 1200 * time.Millisecond, untilEnd: 9 * time.Second, untilCheck: maxTickInterval, saves: true}, stopToMove},
 		// What a run does that will be lost delays its task and occupies the runner.
 		{"LostForSure", leavingRun{untilLeave: 3 * time.Second, untilEnd: 9 * time.Second, measured: true}, stopToRestart},
 		// An estimate may be wrong by far, so the run keeps its chance.
--- a/internal/flow/owner/load.go
+++ b/internal/flow/owner/load.go
@@ -129,11 +129,13 @@
 	l.metrics.startsInFlight.Update(int64(l.inFlight))
 }
 
-// noteTick adds the time of a tick.
-func (o *Owner) noteTick(took time.Duration) {
+// noteTick adds the time of a tick, and returns the delay before the next.
+func (o *Owner) noteTick(took time.Duration) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.load.sums.ticks += took
+	o.tickDelay = min(max(tickInterval, (tickShareDivisor-1)*took), maxTickInterval)
+	return o.tickDelay
 }
 
 // delay returns how much longer a call takes because the leader is late. It is added to the limits of calls, since an answer that the
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -176,6 +176,8 @@
 		answers answers
 		load    load
 		window  window
+		// tickDelay is the delay between the latest tick and the next.
+		tickDelay time.Duration
 		// losses holds the runners that became unreachable within lossMemory, the oldest first.
 		losses []runnerLoss
 		// unprovenLosses holds the runners that were out of reach until their leases expired, by address.
--- a/internal/flow/owner/tick.go
+++ b/internal/flow/owner/tick.go
@@ -29,8 +29,7 @@
 			summarisedAt = now
 			took += o.summarise()
 		}
-		o.noteTick(took)
-		delay = min(max(tickInterval, (tickShareDivisor-1)*took), maxTickInterval)
+		delay = o.noteTick(took)
 	}
 }
 
