Bound what the lateness of the leader adds to its limits

A leader that stood still for some seconds counted all of that into its limits for as long as it took to fall again. A renewal could go unanswered for 8.9 s, so that the leases of 5 s expired before it was repeated, and the work of live runners was thrown away. And tickets had to be valid for longer than they are: the lateness was taken from them when the answer was read, and asked for again when the start was sent, so that a leader late by 0.7 s started nothing that needs a ticket, and asked for advice again and again.

The limits of calls grow by 1 s at most, and tickets must be valid for 0.3 s longer at most, counted once.

TestLeasesOutliveAFailedRenewalOfALateLeader failed before with "repeated after 8.9s, want less than the lease of 5s", TestVeryLateLeaderStartsWithFreshTickets with "0 starts were sent, want 1".

--- a/internal/flow/owner/advice.go
+++ b/internal/flow/owner/advice.go
@@ -57,9 +57,7 @@
 		if firstAnswer {
 			o.table.Shares.Learn(s.Job.Spec.Queue.Name, len(incarnations), len(permits))
 		}
-		// The answer has waited for this leader to read it.
-		transit := answerMargin + min(o.load.recent, policy.Validity/2)
-		s.Advice.RecordAnswer(incarnations, permits, now.Add(policy.Validity-transit))
+		s.Advice.RecordAnswer(incarnations, permits, now.Add(policy.Validity-answerMargin))
 		every.Wake(o.planWake)
 	})()
 }
--- a/internal/flow/owner/answers_test.go
+++ b/internal/flow/owner/answers_test.go
@@ -283,3 +283,17 @@
 		t.Errorf("10 s after the leader was late a start ends after %s, want %s", got, start)
 	}
 }
+
+// A leader that had stood still waited so long for the answer to one renewal that the leases expired before the next.
+func TestLeasesOutliveAFailedRenewalOfALateLeader(t *testing.T) {
+	const untilRetry = time.Second
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	for range 50 {
+		o.answers.renewals.Observe(maxRenewMargin)
+	}
+	o.load.noteLateness(3 * time.Second)
+	if got := longPollTimeout + o.renewMargin(time.Time{}) + untilRetry; got >= leaseTTL {
+		t.Errorf("a renewal that fails is repeated after %s, want less than the lease of %s", got, leaseTTL)
+	}
+}
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -12,8 +12,8 @@
 
 const (
 	// leaseTTL is how long tasks keep running without a renewal by the leader. A new leader must renew their leases
-	// within it. It exceeds longPollTimeout plus maxRenewMargin, the longest time of one renewal, so that the failure
-	// of one does not end the tasks.
+	// within it. It exceeds longPollTimeout plus maxRenewMargin and maxCallDelay, the longest time of one renewal, so that the
+	// failure of one does not end the tasks.
 	leaseTTL = 5 * time.Second
 	// longPollTimeout is how long a runner may wait for a result before it answers a renewal, and shortPollTimeout that for a busy
 	// runner while answers are being lost.
--- a/internal/flow/owner/load.go
+++ b/internal/flow/owner/load.go
@@ -19,6 +19,10 @@
 	recentDivisor = 8
 	// turnsOfCall is how many turns of the leader the limit of a call includes: its request is sent in one and its answer read in another.
 	turnsOfCall = 2
+	// maxCallDelay bounds what the lateness adds to the limit of a call: a renewal that fails must end well before the leases that it renews.
+	maxCallDelay = time.Second
+	// maxTicketDelay bounds the lateness by which tickets must be valid for longer, so that fresh tickets suffice however late the leader is.
+	maxTicketDelay = 300 * time.Millisecond
 )
 
 type (
@@ -141,7 +145,12 @@
 // delay returns how much longer a call takes because the leader is late. It is added to the limits of calls, since an answer that the
 // leader has not read yet is not lost.
 func (l *load) delay() time.Duration {
-	return turnsOfCall * l.recent
+	return min(turnsOfCall*l.recent, maxCallDelay)
+}
+
+// ticketDelay returns how much later a start leaves because the leader is late.
+func (l *load) ticketDelay() time.Duration {
+	return min(l.recent, maxTicketDelay)
 }
 
 // isLate reports whether the leader is too late to take on more than it must. The caller must hold o.mu.
--- a/internal/flow/owner/stale_ticket_test.go
+++ b/internal/flow/owner/stale_ticket_test.go
@@ -56,3 +56,14 @@
 		t.Errorf("%d starts were sent, want none", sent)
 	}
 }
+
+// A leader that was late by more than half of a ticket's validity started nothing that needs a ticket, however fresh.
+func TestVeryLateLeaderStartsWithFreshTickets(t *testing.T) {
+	const validity = 1500 * time.Millisecond
+	f := newFixture(t, quickWorld())
+	o := f.newLockedOwner()
+	o.load.noteLateness(3 * time.Second)
+	if sent := countSent(o, gangWithTickets(f, o, validity/2)); sent != 1 {
+		t.Errorf("%d starts were sent, want 1", sent)
+	}
+}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -47,7 +47,7 @@
 	o.applyCatalog()
 	began := o.config.Clock.Now()
 	plan := order.MakePlan(o.table, began, order.Limits{
-		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency + o.load.recent,
+		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency + o.load.ticketDelay(),
 	})
 	o.counters.planDuration.UpdateSince(began)
 	for _, s := range o.window.takeStarts(plan.Starts) {
@@ -113,7 +113,7 @@
 // hasStaleTicket reports whether the ticket of a start may expire on its way to the runner, or that of another member of its gang: one
 // member that is rejected breaks the gang. The caller must hold o.mu.
 func (o *Owner) hasStaleTicket(run *tasks.Run, now time.Time) bool {
-	arrival := now.Add(ticketMargin/2 + o.load.recent)
+	arrival := now.Add(ticketMargin/2 + o.load.ticketDelay())
 	isStale := func(r *tasks.Run) bool { return !r.TicketUntil.IsZero() && r.TicketUntil.Before(arrival) }
 	if isStale(run) || run.Task == nil || !run.Task.Step.Spec.Gang {
 		return isStale(run)
