Take no lateness of the leader for a store that does not answer

The time after which writes count as stalled, and a try as unanswered, now includes the lateness of the leader, by which it comes to read an answer. An idle leader asks as before.

TestLateLeaderAsksForNoTakeover failed before with "asked for a takeover: true, want false".

--- a/internal/flow/owner/outage.go
+++ b/internal/flow/owner/outage.go
@@ -51,7 +51,8 @@
 	return 0
 }
 
-// stallTimeout returns the time without a committed write from which on writes count as stalled. The caller must hold o.mu.
+// stallTimeout returns the time without a committed write from which on writes count as stalled. It includes the lateness of this
+// leader, which commits a write only once it comes to read the answer. The caller must hold o.mu.
 func (o *Owner) stallTimeout() time.Duration {
-	return min(max(stallTimeoutFactor*o.writeLatency, minStallTimeout), maxStallTimeout)
+	return min(max(stallTimeoutFactor*o.writeLatency, minStallTimeout), maxStallTimeout) + o.load.delay()
 }
--- a/internal/flow/owner/takeover.go
+++ b/internal/flow/owner/takeover.go
@@ -25,7 +25,7 @@
 	defer o.mu.Unlock()
 	o.failedTryAt = o.config.Clock.Now()
 	refused := errs.Is(err, errs.Unavailable) && tries >= takeoverRefusedTries
-	unanswered := tries >= takeoverUnansweredTries
+	unanswered := tries >= takeoverUnansweredTries && after > takeoverWriteTimeout+o.load.delay()
 	if !refused && !unanswered {
 		return
 	}
