--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -19,9 +19,11 @@
 	before []uint64
 }
 
-// NewMeter returns a meter whose first reading covers the time since the start of the process.
+// NewMeter returns a meter whose first reading covers the time from now on.
 func NewMeter() *Meter {
-	return &Meter{sample: []metrics.Sample{{Name: latencies}}}
+	m := &Meter{sample: []metrics.Sample{{Name: latencies}}}
+	m.Recent()
+	return m
 }
 
 // Recent returns the 90th percentile of the times that goroutines have waited since the latest call until they ran; zero when none has.
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -15,7 +15,6 @@
 	)
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	m := NewMeter()
-	m.Recent()
 	var done sync.WaitGroup
 	for range goroutines {
 		done.Go(func() {
--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/sched"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/uptime"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/feed"
@@ -228,7 +229,7 @@
 		Agents: f.newRelayClient(termCtx, t), Directory: f.config.Directory, Advise: f.advise, AdviceBudget: f.adviceBudget,
 		CollectCachedAdvice: f.collectCachedAdvice, Catalog: f.Catalog, Level: f.elector.CommonLevel(),
 		OnFenced: func(reason string) { f.elector.EndTerm(t, reason) }, OnStalled: func(reason string) { f.elector.StandBack(t, reason) },
-		Bounds:          f.config.Bounds,
+		Bounds: f.config.Bounds, ProcessorWaits: sched.NewMeter().Recent,
 		OnWritesStalled: func(isStalled func() bool) { f.requestTakeover(ctx, t.Epoch, isStalled) },
 	})
 	f.owner, f.term = o, t
--- a/internal/flow/owner/busy_test.go
+++ b/internal/flow/owner/busy_test.go
@@ -53,6 +53,13 @@
 	time.Sleep(wait)
 }
 
+// backlog returns how long a piece of work that comes now waits for the processor.
+func (p *processor) backlog() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, time.Until(p.freeAt))
+}
+
 func (p *processor) setSlowness(x float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,6 +157,7 @@
 	f.addRunners(100)
 	o := f.newOwner()
 	o.config.Clock = &busyClock{Clock: f.clock, p: p, work: turnWork / 8}
+	o.config.ProcessorWaits = p.backlog
 	o.config.Agents = &busyAgent{Agent: f.fleet, p: p, work: turnWork}
 	o.config.Store = &busyStore{Batcher: o.config.Store, p: p, work: turnWork}
 	advise := o.config.Advise
@@ -234,6 +242,9 @@
 			t.Logf("second %d: %d of %d jobs in time", second, inTime[second].Load(), busyRate)
 		}
 		usual, last := inTime[1].Load()+inTime[2].Load(), inTime[seconds-2].Load()+inTime[seconds-1].Load()
+		if least := int64(busyRate); usual < least {
+			t.Errorf("%d jobs in time in two seconds before the leader was slow, want at least %d", usual, least)
+		}
 		if 10*last < 9*usual {
 			t.Errorf("%d jobs in time in the last two seconds, want nine tenths of the %d before the leader was slow", last, usual)
 		}
--- a/internal/flow/owner/load.go
+++ b/internal/flow/owner/load.go
@@ -6,7 +6,6 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
-	"github.com/magnoliawalk/magnoliawalk/internal/core/sched"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
@@ -103,15 +102,13 @@
 
 // loadLoop measures the lateness of the leader, adapts its window, and writes a line on its load once in each loadLogInterval.
 func (o *Owner) loadLoop() {
-	meter := sched.NewMeter()
-	meter.Recent()
 	began := o.config.Clock.Now()
 	loggedAt := began
 	for o.ctx.Err() == nil {
 		o.sleep(latenessInterval)
 		now := o.config.Clock.Now()
 		o.mu.Lock()
-		waits := meter.Recent()
+		waits := o.processorWaits()
 		o.load.sums.waits = max(o.load.sums.waits, waits)
 		o.load.noteLateness(max(now.Sub(began)-latenessInterval, waits))
 		o.window.adjust(o.load.lateness, len(o.table.Runners))
@@ -125,6 +122,14 @@
 	}
 }
 
+// processorWaits returns how long goroutines have waited for the processor since the latest call; zero when that is not measured.
+func (o *Owner) processorWaits() time.Duration {
+	if o.config.ProcessorWaits == nil {
+		return 0
+	}
+	return o.config.ProcessorWaits()
+}
+
 func (l *load) noteLateness(late time.Duration) {
 	l.lateness = late
 	l.recent = max(late, l.recent-l.recent/recentDivisor)
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -89,6 +89,8 @@
 		// OnWritesStalled, when set, is called in a goroutine of its own while the store does not accept this leader's
 		// writes; stillStalled reports whether that is still the case.
 		OnWritesStalled func(stillStalled func() bool)
+		// ProcessorWaits, when set, returns how long this process's goroutines have waited for the processor since the latest call.
+		ProcessorWaits func() time.Duration
 		// Bounds are the platform's limits.
 		Bounds Bounds
 	}
