Keep the window of a late leader near what is in progress, with room for advice

Starts that need no advice could fill the window, so that a step that needs some was never asked about, however urgent.

Half of the window is kept for advice, and it grows to twice what is in progress at most, or to its initial size.

TestWindowLeavesRoomForAdvice and TestWindowGrowsWithWhatIsInProgress failed before: 0 calls for advice where 1 is wanted, and a window of 10,000 with 2,000 in progress.

--- a/internal/flow/owner/window.go
+++ b/internal/flow/owner/window.go
@@ -68,11 +68,18 @@
 		decrease := max(maxWindowDecrease, float64(targetLateness)/float64(w.lateness))
 		w.size = max(minWindow, float64(runners)/runnersPerStart, min(w.size, peakFactor*float64(w.peak))*decrease)
 	case w.blocked:
-		w.size = min(maxWindow, w.size*windowIncrease)
+		w.size = max(w.size, min(w.size*windowIncrease, w.usableSize()))
 	}
 	w.blocked, w.peak = false, w.starting
 }
 
+// usableSize returns up to what size the window grows: not far beyond what is in progress, or it would bind too late when the leader falls
+// behind.
+func (w *window) usableSize() float64 {
+	inProgress := w.peak + w.advised[false] + w.advised[true]
+	return min(maxWindow, max(initialWindow, peakFactor*float64(inProgress)))
+}
+
 // begin notes that the start of a task is in progress.
 func (w *window) begin() {
 	w.starting++
@@ -117,10 +124,11 @@
 }
 
 // takeAdvice returns the calls for advice that the window has room for, the first ones of each class. Those for one step follow each other.
-// More calls would bring tickets that expire unused.
+// More calls would bring tickets that expire unused. Half of the window is theirs, so that starts without advice do not keep out all others.
 func (w *window) takeAdvice(calls []order.AdviceCall) []order.AdviceCall {
 	var out []order.AdviceCall
-	before := map[adviceClass]int{false: w.starting + w.advised[false], true: w.starting + w.advised[true]}
+	starting := min(w.starting, int(w.size/2))
+	before := map[adviceClass]int{false: starting + w.advised[false], true: starting + w.advised[true]}
 	var step *tasks.Step
 	hasRoom := false
 	for _, c := range calls {
--- a/internal/flow/owner/window_test.go
+++ b/internal/flow/owner/window_test.go
@@ -68,3 +68,28 @@
 		t.Errorf("the window is %g five seconds after the leader was late, want at least %d", w.size, initialWindow)
 	}
 }
+
+// Starts that need no advice kept a step that does from being asked about, however urgent it was.
+func TestWindowLeavesRoomForAdvice(t *testing.T) {
+	w := window{size: 10, starting: 10, advised: make(map[adviceClass]int)}
+	s := tasks.New().AddJob(job("j", step(4))).Occurrences[0].Steps[0]
+	s.Job.Spec.Queue.Advice = &specs.AdvicePolicy{Decision: time.Millisecond}
+	if got := len(w.takeAdvice([]order.AdviceCall{{Step: s}})); got != 1 {
+		t.Errorf("a window full of starts takes %d calls for advice, want 1", got)
+	}
+}
+
+// A window that had grown far beyond what is in progress did not bind when the leader fell behind.
+func TestWindowGrowsWithWhatIsInProgress(t *testing.T) {
+	w := newWindow()
+	w.starting = 2 * initialWindow
+	for range int(time.Minute / latenessInterval) {
+		w.begin()
+		w.blocked = true
+		w.starting--
+		w.adjust(0, 0)
+	}
+	if most := peakFactor * float64(w.starting+1); w.size > most {
+		t.Errorf("the window is %g with %d in progress, want at most %g", w.size, w.starting, most)
+	}
+}
