Keep a new lease when a claim under the expired one fails

Cause: a write of the leader record that fails since its lease has expired removes the daemon's lease, also when that is a new one which was acquired meanwhile. The daemon then registers again a quarter of a lease later.

Change: only the lease of the write is removed.

TestFailedClaimKeepsALeaseThatIsNew failed before: "term <nil>, lease 0 after a claim under lease 1, want no term and another lease".

--- a/internal/flow/elect/claim.go
+++ b/internal/flow/elect/claim.go
@@ -28,7 +28,7 @@
 	defer cancel()
 	out, err := e.config.Store.Apply(limited, batch)
 	if err != nil {
-		e.handleClaimError(err)
+		e.handleClaimError(err, lease)
 		return
 	}
 	if !out.Applied {
@@ -57,16 +57,18 @@
 	}}, nil
 }
 
-// handleClaimError handles the error of a write of the leader record. If the lease has expired, it removes the lease,
-// so that a new one is acquired.
-func (e *Elector) handleClaimError(err error) {
+// handleClaimError handles the error of a write of the leader record under the given lease. If that has expired, it removes the lease,
+// so that a new one is acquired, unless there is a new one already.
+func (e *Elector) handleClaimError(err error, lease store.LeaseID) {
 	e.config.Log.Info().Err(err).Msg("could not write the leader record; retrying in the next round")
 	if !errs.Is(err, errs.NotFound) {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lease = 0
+	if e.lease == lease {
+		e.lease = 0
+	}
 }
 
 // resolveClaim resolves a claim that the store refused. The same claim may have been applied before although its answer
@@ -124,7 +126,7 @@
 		Puts:       []store.Put{{Key: LeaderKey, Value: value, Lease: lease}},
 	})
 	if err != nil {
-		e.handleClaimError(err)
+		e.handleClaimError(err, lease)
 		return
 	}
 	e.mu.Lock()
--- a/internal/flow/elect/claim_test.go
+++ b/internal/flow/elect/claim_test.go
@@ -1,6 +1,7 @@
 package elect
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/ledger"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/meter"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/store"
 )
 
@@ -48,3 +50,41 @@
 	}
 	return body
 }
+
+// claimHookStore runs a function before each write of the leader record.
+type claimHookStore struct {
+	store.Batcher
+	before func()
+}
+
+func (s *claimHookStore) Apply(ctx context.Context, batch store.Batch) (store.Outcome, error) {
+	if putsLeader(batch) {
+		s.before()
+	}
+	return s.Batcher.Apply(ctx, batch)
+}
+
+// Guards against a daemon without a lease because a claim under the expired one failed after the new one was acquired.
+func TestFailedClaimKeepsALeaseThatIsNew(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	memory := store.NewMemory(clock, "r1")
+	batcher, ok := memory.As("r1", meter.Discard()).(store.Batcher)
+	if !ok {
+		t.Fatal("the in-memory store does not support batches")
+	}
+	hooked := &claimHookStore{Batcher: batcher}
+	e := New(Config{Self: peer.Target{VM: "a"}, Strength: 1, Store: hooked, Clock: clock, Log: zerolog.Nop()})
+	register := func() {
+		if err := e.register(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	register()
+	expired := e.lease
+	memory.EndLeases(e.memberKey())
+	hooked.before = register
+	e.claim(context.Background())
+	if e.term != nil || e.lease == 0 || e.lease == expired {
+		t.Errorf("term %v, lease %d after a claim under lease %d, want no term and another lease", e.term, e.lease, expired)
+	}
+}
