Plan nothing while the store is away

In each outage of the store on the large fleet, 250 to 273 tasks were placed whose intents could not become durable, and whose tickets of 1.5 s had expired when the store was back: all of them were then discarded at one moment, each with another record and a new call for advice, when callers needed the leader most.

While no write was confirmed for longer than the greatest limit for stalled writes, nothing is planned. The tick wakes the plan after it.

TestNothingIsPlacedInAnOutage failed before with "2 tasks were placed, want 0".

--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -36,12 +36,13 @@
 	}
 }
 
-// executePlan plans once, and begins the starts and the calls for advice of the plan. It returns how long that took.
+// executePlan plans once, and begins the starts and the calls for advice of the plan. It returns how long that took. It plans nothing while
+// writes are stalled: no start is sent before its intent is durable, and tickets would have expired by then.
 func (o *Owner) executePlan() time.Duration {
 	defer o.turns.Begin(turnPlan)()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.knowsDirectory() {
+	if !o.knowsDirectory() || o.stalledFor() > maxStallTimeout {
 		return 0
 	}
 	o.applyCatalog()
