--- a/internal/flow/elect/outrank_test.go
+++ b/internal/flow/elect/outrank_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/node/peer"
 )
 
@@ -50,3 +52,28 @@
 		})
 	}
 }
+
+// Guards against strong daemons that cannot keep a term, and end those of a weak leader that serves one after the other.
+func TestWeakLeadersInARowAreLeftAloneForLonger(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := New(Config{Self: peer.Target{VM: "strong"}, Strength: 1, Clock: clock, Log: zerolog.Nop()})
+	e.members["weak"] = Member{Strength: 0.2}
+	e.members["other"] = Member{Strength: 1}
+	lead := func(vm types.VMID, epoch types.Epoch) {
+		e.leader = Leader{Target: peer.Target{VM: vm}, Epoch: epoch}
+		e.hasOutrankedLeader()
+	}
+	for i := range 3 {
+		lead("weak", types.Epoch(2*i+1))
+		wait := outrankTTLs * e.config.TTL << i
+		clock.Advance(wait - time.Millisecond)
+		if e.hasOutrankedLeader() {
+			t.Errorf("weak leader %d is outranked before %s", i+1, wait)
+		}
+		clock.Advance(time.Millisecond)
+		if !e.hasOutrankedLeader() {
+			t.Errorf("weak leader %d is not outranked after %s", i+1, wait)
+		}
+		lead("other", types.Epoch(2*i+2))
+	}
+}
