Await the leader of an outage only once

Daemons that were hit by an outage of the store leave it to the former leader for 0.6 s. Each further outage began that anew: with a store that is back for less than that at a time, a leader that had died in the first outage was not replaced. Found by a review, by reading.

The leader of an epoch is awaited after one outage, and again only once its record was there in between.

TestLeaderIsAwaitedAfterOneOutageOnly failed before: the leader was awaited after the second and third outage, too.

--- a/internal/flow/elect/outage.go
+++ b/internal/flow/elect/outage.go
@@ -1,6 +1,10 @@
 package elect
 
-import "time"
+import (
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
+)
 
 // outageGrace is for how long after an outage of the store the daemons that were hit by it leave it to the former leader to write its
 // record again. All leases expire in an outage, so a missing record does not show that the leader has ended, and another leader would
@@ -14,6 +18,9 @@
 	failed     bool
 	// outageEndedAt is when the store answered again after an outage; zero before the first one.
 	outageEndedAt time.Time
+	// awaited is the epoch whose leader was awaited after the outage that ended at awaitedAt; 0 once its record was there again.
+	awaited   types.Epoch
+	awaitedAt time.Time
 }
 
 // noteAnswer records that the store has answered a call. It was away if it answered none for as long as a lease lasts, and a call failed
@@ -56,5 +63,17 @@
 	if e.term != nil || e.record.Epoch != 0 || !e.contact.isOutageRecent(now) {
 		return false
 	}
-	return e.suspectEpoch != e.epochRecord.Epoch || now.Sub(e.suspectedAt) >= suspectTimeout
+	if e.suspectEpoch == e.epochRecord.Epoch && now.Sub(e.suspectedAt) < suspectTimeout {
+		return false
+	}
+	return e.contact.awaitOnce(e.epochRecord.Epoch)
+}
+
+// awaitOnce reports whether the latest outage is the first one after which the leader of the epoch is awaited: a store that comes and
+// goes must not keep leadership vacant.
+func (c *contact) awaitOnce(epoch types.Epoch) bool {
+	if c.awaited != epoch {
+		c.awaited, c.awaitedAt = epoch, c.outageEndedAt
+	}
+	return c.awaitedAt.Equal(c.outageEndedAt)
 }
--- a/internal/flow/elect/outage_test.go
+++ b/internal/flow/elect/outage_test.go
@@ -85,3 +85,20 @@
 		})
 	}
 }
+
+// Guards against a leadership that stays vacant while the store comes and goes, because each outage begins the wait for the leader anew.
+func TestLeaderIsAwaitedAfterOneOutageOnly(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := New(Config{Self: peer.Target{VM: "a"}, Clock: clock, Log: zerolog.Nop()})
+	e.leader, e.epochRecord = Leader{Epoch: 7}, epochRecord{Epoch: 7}
+	e.noteCall(true)
+	for outage, want := range []bool{true, false, false} {
+		e.noteCall(false)
+		clock.Advance(2 * DefaultTTL)
+		e.noteCall(true)
+		if got := e.awaitsFormerLeader(clock.Now()); got != want {
+			t.Errorf("after outage %d the leader is awaited: %t, want %t", outage+1, got, want)
+		}
+		clock.Advance(outageGrace / 2)
+	}
+}
--- a/internal/flow/elect/records.go
+++ b/internal/flow/elect/records.go
@@ -38,6 +38,7 @@
 	e.record, e.leaderVersion = leader, entry.Version
 	if leader.Epoch >= e.leader.Epoch {
 		e.leader = leader
+		e.contact.awaited = 0
 	}
 }
 
