Give the wait before a takeover as a duration

The linter takes a number of TTLs of type Duration, times a TTL, for a product of two durations. No change of behaviour; the tests of the package's takeovers pass.

--- a/internal/flow/elect/outrank.go
+++ b/internal/flow/elect/outrank.go
@@ -36,9 +36,9 @@
 	o.epoch, o.since = epoch, now
 }
 
-// waitTTLs returns for how many TTLs this daemon waits before it takes over from the leader that it outranks.
-func (o *outrank) waitTTLs() time.Duration {
-	return outrankTTLs << min(max(0, len(o.weakTermsAt)-1), maxOutrankDoublings)
+// wait returns for how long this daemon leaves the leader that it outranks in its term.
+func (o *outrank) wait(ttl time.Duration) time.Duration {
+	return outrankTTLs * ttl << min(max(0, len(o.weakTermsAt)-1), maxOutrankDoublings)
 }
 
 // hasOutrankedLeader reports whether this daemon has outranked the present leader for long enough to take over. The caller must hold e.mu.
@@ -51,7 +51,7 @@
 	if e.outrank.epoch != e.leader.Epoch {
 		e.outrank.begin(e.leader.Epoch, now)
 	}
-	return now.Sub(e.outrank.since) >= e.outrank.waitTTLs()*e.config.TTL
+	return now.Sub(e.outrank.since) >= e.outrank.wait(e.config.TTL)
 }
 
 // outranksLeader reports whether the leader runs on a VM that is weak beside this one, so that it may not have the capacity for the
