Leave the term when this VM has become slow

A daemon now measures how long a fixed piece of work takes, five times a second. A leader whose VM takes three times longer than before leaves its term, if another daemon of enough strength is listed and it has lost no term within the last minute. A leader that is only busy stays, as the measurement does not depend on its load.

--- a/internal/flow/elect/lost.go
+++ b/internal/flow/elect/lost.go
@@ -30,3 +30,19 @@
 	}
 	return delay
 }
+
+// HasSuccessor reports whether another daemon is likely to lead if this one leaves its term: one of enough strength is listed, and this
+// daemon has lost no term lately. One that has leads again because no other does.
+func (e *Elector) HasSuccessor() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lostTermDelay() > 0 {
+		return false
+	}
+	for vm, m := range e.members {
+		if vm != e.config.Self.VM && m.Strength >= weakShare*e.config.Strength {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/flow/front/front.go
+++ b/internal/flow/front/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/rescue"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/sched"
+	"github.com/magnoliawalk/magnoliawalk/internal/core/speed"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/uptime"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/elect"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/feed"
@@ -91,6 +92,7 @@
 		relays      *relay.Server
 		feed        *feed.Feed
 		rescuer     *rescue.Rescuer
+		speed       *speed.Meter
 
 		mu       sync.Mutex
 		ctx      context.Context
@@ -115,7 +117,7 @@
 
 // New returns a Front that takes part in the election and serves requests once Run is called.
 func New(c Config) *Front {
-	f := &Front{config: c, denials: newDenials(c.Metrics), rescuer: rescue.New(c.Log, c.Metrics), hasCatalog: make(chan struct{})}
+	f := &Front{config: c, denials: newDenials(c.Metrics), rescuer: rescue.New(c.Log, c.Metrics), hasCatalog: make(chan struct{}), speed: speed.New(c.Clock)}
 	f.callMetrics = callMetrics{
 		submits: metrics.GetOrRegisterTimer("Front.Submit", c.Metrics),
 		states:  metrics.GetOrRegisterTimer("Front.State", c.Metrics),
@@ -148,6 +150,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { f.elector.Run(ctx) })
 	wg.Go(func() { f.queryLoop(ctx) })
+	wg.Go(func() { f.speed.Run(ctx) })
 	if f.config.Catalogs != nil {
 		wg.Go(func() { f.feed.Run(ctx) })
 	}
@@ -229,7 +232,7 @@
 		Agents: f.newRelayClient(termCtx, t), Directory: f.config.Directory, Advise: f.advise, AdviceBudget: f.adviceBudget,
 		CollectCachedAdvice: f.collectCachedAdvice, Catalog: f.Catalog, Level: f.elector.CommonLevel(),
 		OnFenced: func(reason string) { f.elector.EndTerm(t, reason) }, OnStalled: func(reason string) { f.elector.StandBack(t, reason) },
-		Bounds: f.config.Bounds, ProcessorWaits: sched.NewMeter().Recent,
+		Bounds: f.config.Bounds, ProcessorWaits: sched.NewMeter().Recent, Slowness: f.speed.Slowness, HasSuccessor: f.elector.HasSuccessor,
 		OnWritesStalled: func(isStalled func() bool) { f.requestTakeover(ctx, t.Epoch, isStalled) },
 	})
 	f.owner, f.term = o, t
--- a/internal/flow/owner/load.go
+++ b/internal/flow/owner/load.go
@@ -103,7 +103,7 @@
 // loadLoop measures the lateness of the leader, adapts its window, and writes a line on its load once in each loadLogInterval.
 func (o *Owner) loadLoop() {
 	began := o.config.Clock.Now()
-	loggedAt := began
+	loggedAt, termBegan := began, began
 	for o.ctx.Err() == nil {
 		o.sleep(latenessInterval)
 		now := o.config.Clock.Now()
@@ -118,6 +118,7 @@
 			loggedAt = now
 		}
 		o.mu.Unlock()
+		o.leaveIfSlow(termBegan)
 		began = o.config.Clock.Now()
 	}
 }
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -91,6 +91,10 @@
 		OnWritesStalled func(stillStalled func() bool)
 		// ProcessorWaits, when set, returns how long this process's goroutines have waited for the processor since the latest call.
 		ProcessorWaits func() time.Duration
+		// Slowness, when set, returns how many times slower this VM is than it was, and HasSuccessor whether another daemon is likely to lead
+		// if this one leaves its term.
+		Slowness     func() float64
+		HasSuccessor func() bool
 		// Bounds are the platform's limits.
 		Bounds Bounds
 	}
