--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -164,16 +164,17 @@
 		err := o.config.Agents.Start(ctx, info, request)
 		o.mu.Lock()
 		defer o.mu.Unlock()
+		if o.ctx.Err() != nil {
+			return
+		}
 		o.load.inFlight--
 		o.endStart()
-		if o.ctx.Err() == nil {
-			took := o.config.Clock.Since(now)
-			o.counters.startLatency.Update(took)
-			if err == nil {
-				o.answers.starts.Observe(took)
-			}
-			o.applyStartAnswer(run, request, err)
+		took := o.config.Clock.Since(now)
+		o.counters.startLatency.Update(took)
+		if err == nil {
+			o.answers.starts.Observe(took)
 		}
+		o.applyStartAnswer(run, request, err)
 	})()
 }
 
