Count the call for advice in a job's objective

The platform counts one call for advice on 30 runners a step in the chain of work from which a job's objective follows. The leader left it out, so that a gang whose call takes 0.6 s was taken for late up to 1.4 s too early, and was then served behind all work in time. CriticalPath and RemainingPath include the call now.

--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -29,6 +29,8 @@
 	// maxTaskTime limits the estimate and the tail latency of a task, so that sums over steps do not overflow.
 	maxTaskTime = 365 * 24 * time.Hour
 
+	// expectedCallRunners is how many runners the call names that the objective of a step includes.
+	expectedCallRunners = 30
 	// longCallWork is the work above which a call for advice counts as long; short calls must not wait behind long
 	// ones.
 	longCallWork = 40 * time.Millisecond
@@ -201,6 +203,15 @@
 	return a.Decision + time.Duration(runners)*a.PerRunner
 }
 
+// ExpectedCall returns the time for a call for advice that the objective of a step includes by the platform's rules: that of a call on
+// expectedCallRunners runners. It is zero without a policy.
+func (a *AdvicePolicy) ExpectedCall() time.Duration {
+	if a == nil {
+		return 0
+	}
+	return a.CallDuration(expectedCallRunners)
+}
+
 // IsLong reports whether a call for advice with the given work counts as long.
 func IsLong(work time.Duration) bool {
 	return work > longCallWork
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -116,7 +116,7 @@
 		Completed int
 		// Ending is set once the job's result is recorded; none of its tasks may start any more.
 		Ending bool
-		// CriticalPath is the longest chain of expected run times through the steps.
+		// CriticalPath is the longest chain of expected run times through the steps; see Times.CriticalPath.
 		CriticalPath time.Duration
 		// Work is the expected work of one occurrence when the job was accepted: its tasks' run times, each times its
 		// thousandths of a core.
--- a/internal/flow/tasks/times.go
+++ b/internal/flow/tasks/times.go
@@ -88,9 +88,11 @@
 	return defaultRunTime
 }
 
-// CriticalPath returns the longest chain of expected run times through a job's steps.
+// CriticalPath returns the longest chain of expected run times through a job's steps, with a call for advice before each, as the platform
+// counts it for the objective.
 func (t *Times) CriticalPath(job *specs.Job) time.Duration {
 	ends := make([]time.Duration, len(job.Steps))
+	call := job.Queue.Advice.ExpectedCall()
 	var longest time.Duration
 	for i := range job.Steps {
 		s := &job.Steps[i]
@@ -98,16 +100,17 @@
 		for _, a := range s.After {
 			begin = max(begin, ends[a])
 		}
-		ends[i] = begin + t.Expect(job.Queue.Name, s.Estimate)
+		ends[i] = begin + call + t.Expect(job.Queue.Name, s.Estimate)
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
-// RemainingPath returns the longest chain of expected run times that begins with the step.
+// RemainingPath returns the longest chain of expected run times that begins with the step, with a call for advice before each later step.
 func (t *Times) RemainingPath(s *Step) time.Duration {
 	job := &s.Job.Spec
 	ends := make([]time.Duration, len(job.Steps))
+	call := job.Queue.Advice.ExpectedCall()
 	own := t.Expect(job.Queue.Name, s.Spec.Estimate)
 	ends[s.Ref.Step] = own
 	longest := own
@@ -119,7 +122,7 @@
 		if begin == 0 {
 			continue
 		}
-		ends[i] = begin + t.Expect(job.Queue.Name, job.Steps[i].Estimate)
+		ends[i] = begin + call + t.Expect(job.Queue.Name, job.Steps[i].Estimate)
 		longest = max(longest, ends[i])
 	}
 	return longest
