Say why gangs wait

The plan now names, for each gang that it served and did not start, the reason: no answer of the advice service, too few places on allowed runners, the same while other gangs reserve all that gangs may, room kept for steps before it, tickets, members of the latest attempt, or the quota. The leader adds up the time between plans by reason: counters for all gangs, and one line for each gang that waited for a second or more, when it starts or its job has ended, with the places that it had on runners with a ticket, on allowed ones and on all.

The reservation of gangs has a file of its own; no decision changes.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -33,6 +33,7 @@
 	runners, isAllowed := p.advisedRunners(s)
 	switch {
 	case !isAllowed:
+		p.noteWait(s, WaitsForAdvice)
 		p.requestAdvice(s, true)
 	case !p.placeTasks(s, runners):
 		p.requestAdvice(s, false)
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
@@ -23,6 +22,7 @@
 // not fit, it reserves capacity; for one whose members are ending, it prepares the next attempt.
 func (p *pass) serveGang(s *tasks.Step, runners []*runnerCapacity) bool {
 	if !p.allTasksWait(s) {
+		p.noteWait(s, WaitsForMembers)
 		p.prepareRestart(s, runners)
 		return true
 	}
@@ -30,20 +30,22 @@
 		p.startGang(s, shares, quiet)
 		return true
 	}
-	if s.Advice.Pending > 0 {
-		// The capacity on the runners that the call in flight names stays reserved, so that the gang fits when the
-		// tickets arrive.
-		p.subtractShares(s, p.fitGang(s, p.askedRunners(s, runners)))
+	isAsking := s.Advice.Pending > 0
+	fitting := runners
+	if isAsking {
+		fitting = p.askedRunners(s, runners)
+	}
+	if shares := p.fitGang(s, fitting); shares != nil {
+		// The capacity stays reserved until the tickets arrive.
+		p.noteWait(s, WaitsForTickets)
+		p.subtractShares(s, shares)
+		if !isAsking {
+			p.renewGangTickets(s, shares, runners)
+		}
 		return true
 	}
-	shares := p.fitGang(s, runners)
-	if shares == nil {
-		p.reserveForGang(s, runners)
-		return false
-	}
-	p.subtractShares(s, shares)
-	p.renewGangTickets(s, shares, runners)
-	return true
+	p.awaitPlaces(s, runners)
+	return isAsking
 }
 
 // startGang starts the tasks of the step on the runners of the shares, all of which have a valid ticket or need none.
@@ -212,40 +214,3 @@
 		p.claimHeadroom(s, sh.count)
 	}
 }
-
-// claimReserved counts the cores of n tasks of a gang as reserved in this pass. It returns false, and counts nothing, if the
-// gangs of the service would then exceed reservedShare of its cores.
-func (p *pass) claimReserved(s *tasks.Step, n int) bool {
-	service := s.Job.Spec.Queue.Service
-	wanted := taskResources(s).Times(n).Cores
-	if p.reserved[service]+wanted > types.MilliCores(reservedShare*float64(p.cores[service])) {
-		return false
-	}
-	p.reserved[service] += wanted
-	return true
-}
-
-// reserveForGang reserves capacity for a gang that does not fit, for this pass: it subtracts the gang's resources from
-// the free capacity of the runners that have the most free cores already, as many of them as hold the gang once they
-// are empty. Work behind the gang starts there only if it fits beside the gang. It reserves nothing if the gangs of the
-// service would then exceed reservedShare of its cores. The gang keeps the headroom of its organisation only if the runners
-// could hold all of it.
-func (p *pass) reserveForGang(s *tasks.Step, runners []*runnerCapacity) {
-	if !p.claimReserved(s, len(s.Tasks)) {
-		return
-	}
-	if s.Job.Organisation != nil && couldHold(s, runners, len(s.Tasks)) {
-		p.keepHeadroom(s, len(s.Tasks))
-	}
-	sorted := slices.Clone(runners)
-	slices.SortStableFunc(sorted, func(a, b *runnerCapacity) int { return cmp.Compare(b.free.Cores, a.free.Cores) })
-	left := len(s.Tasks)
-	for _, r := range sorted {
-		n := min(left, taskResources(s).CountIn(r.runner.Info.Capacity, specs.MaxWidth))
-		r.free = r.free.Sub(taskResources(s).Times(n))
-		left -= n
-		if left == 0 {
-			return
-		}
-	}
-}
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -29,8 +29,6 @@
 	lateFactor = 3
 	// maxSteps limits the number of steps that one plan serves. Steps that no runner can run do not count.
 	maxSteps = 400
-	// reservedShare limits the cores that gangs may reserve, as a fraction of the cores of their service.
-	reservedShare = 0.2
 	// sizePenaltyShare is the fraction of its service's cores on which the remaining work of a job is assumed to run
 	// when its size is converted into time.
 	sizePenaltyShare = 1.0 / 16
@@ -81,6 +79,8 @@
 		AdviceCalls []AdviceCall
 		// Idle means that no step waits for a start.
 		Idle bool
+		// GangWaits holds the gangs that were served and do not start.
+		GangWaits []GangWait
 		// WaitingForQuota holds the organisations with a step that would start if their quota had room.
 		WaitingForQuota []*tasks.Organisation
 	}
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -172,6 +172,7 @@
 	if p.hasHeadroom(s, width) {
 		return true
 	}
+	p.noteWait(s, WaitsForQuota)
 	// When a step waits already and a resource of the headroom is negative, no further step fits, whatever this one keeps.
 	isExhausted := h.waits && !types.Resources{}.Fits(p.leftFor(s, h))
 	if isExhausted || !p.table.KnowsLimits(h.organisation) || !p.hasDueTask(s) {
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -182,6 +182,8 @@
 		answers answers
 		load    load
 		window  window
+		// gangWaits tells why gangs wait.
+		gangWaits gangWaits
 		// tickDelay is the delay between the latest tick and the next.
 		tickDelay time.Duration
 		// losses holds the runners that became unreachable within lossMemory, the oldest first.
@@ -217,6 +219,7 @@
 	}
 	o.load = newLoad(c.Metrics, &o.counters, &o.waste)
 	o.window = newWindow()
+	o.gangWaits = newGangWaits(c.Metrics)
 	return o
 }
 
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -51,9 +51,12 @@
 		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency + o.load.ticketDelay(),
 	})
 	o.counters.planDuration.UpdateSince(began)
-	for _, s := range o.window.takeStarts(plan.Starts) {
+	starts := o.window.takeStarts(plan.Starts)
+	for _, s := range starts {
 		o.recordStart(s)
 	}
+	o.gangWaits.note(plan.GangWaits, began)
+	o.noteGangStarts(starts, began)
 	o.noteQuotaWaits(plan.WaitingForQuota, began)
 	for _, a := range o.window.takeAdvice(plan.AdviceCalls) {
 		o.requestAdvice(a)
--- a/internal/flow/owner/tick.go
+++ b/internal/flow/owner/tick.go
@@ -66,6 +66,7 @@
 	o.table.PurgeEnded(now.Add(-o.config.Bounds.StatusRetention))
 	o.updateUsualPaces()
 	o.updateGauges(now)
+	o.summariseGangWaits(now)
 	o.updateOrganisations(now)
 	o.organisationCounters.updateWaiting(o.table.Jobs)
 	return o.config.Clock.Since(now)
