Reserve for gangs while their calls for advice are in flight

A gang that did not fit reserved capacity only between two calls for advice. While it looks for more runners, one call of half a second to a second follows the other, so it reserved nothing for most of its wait, and smaller work behind it took each place that became free. It reserves during a call, too, as before within a fifth of the cores of the service. TestGangsReserveDuringCallsForAdvice failed before: ten small tasks started where eight leave room for the gang.

--- a/internal/flow/order/reserve.go
+++ b/internal/flow/order/reserve.go
@@ -12,9 +12,11 @@
 // reservedShare limits the cores that gangs may reserve, as a fraction of the cores of their service.
 const reservedShare = 0.2
 
-// awaitPlaces reserves capacity for a gang that does not fit, unless a call for advice is in flight.
+// awaitPlaces reserves capacity for a gang that does not fit. The gang
+// reserves while a call for advice is in flight, too: finding more runners takes call after call, in which smaller work would take each
+// place that becomes free.
 func (p *pass) awaitPlaces(s *tasks.Step, runners []*runnerCapacity) {
-	isReserved := s.Advice.Pending == 0 && p.reserveForGang(s, runners)
+	isReserved := p.reserveForGang(s, runners)
 	p.noteWait(s, p.reasonWithoutPlace(s, runners, isReserved))
 }
 
