Refresh the tickets of gangs that wait for room

Once a gang knew enough allowed runners, no call was made for it until it fitted. The call for its tickets then took about 0.6 s, in which its place lay idle, and often was gone for part of it. A gang that can still be done in time now has the tickets of the runners with its next places, twice as many as it needs, refreshed when half of them are about to expire, and starts as soon as it fits.

--- a/internal/flow/order/reserve_test.go
+++ b/internal/flow/order/reserve_test.go
@@ -8,6 +8,40 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 )
 
+func wantCalls(t *testing.T, p Plan, want int) {
+	t.Helper()
+	if len(p.AdviceCalls) != want {
+		t.Errorf("%d calls for advice, want %d", len(p.AdviceCalls), want)
+	}
+}
+
+func TestTicketsOfWaitingGangsAreRefreshed(t *testing.T) {
+	// A gang whose tickets are asked for once it fits keeps its place idle during the call.
+	t.Run("BeforeTheyExpire", func(t *testing.T) {
+		f, _ := newCrampedGang(t, start.Add(refreshAhead/2))
+		f.table.Runners["w7"].Used = types.Resources{}
+		p := f.plan(start)
+		wantCalls(t, p, 1)
+		if named := p.AdviceCalls[0].Runners; len(named) != 4 || named[0].Info.ID != "w7" {
+			t.Errorf("the call names %d runners, want 4, first the one with a free place", len(named))
+		}
+	})
+	t.Run("NotWhileTheyAreValid", func(t *testing.T) {
+		f, _ := newCrampedGang(t, start.Add(2*refreshAhead))
+		wantCalls(t, f.plan(start), 0)
+	})
+	t.Run("NotWhileACallIsInFlight", func(t *testing.T) {
+		f, s := newCrampedGang(t, start)
+		s.Advice.Pending = 1
+		wantCalls(t, f.plan(start), 0)
+	})
+	// Callers of a late gang gain little, and the advice service has other work.
+	t.Run("NotForLateGangs", func(t *testing.T) {
+		f, _ := newCrampedGang(t, start)
+		wantCalls(t, f.plan(start.Add(time.Minute)), 0)
+	})
+}
+
 // A gang that looks for more runners must reserve in the meantime, or smaller work takes each place that becomes free.
 func TestGangsReserveDuringCallsForAdvice(t *testing.T) {
 	for _, isAsking := range []bool{false, true} {
