Refresh the tickets of gangs by the time that the call takes

Tickets counted as about to expire 0.7 s ahead, whatever a call for advice takes for the gang's queue: 0.2 s with one policy, a second with another. It is now the time of the call by the queue's policy, with the ticket margin. The refreshing of tickets has a file of its own, and the package comment says how a plan is made.

--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -2,8 +2,23 @@
 //
 // Its rules are made for a load in which more work waits than fits. Work that can still be done in time goes first, by
 // priority and by how little time it has left, large work behind small, so that the capacity serves as many callers as
-// possible. Work that is late already gets the capacity that is left over. Gangs that do not fit reserve the capacity
-// that they will need against the work behind them.
+// possible. Work that is late already gets the capacity that is left over.
+//
+// MakePlan makes a plan in one pass over the tables:
+//
+//   - order.go ranks the steps that can start by their tier, priority and slack; shares.go divides what is left between
+//     the organisations with surplus work, quota.go keeps each within its quota.
+//   - assign.go places the tasks of a step one by one, where cost.go rates a runner lowest: the fullest one, against
+//     fragmentation. quiet.go keeps tasks apart that may crash their runner.
+//   - gang.go is the gang scheduling: all tasks of a step start together, or none. A gang that does not fit reserves
+//     capacity (reserve.go); work behind it is backfilled where it fits beside the reservation. One that waits for tickets
+//     keeps its place (place.go), and one that breaks has its next attempt prepared (restart.go).
+//   - advice.go plans the calls to the advice service, without whose tickets most steps may not start; refresh.go
+//     has those of waiting gangs renewed before they expire.
+//   - wait.go says why gangs do not start.
+//
+// Nothing is preempted: what runs goes on until its end, unless its runner leaves or is slow. backlog.go and ahead.go measure the
+// work that is accepted, for the admission of further jobs.
 package order
 
 import (
--- a/internal/flow/order/reserve_test.go
+++ b/internal/flow/order/reserve_test.go
@@ -8,6 +8,9 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 )
 
+// gangCallTime is longer than a call for the tickets of the gang takes, with the ticket margin.
+const gangCallTime = 400 * time.Millisecond
+
 func wantCalls(t *testing.T, p Plan, want int) {
 	t.Helper()
 	if len(p.AdviceCalls) != want {
@@ -18,7 +21,7 @@
 func TestTicketsOfWaitingGangsAreRefreshed(t *testing.T) {
 	// A gang whose tickets are asked for once it fits keeps its place idle during the call.
 	t.Run("BeforeTheyExpire", func(t *testing.T) {
-		f, _ := newCrampedGang(t, start.Add(refreshAhead/2))
+		f, _ := newCrampedGang(t, start.Add(gangCallTime/2))
 		f.table.Runners["w7"].Used = types.Resources{}
 		p := f.plan(start)
 		wantCalls(t, p, 1)
@@ -27,7 +30,7 @@
 		}
 	})
 	t.Run("NotWhileTheyAreValid", func(t *testing.T) {
-		f, _ := newCrampedGang(t, start.Add(2*refreshAhead))
+		f, _ := newCrampedGang(t, start.Add(2*gangCallTime))
 		wantCalls(t, f.plan(start), 0)
 	})
 	t.Run("NotWhileACallIsInFlight", func(t *testing.T) {
