Bound the places of a gang that are told apart on one runner

The list of next places, by which tickets are refreshed, had one entry for each task that a runner could hold. A gang of ten thousand tasks of a thousandth of a core made millions of entries in each plan, more than the memory of a small VM holds. Found by reading; at most 64 places a runner count now, more than any deployment's tasks need. TestTicketsOfWaitingGangsAreRefreshed/OfTinyTasks holds the bound.

--- a/internal/flow/order/refresh.go
+++ b/internal/flow/order/refresh.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
-	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
@@ -16,6 +15,8 @@
 	maxRefreshed = 60
 	// refreshDivisor is the part of the tickets, one in so many, that must expire for a call to be worth its fixed cost.
 	refreshDivisor = 2
+	// maxPlacesPerRunner limits the places that are told apart on one runner: thousands of tiny tasks could fit there.
+	maxPlacesPerRunner = 64
 )
 
 // nextPlace is capacity for one task of a gang on a runner that it is allowed.
@@ -66,12 +67,13 @@
 	return out
 }
 
-// nextPlaces returns the places for tasks of the step on the runners, those that lack the fewest cores first.
+// nextPlaces returns the places for tasks of the step on the runners, at most maxPlacesPerRunner on each, those that lack the fewest cores
+// first.
 func nextPlaces(s *tasks.Step, runners []*runnerCapacity) []nextPlace {
 	need := taskResources(s)
 	var out []nextPlace
 	for _, r := range runners {
-		most := need.CountIn(r.runner.Info.Capacity, specs.MaxWidth)
+		most := need.CountIn(r.runner.Info.Capacity, maxPlacesPerRunner)
 		if s.Spec.PerRunner > 0 {
 			most = min(most, s.Spec.PerRunner)
 		}
--- a/internal/flow/order/reserve_test.go
+++ b/internal/flow/order/reserve_test.go
@@ -8,6 +8,13 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 )
 
+// usableRunners returns the capacities of the runners that may get tasks.
+func (f *tableFixture) usableRunners(now time.Time) []*runnerCapacity {
+	p := newPass(f.table, now, Limits{})
+	p.collectRunners()
+	return p.runners["svc"]
+}
+
 // gangCallTime is longer than a call for the tickets of the gang takes, with the ticket margin.
 const gangCallTime = 400 * time.Millisecond
 
@@ -38,6 +45,14 @@
 		s.Advice.Pending = 1
 		wantCalls(t, f.plan(start), 0)
 	})
+	// A list of all places of tiny tasks would not fit the memory of a small VM.
+	t.Run("OfTinyTasks", func(t *testing.T) {
+		f, s := newCrampedGang(t, start)
+		s.Spec.Resources = types.Resources{Cores: 1, Memory: 1}
+		if got, most := len(nextPlaces(s, f.usableRunners(start))), 10*maxPlacesPerRunner; got != most {
+			t.Errorf("%d places on ten runners, want %d", got, most)
+		}
+	})
 	// Callers of a late gang gain little, and the advice service has other work.
 	t.Run("NotForLateGangs", func(t *testing.T) {
 		f, _ := newCrampedGang(t, start)
