Log and count the runners that count as slow

Whether a runner gets no tasks because it counts as slow could not be told from the lines or the metrics: only moves of tasks were logged. A line tells when a runner begins and ceases to count as slow, with its speed and its runs; Owner_RunnersSlow and the line on the leader's load have how many do.

--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -36,6 +36,7 @@
 	jobsWaiting metrics.Gauge
 	runs        metrics.Gauge
 	coresFree   metrics.Gauge
+	runnersSlow metrics.Gauge
 	// Latencies.
 	ledgerLoad      metrics.Timer
 	ledgerWrite     metrics.Timer
@@ -52,7 +53,7 @@
 	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer("Owner."+name, r) }
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("Owner."+name, r) }
 	return counters{
-		jobs: gauge("Jobs"), jobsWaiting: gauge("JobsWaiting"), runs: gauge("Runs"), coresFree: gauge("CoresFree"),
+		jobs: gauge("Jobs"), jobsWaiting: gauge("JobsWaiting"), runs: gauge("Runs"), coresFree: gauge("CoresFree"), runnersSlow: gauge("RunnersSlow"),
 		jobsAccepted: count("JobsAccepted"), jobsRejected: count("JobsRefused"), jobsEnded: count("JobsEnded"),
 		jobsRepeated: count("JobsRepeated"), states: count("States"),
 		starts: count("Starts"), startsRejected: count("StartsRejected"), startsUnanswered: count("StartsUnanswered"),
--- a/internal/flow/owner/health.go
+++ b/internal/flow/owner/health.go
@@ -48,17 +48,33 @@
 			o.stopStalledRun(run, now)
 		}
 	}
+	wasSlow := r.Health.Slow()
 	speed, ok := o.measureSpeed(r, now)
 	if !ok {
 		r.Health.Speed += (1 - r.Health.Speed) * idleSpeedWeight
-		return
+	} else {
+		r.Health.Speed += (speed - r.Health.Speed) * speedWeight
 	}
-	r.Health.Speed += (speed - r.Health.Speed) * speedWeight
-	if r.Health.Slow() {
+	o.logSlowness(r, wasSlow)
+	if ok && r.Health.Slow() {
 		o.moveOffSlowRunner(r, speed, now)
 	}
 }
 
+// logSlowness logs that a runner has begun or ceased to count as slow. The caller must hold o.mu.
+func (o *Owner) logSlowness(r *tasks.Runner, wasSlow bool) {
+	isSlow := r.Health.Slow()
+	if isSlow == wasSlow {
+		return
+	}
+	line := o.config.Log.Info().Str("Runner", string(r.Info.ID)).Float64("Speed", r.Health.Speed).Int("Runs", len(r.Runs))
+	if isSlow {
+		line.Msg("runner counts as slow; it gets no new tasks")
+		return
+	}
+	line.Msg("runner no longer counts as slow")
+}
+
 // canMeasureProgress reports whether the progress of a run says something about its runner. Services have no
 // progress, and the members of a gang make none before all have begun, since they wait for each other.
 func canMeasureProgress(run *tasks.Run) bool {
--- a/internal/flow/owner/load.go
+++ b/internal/flow/owner/load.go
@@ -179,6 +179,7 @@
 	}
 	line.Dur("Period", period).Dur("Lateness", l.sums.worstLateness).Dur("Waits", l.sums.waits).
 		Int64("JobsWaiting", o.counters.jobsWaiting.Value()).Int64("Runs", o.counters.runs.Value()).
+		Int64("RunnersSlow", o.counters.runnersSlow.Value()).
 		Int("InFlight", l.inFlight).Int("Writes", len(o.inFlight)).Func(o.window.fields).
 		Dur("StartTime", o.answers.starts.Mean()).Dur("RenewalTime", o.answers.renewals.Mean()).Dur("WriteLatency", o.writeLatency).
 		Dur("OldestStart", l.sums.oldestStart).Dur("Plans", l.sums.plans).Dur("Ticks", l.sums.ticks).
--- a/internal/flow/owner/tick.go
+++ b/internal/flow/owner/tick.go
@@ -72,14 +72,17 @@
 	return o.config.Clock.Since(now)
 }
 
-// updateGauges updates the gauges of the jobs, the runs and the free cores. The caller must hold o.mu.
+// updateGauges updates the gauges of the jobs, the runs, the free cores and the slow runners. The caller must hold o.mu.
 func (o *Owner) updateGauges(now time.Time) {
-	var free, runs int64
+	var free, runs, slow int64
 	for _, r := range o.table.Runners {
 		runs += int64(len(r.Runs))
 		if r.Usable(now) {
 			free += int64(max(0, r.Free().Cores) / types.Core)
 		}
+		if r.Health.Slow() {
+			slow++
+		}
 	}
 	waiting := 0
 	for _, j := range o.table.Jobs {
@@ -91,6 +94,7 @@
 	o.counters.jobsWaiting.Update(int64(waiting))
 	o.counters.runs.Update(runs)
 	o.counters.coresFree.Update(free)
+	o.counters.runnersSlow.Update(slow)
 }
 
 // expireRuns removes the runs on an unreachable runner once its leases have certainly expired. The caller must hold
