Expect tasks to run longer away from their data

Cause: a task away from the rack of its data, or in a gang that should share a rack and is spread over several, runs longer by a factor that the platform states. Nothing expected that: such a task made its runner look slow, so that it got no more work; it was moved to runners as far away, counted as stalled too early, was thought to end before its runner left, and its run time was learned as that of all tasks of its queue.

Change: the platform's factor is read (Bounds.FarFactor), and expect.go is the one place that tells how long a run is expected to take where it is: for the speed of its runner, the time without progress, the time that is left, the times that are learned, and what a move would gain, which counts the distance that the other runners with room have.

Tests that failed with the factor at 1, which is the former code: TestTasksAwayFromTheirDataAreNotTakenForSlow (speed 0.33), TestMoveCountsTheDistanceOfTheOtherRunners, TestRunTimesAreThoseNearTheData (6.5 s learned for 4 s), TestRemainingTimeCountsTheDistance (0.03 s for 8 s). TestSlowRunnerIsNoticedAwayFromTheData held before and holds now.

--- a/internal/flow/owner/health.go
+++ b/internal/flow/owner/health.go
@@ -127,11 +127,6 @@
 	return span * completePercent / time.Duration(gained), span >= minProgressSpan
 }
 
-// expectedRunTime returns the expected run time of the run's task. The caller must hold o.mu.
-func (o *Owner) expectedRunTime(run *tasks.Run) time.Duration {
-	return o.table.Times.Expect(run.Task.Step.Job.Spec.Queue.Name, run.Task.Step.Spec.Estimate)
-}
-
 // moveOffSlowRunner stops the tasks on a slow runner, now working at the given speed, that would be done much sooner
 // elsewhere; a member of a gang only with its whole gang. Tasks of a step with MayMiss stay. The caller must hold o.mu.
 func (o *Owner) moveOffSlowRunner(r *tasks.Runner, speed float64, now time.Time) {
--- a/internal/flow/owner/leaving.go
+++ b/internal/flow/owner/leaving.go
@@ -96,6 +96,6 @@
 		out.untilEnd = remainingPart(run, total)
 		return out
 	}
-	out.untilEnd = o.table.Times.Remaining(run.Task.Step.Job.Spec.Queue.Name, spec.Estimate, now.Sub(run.ConfirmedAt))
+	out.untilEnd = o.expectedRemaining(run, now)
 	return out
 }
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -107,6 +107,9 @@
 		StopTimeout time.Duration
 		// StatusRetention is how long the state of an ended job stays available.
 		StatusRetention time.Duration
+		// FarFactor is how many times as long a task runs away from the rack of its data, and how many times as long the members of a
+		// gang run on several racks that should share one; 1 or less means no longer.
+		FarFactor float64
 		// RateTolerance is by how much an organisation may exceed its weight before its jobs are surplus.
 		RateTolerance rates.Tolerance
 	}
--- a/internal/flow/owner/pace.go
+++ b/internal/flow/owner/pace.go
@@ -17,14 +17,14 @@
 	maxPace = 2.0
 )
 
-// observeRunTime learns from a run that was done: how long the tasks of its queue run at the usual pace of the runners, and
-// the pace of its runner. A run that continued from a checkpoint, or that began in a former term, shows neither. The caller
+// observeRunTime learns from a run that was done: how long the tasks of its queue run near their data at the usual pace of the
+// runners, and the pace of its runner. A run that continued from a checkpoint, or that began in a former term, shows neither. The caller
 // must hold o.mu.
 func (o *Owner) observeRunTime(run *tasks.Run, now time.Time) {
 	if !run.Confirmed || run.Task == nil || run.StartCheckpoint != "" || run.Tries == 0 {
 		return
 	}
-	ran := now.Sub(run.ConfirmedAt)
+	ran := time.Duration(float64(now.Sub(run.ConfirmedAt)) / o.distanceFactor(run))
 	queue, estimate := run.Task.Step.Job.Spec.Queue.Name, run.Task.Step.Spec.Estimate
 	expected := o.table.Times.Expect(queue, estimate)
 	r := run.Runner
--- a/internal/flow/owner/slow.go
+++ b/internal/flow/owner/slow.go
@@ -59,12 +59,6 @@
 	return runs >= minKnownRuns && float64(projected) <= longMargin*float64(longest)
 }
 
-// longestRunTime returns the longest known run time of tasks like the run's, and from how many runs it is known. The caller
-// must hold o.mu.
-func (o *Owner) longestRunTime(run *tasks.Run) (time.Duration, int) {
-	return o.table.Times.Within(run.Task.Step.Job.Spec.Queue.Name, run.Task.Step.Spec.Estimate, 1)
-}
-
 // compareWithSiblings returns the speed of a run relative to that of the tasks of its step on other runners, if those are
 // slower than expected too: then the step is long, or its estimate too short.
 func compareWithSiblings(run *tasks.Run) float64 {
@@ -122,10 +116,11 @@
 }
 
 // remainingElsewhere returns how long a run would still take if it, or its whole gang, was stopped and started elsewhere, given
-// how long the whole run takes here, at the speed of its runner: a task that is long by itself is long there too. The caller
-// must hold o.mu.
+// how long the whole run takes here, at the speed of its runner: a task that is long by itself is long there too, and one may
+// be farther from its data there. The caller must hold o.mu.
 func (o *Owner) remainingElsewhere(run *tasks.Run, total time.Duration, speed float64, now time.Time) time.Duration {
 	usual := max(o.expectedRunTime(run), time.Duration(float64(total)*speed))
+	usual = time.Duration(float64(usual) * o.distanceElsewhere(run, now) / o.distanceFactor(run))
 	overhead := moveOverhead
 	if run.Task.Step.Spec.Gang {
 		overhead = gangMoveOverhead
