Tell a slow runner by more than one rough estimate

Cause: a runner's speed is that of its tasks, against the time that they should take. For a queue with few known run times that is the caller's rough estimate, and one run of one task decided over the whole runner, also when the tasks of all other runners were as late.

Change: the run of a queue whose run times are not known is compared with the tasks of that queue on other runners (their median, once a second, if there are three or more), as the tasks of one step were. A single run that only an estimate tells of says nothing of its runner. Queues with known run times are judged as before.

--- a/internal/flow/owner/expect_test.go
+++ b/internal/flow/owner/expect_test.go
@@ -10,12 +10,12 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
-// nearTime is the run time of the tasks of rackFleet on the rack of their data.
+// nearTime is the estimate of the tasks of a progressFleet, and how long they run on the rack of their data, r0, if they are as
+// long as estimated. Elsewhere they take three times as long.
 const nearTime = 4 * time.Second
 
-// rackFleet is an owner that has learned how long tasks run near their data, which is on rack r0. Elsewhere they take three times
-// as long.
-type rackFleet struct {
+// progressFleet is an owner whose runners report the progress of tasks.
+type progressFleet struct {
 	*Owner
 
 	t     *testing.T
@@ -23,18 +23,26 @@
 	jobs  int
 }
 
-func newRackFleet(t *testing.T) *rackFleet {
+// newProgressFleet returns a fleet that knows nothing but the estimates of its tasks.
+func newProgressFleet(t *testing.T) *progressFleet {
 	t.Helper()
 	base := newFixture(t, quickWorld())
-	f := &rackFleet{Owner: base.newLockedOwner(), t: t, began: base.clock.Now()}
+	f := &progressFleet{Owner: base.newLockedOwner(), t: t, began: base.clock.Now()}
 	f.config.Bounds.FarFactor = 3
+	return f
+}
+
+// newLearnedFleet returns a fleet that has learned how long its tasks take.
+func newLearnedFleet(t *testing.T) *progressFleet {
+	t.Helper()
+	f := newProgressFleet(t)
 	for range 2 * minKnownRuns {
 		f.table.Times.ObserveRunTime("q", nearTime, nearTime)
 	}
 	return f
 }
 
-func (f *rackFleet) addRunnerOn(rack specs.Label) *tasks.Runner {
+func (f *progressFleet) addRunnerOn(rack specs.Label) *tasks.Runner {
 	info := runner(len(f.table.Runners))
 	info.Address, info.Rack, info.Labels = "", rack, []specs.Label{rack}
 	r := f.addRunner(info)
@@ -43,7 +51,7 @@
 }
 
 // place adds a job of one step with a task on each of the runners, and returns the runs.
-func (f *rackFleet) place(s specs.Step, runners ...*tasks.Runner) []*tasks.Run {
+func (f *progressFleet) place(s specs.Step, runners ...*tasks.Runner) []*tasks.Run {
 	s.Count, s.Estimate = len(runners), nearTime
 	f.jobs++
 	var out []*tasks.Run
@@ -65,17 +73,25 @@
 }
 
 // play reports the progress of runs that take the given time in all, up to the given time after the begin.
-func (f *rackFleet) play(runs []*tasks.Run, takes, length time.Duration) {
+func (f *progressFleet) play(runs []*tasks.Run, takes, length time.Duration) {
+	f.playEach(runs, func(*tasks.Run) time.Duration { return takes }, length)
+}
+
+// playEach is play with runs that take different times.
+func (f *progressFleet) playEach(runs []*tasks.Run, takes func(*tasks.Run) time.Duration, length time.Duration) {
 	for after := time.Duration(0); after <= length; after += reportStep {
 		now := f.began.Add(after)
 		for _, run := range runs {
-			f.applyRunning(run.Runner, agent.Running{Ref: run.Key.Ref, Attempt: 1, Percent: int(100 * after / takes)}, now)
+			f.applyRunning(run.Runner, agent.Running{Ref: run.Key.Ref, Attempt: 1, Percent: int(100 * after / takes(run))}, now)
 			f.checkProgress(run.Runner, now)
 		}
+		if after%summaryInterval < reportStep {
+			f.updateUsualSpeeds()
+		}
 	}
 }
 
-func (f *rackFleet) assertHealthy(runs []*tasks.Run) {
+func (f *progressFleet) assertHealthy(runs []*tasks.Run) {
 	f.t.Helper()
 	for _, run := range runs {
 		if run.Runner.Health.Slow() || run.StartCancelled {
@@ -88,19 +104,19 @@
 // Guards against sound runners that get no work since their tasks have their data on another rack, and against such tasks being
 // moved to runners that are as far away.
 func TestTasksAwayFromTheirDataAreNotTakenForSlow(t *testing.T) {
-	for name, place := range map[string]func(f *rackFleet) []*tasks.Run{
-		"AwayFromTheirRack": func(f *rackFleet) []*tasks.Run {
+	for name, place := range map[string]func(f *progressFleet) []*tasks.Run{
+		"AwayFromTheirRack": func(f *progressFleet) []*tasks.Run {
 			f.addRunnerOn("r1")
 			return append(f.place(atRack(), f.addRunnerOn("r1")), f.place(atRack(), f.addRunnerOn("r2"))...)
 		},
-		"GangOnSeveralRacks": func(f *rackFleet) []*tasks.Run {
+		"GangOnSeveralRacks": func(f *progressFleet) []*tasks.Run {
 			s := gang(2)
 			s.SameRack = true
 			return f.place(s, f.addRunnerOn("r1"), f.addRunnerOn("r2"))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newRackFleet(t)
+			f := newLearnedFleet(t)
 			runs := place(f)
 			f.play(runs, 3*nearTime, 2*nearTime)
 			f.assertHealthy(runs)
@@ -110,7 +126,7 @@
 
 // Guards against a slow runner that stays unnoticed because its tasks are away from their data.
 func TestSlowRunnerIsNoticedAwayFromTheData(t *testing.T) {
-	f := newRackFleet(t)
+	f := newLearnedFleet(t)
 	near := f.addRunnerOn("r0")
 	slow := f.addRunnerOn("r1")
 	runs := append(f.place(atRack(), slow), f.place(atRack(), slow)...)
@@ -122,7 +138,7 @@
 
 // Guards against a move from a slow runner near the data to one so far away that the task takes as long there.
 func TestMoveCountsTheDistanceOfTheOtherRunners(t *testing.T) {
-	f := newRackFleet(t)
+	f := newLearnedFleet(t)
 	slow, far := f.addRunnerOn("r0"), f.addRunnerOn("r1")
 	slow.Health.Speed = 1.0 / slowFactor
 	run, farRun := f.place(atRack(), slow)[0], f.place(atRack(), far)[0]
@@ -143,7 +159,7 @@
 
 // Guards against run times away from the data that make all tasks of the queue look long, and their runners slow.
 func TestRunTimesAreThoseNearTheData(t *testing.T) {
-	f := newRackFleet(t)
+	f := newLearnedFleet(t)
 	run := f.place(atRack(), f.addRunnerOn("r1"))[0]
 	run.Confirm(f.began)
 	f.updateUsualPaces()
@@ -160,7 +176,7 @@
 
 // Guards against a task away from its data that is kept on a runner that leaves before the task ends.
 func TestRemainingTimeCountsTheDistance(t *testing.T) {
-	f := newRackFleet(t)
+	f := newLearnedFleet(t)
 	run := f.place(atRack(), f.addRunnerOn("r1"))[0]
 	run.Confirm(f.began)
 	got := f.leavingRun(run, f.began.Add(nearTime)).untilEnd
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -181,6 +181,8 @@
 		ratesVersion specs.CatalogVersion
 		// usualPace is the median pace of the runners of each service at the latest summary.
 		usualPace map[types.ServiceName]float64
+		// usualSpeed is the usual speed of the tasks of each queue at the latest summary; see updateUsualSpeeds.
+		usualSpeed map[specs.QueueName]float64
 		// answers tells how long to wait for an answer of a runner.
 		answers answers
 		load    load
@@ -214,6 +216,7 @@
 		notYetDurable: make(map[specs.JobID]tasks.JobState),
 		renewLoops:    make(map[*tasks.Runner]time.Time),
 		usualPace:     make(map[types.ServiceName]float64),
+		usualSpeed:    make(map[specs.QueueName]float64),
 		fencedBy:      make(map[specs.RunnerID]struct{}),
 
 		unprovenLosses:       make(map[types.Address]unprovenLoss),
--- a/internal/flow/owner/pace.go
+++ b/internal/flow/owner/pace.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -55,7 +54,6 @@
 	}
 	clear(o.usualPace)
 	for name, all := range paces {
-		slices.Sort(all)
-		o.usualPace[name] = all[len(all)/2]
+		o.usualPace[name] = median(all)
 	}
 }
--- /dev/null
+++ b/internal/flow/owner/peers_test.go
@@ -0,0 +1,55 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+)
+
+// Guards against sound runners that get no work, and tasks that are stopped again and again, because an estimate is too short: it
+// says nothing of the runners, and all tasks of the queue are as late.
+func TestEstimateThatIsTooShortMakesNoRunnerSlow(t *testing.T) {
+	for name, test := range map[string]struct {
+		runners, tasks int
+		takes          time.Duration
+	}{
+		"OneTask":               {runners: 1, tasks: 1, takes: 10 * nearTime},
+		"OneTaskOnEachRunner":   {runners: 8, tasks: 1, takes: 3 * nearTime},
+		"TwoTasksOnEachRunner":  {runners: 8, tasks: 2, takes: 3 * nearTime},
+		"FourTasksOnEachRunner": {runners: 8, tasks: 4, takes: 10 * nearTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newProgressFleet(t)
+			var runs []*tasks.Run
+			for range test.runners {
+				r := f.addRunnerOn("r0")
+				for range test.tasks {
+					runs = append(runs, f.place(step(1), r)...)
+				}
+			}
+			f.play(runs, test.takes, 2*nearTime)
+			f.assertHealthy(runs)
+		})
+	}
+}
+
+// Guards against a slow runner that stays unnoticed because the run times of its only queue are not known yet.
+func TestSlowRunnerIsToldByTheTasksOnOthers(t *testing.T) {
+	f := newProgressFleet(t)
+	var runs []*tasks.Run
+	for range 2 * minPeerRunners {
+		runs = append(runs, f.place(step(1), f.addRunnerOn("r0"))...)
+	}
+	slow := runs[0].Runner
+	f.playEach(runs, func(run *tasks.Run) time.Duration {
+		if run.Runner == slow {
+			return 3 * slowFactor * nearTime
+		}
+		return 3 * nearTime
+	}, nearTime)
+	if !slow.Health.Slow() {
+		t.Errorf("the slow runner has speed %.2f", slow.Health.Speed)
+	}
+	f.assertHealthy(runs[1:])
+}
--- a/internal/flow/owner/slow.go
+++ b/internal/flow/owner/slow.go
@@ -13,9 +13,6 @@
 	// longMargin is how many times the longest known run time of its queue a task may take and still count as long by
 	// itself.
 	longMargin = 1.5
-	// minSiblings and maxSiblings bound how many tasks of its step on other runners a task is compared with.
-	minSiblings = 2
-	maxSiblings = 32
 	// stallPercents limits the time without progress to the time in which a task usually advances by so many percent.
 	stallPercents = 3
 	// gangMoveOverhead is the time that moving a gang costs besides the work: the stops take 0.4 s, the next attempt has its
@@ -25,11 +22,12 @@
 
 // measureSpeed returns how fast the runner works: the median speed of its tasks, or the higher one of two, since not all tasks
 // of a healthy runner are long at the same time. It returns false when the speed is not known: no task shows it, or only one
-// that may be long by itself. The caller must hold o.mu.
+// that may be long by itself, or of which nothing but the caller's rough estimate tells how long it should take. The caller must
+// hold o.mu.
 func (o *Owner) measureSpeed(r *tasks.Runner, now time.Time) (float64, bool) {
 	var speeds []float64
-	// isLong is of the latest run; it matters only if that is the only one.
-	isLong := false
+	// isDoubtful is of the latest run; it matters only if that is the only one.
+	isDoubtful := false
 	for _, run := range r.Runs {
 		if !canMeasureProgress(run) {
 			continue
@@ -39,14 +37,14 @@
 			continue
 		}
 		run.Speed = min(float64(o.expectedRunTime(run))/float64(projected), maxSpeedRatio)
-		speeds = append(speeds, compareWithSiblings(run))
-		isLong = o.mayBeLong(run, projected)
+		speed, isKnown := o.relativeSpeed(run)
+		speeds = append(speeds, speed)
+		isDoubtful = !isKnown || o.mayBeLong(run, projected)
 	}
-	if len(speeds) == 0 || (len(speeds) == 1 && isLong) {
+	if len(speeds) == 0 || (len(speeds) == 1 && isDoubtful) {
 		return 0, false
 	}
-	slices.Sort(speeds)
-	return speeds[len(speeds)/2], true
+	return median(speeds), true
 }
 
 // mayBeLong reports whether a run that will take the given time is longer than usual, but not longer than the long tasks of
@@ -59,25 +57,6 @@
 	return runs >= minKnownRuns && float64(projected) <= longMargin*float64(longest)
 }
 
-// compareWithSiblings returns the speed of a run relative to that of the tasks of its step on other runners, if those are
-// slower than expected too: then the step is long, or its estimate too short.
-func compareWithSiblings(run *tasks.Run) float64 {
-	var speeds []float64
-	for _, t := range run.Task.Step.Tasks {
-		if len(speeds) == maxSiblings {
-			break
-		}
-		if t.Run != nil && t.Run.Runner != run.Runner && t.Run.Speed > 0 {
-			speeds = append(speeds, t.Run.Speed)
-		}
-	}
-	if len(speeds) < minSiblings {
-		return run.Speed
-	}
-	slices.Sort(speeds)
-	return min(run.Speed/min(speeds[len(speeds)/2], 1), maxSpeedRatio)
-}
-
 // stallLimit returns how long a run may make no progress: longer for a task so long that one percent of it takes a
 // noticeable time, and for a gang at least as long as it would lose by a new start. The caller must hold o.mu.
 func (o *Owner) stallLimit(run *tasks.Run, now time.Time) time.Duration {
--- a/internal/flow/owner/tick.go
+++ b/internal/flow/owner/tick.go
@@ -14,7 +14,7 @@
 	// maxTickInterval: their cost grows with the jobs and the runners, and a leader that is behind needs the time for its calls.
 	tickShareDivisor = 16
 	maxTickInterval  = 500 * time.Millisecond
-	// summaryInterval is how often what changes slowly is updated: the gauges, the usual paces and the ended jobs.
+	// summaryInterval is how often what changes slowly is updated: the gauges, the usual paces and speeds, and the ended jobs.
 	summaryInterval = time.Second
 )
 
@@ -65,6 +65,7 @@
 	now := o.config.Clock.Now()
 	o.table.PurgeEnded(now.Add(-o.config.Bounds.StatusRetention))
 	o.updateUsualPaces()
+	o.updateUsualSpeeds()
 	o.updateGauges(now)
 	o.summariseGangWaits(now)
 	o.updateOrganisations(now)
