Give slow runners the tasks that no other runner could run

Even if they truly are slow, a slow start is better than none.

Cause: a slow runner took part in no plan at all, also if no other one could run a task; and its tasks were stopped to be started elsewhere also if there was no other runner.

Change: a plan places a step on slow runners too if the others could not hold it if they were empty, those in quarantine included (their quarantine ends within seconds). Work that others could run waits for them as before. A task is moved off a slow runner only if another one that is not slow could run it.

TestTasksMoveAwayFromASlowRunner checked the stops in a fleet of that one runner, where stopping helps nobody; it has a second runner now, and checks the same stops. TestTasksStayOnASlowRunnerWithoutAnother checks the fleet without one.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -102,7 +102,7 @@
 	if r == nil {
 		return nil
 	}
-	return p.usable(r)
+	return p.usable(s, r)
 }
 
 // isAllowed reports whether the latest answer allowed the runner that Advice.Allowed holds at the index.
@@ -167,7 +167,7 @@
 // add names runners in the order of their ids, so that work fills some and leaves others to gangs, of those on which an
 // accepted number of tasks fits now.
 func (c *candidates) add(accept func(count int) bool) {
-	for _, r := range c.pass.runners[c.step.Job.Spec.Queue.Service] {
+	for _, r := range c.pass.runnersFor(c.step) {
 		if c.isEnough() {
 			return
 		}
@@ -179,7 +179,7 @@
 
 // addEmptiest names the runners on which the most tasks fit now.
 func (c *candidates) addEmptiest() {
-	runners := c.pass.runners[c.step.Job.Spec.Queue.Service]
+	runners := c.pass.runnersFor(c.step)
 	counts := c.pass.counts[:0]
 	highest := 0
 	for _, r := range runners {
--- a/internal/flow/order/assign.go
+++ b/internal/flow/order/assign.go
@@ -30,7 +30,7 @@
 // eligibleRunners returns the runners that could run a task of the step if they were empty.
 func (p *pass) eligibleRunners(s *tasks.Step) []*runnerCapacity {
 	var out []*runnerCapacity
-	for _, r := range p.runners[s.Job.Spec.Queue.Service] {
+	for _, r := range p.runnersFor(s) {
 		if canRun(s, r) {
 			out = append(out, r)
 		}
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -89,7 +89,7 @@
 // askedRunners returns those of the runners that the latest calls for advice on the step named.
 func (p *pass) askedRunners(s *tasks.Step, runners []*runnerCapacity) []*runnerCapacity {
 	for _, incarnation := range s.Advice.Asked {
-		if r := p.capacityOf(incarnation); r != nil {
+		if r := p.capacityOf(s, incarnation); r != nil {
 			r.askedFor = s
 		}
 	}
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -24,6 +24,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -108,8 +109,13 @@
 		// capacities holds a runnerCapacity for each runner of the table, in its order; those that may not get tasks are
 		// empty.
 		capacities []runnerCapacity
-		// runners holds those that may get tasks, by service, in the order of their ids.
-		runners  map[types.ServiceName][]*runnerCapacity
+		// available holds those that may get tasks, by service, in the order of their ids; runners holds those of them that are not
+		// slow, or all of a service if there are no others.
+		available map[types.ServiceName][]*runnerCapacity
+		runners   map[types.ServiceName][]*runnerCapacity
+		// quarantined holds the runners that are not slow and may get tasks again once their quarantine ends.
+		quarantined map[types.ServiceName][]*runnerCapacity
+
 		reserved map[types.ServiceName]types.MilliCores
 		// cores is the sum of the cores of the usable runners of each service.
 		cores map[types.ServiceName]types.MilliCores
@@ -138,15 +144,18 @@
 		stepsLeft int
 		// counts is reused for the number of tasks that fit on each runner of a service.
 		counts []int
-		// runnable tells of each demand met so far whether a runner could meet it.
-		runnable map[demand]bool
-		out      Plan
+		// runnable tells of each demand met so far whether a runner could meet it, and slowNeeded whether it needs slow runners.
+		runnable   map[demand]bool
+		slowNeeded map[groupDemand]bool
+		out        Plan
 	}
 
 	// runnerCapacity is a runner with the capacity that is still free in this pass.
 	runnerCapacity struct {
 		runner *tasks.Runner
 		free   types.Resources
+		// isSlow is set on a slow runner unless it counts among pass.runners: it gets only tasks that need slow runners.
+		isSlow bool
 		// askedFor is the step for which askedRunners has last found the runner among those asked about.
 		askedFor *tasks.Step
 	}
@@ -206,15 +215,16 @@
 
 func newPass(t *tasks.Table, now time.Time, limits Limits) *pass {
 	return &pass{
-		table:    t,
-		limits:   limits,
-		now:      now,
-		runners:  make(map[types.ServiceName][]*runnerCapacity),
-		reserved: make(map[types.ServiceName]types.MilliCores),
-		cores:    make(map[types.ServiceName]types.MilliCores),
-		askable:  make(map[types.ServiceName]types.MilliCores),
-
-		idleCores: make(map[types.ServiceName]types.MilliCores),
+		table:       t,
+		limits:      limits,
+		now:         now,
+		available:   make(map[types.ServiceName][]*runnerCapacity),
+		quarantined: make(map[types.ServiceName][]*runnerCapacity),
+		runners:     make(map[types.ServiceName][]*runnerCapacity),
+		reserved:    make(map[types.ServiceName]types.MilliCores),
+		cores:       make(map[types.ServiceName]types.MilliCores),
+		askable:     make(map[types.ServiceName]types.MilliCores),
+		idleCores:   make(map[types.ServiceName]types.MilliCores),
 
 		stepStarts: make(map[*tasks.Runner]int),
 		headrooms:  make(map[*tasks.Organisation]*headroom),
@@ -223,6 +233,7 @@
 		held:       make(map[*tasks.Task]*runnerCapacity),
 		stepsLeft:  maxSteps,
 		runnable:   make(map[demand]bool),
+		slowNeeded: make(map[groupDemand]bool),
 	}
 }
 
@@ -292,22 +303,49 @@
 	ordered := p.table.OrderedRunners()
 	p.capacities = make([]runnerCapacity, len(ordered))
 	for i, r := range ordered {
-		if !r.Usable(p.now) {
-			continue
-		}
 		name := r.Info.Service
-		p.capacities[i] = runnerCapacity{runner: r, free: r.Free()}
-		p.runners[name] = append(p.runners[name], &p.capacities[i])
-		p.cores[name] += r.Info.Capacity.Cores
-		p.idleCores[name] += max(0, r.Free().Cores)
-		p.capacity = p.capacity.Add(r.Info.Capacity)
-		p.addToAskable(r)
-		if r.IsQuiet(p.now) {
-			p.keepQuiet(&p.capacities[i])
+		switch {
+		case r.Available(p.now):
+			p.capacities[i] = runnerCapacity{runner: r, free: r.Free(), isSlow: r.Health.Slow()}
+			p.available[name] = append(p.available[name], &p.capacities[i])
+		case r.InService() && !r.Health.Slow():
+			p.quarantined[name] = append(p.quarantined[name], &runnerCapacity{runner: r})
+		}
+	}
+	for service, available := range p.available {
+		p.runners[service] = withoutSlow(available)
+		if len(p.runners[service]) == 0 && len(p.quarantined[service]) == 0 {
+			p.runners[service] = available
+		}
+		for _, r := range p.runners[service] {
+			r.isSlow = false
+			p.addCapacity(r)
 		}
 	}
 }
 
+// withoutSlow returns those of the runners that are not slow.
+func withoutSlow(runners []*runnerCapacity) []*runnerCapacity {
+	isSlow := func(r *runnerCapacity) bool { return r.isSlow }
+	if !slices.ContainsFunc(runners, isSlow) {
+		return runners
+	}
+	return slices.DeleteFunc(slices.Clone(runners), isSlow)
+}
+
+// addCapacity adds a runner to the sums over its service and over all.
+func (p *pass) addCapacity(c *runnerCapacity) {
+	r := c.runner
+	name := r.Info.Service
+	p.cores[name] += r.Info.Capacity.Cores
+	p.idleCores[name] += max(0, r.Free().Cores)
+	p.capacity = p.capacity.Add(r.Info.Capacity)
+	p.addToAskable(r)
+	if r.IsQuiet(p.now) {
+		p.keepQuiet(c)
+	}
+}
+
 // addToAskable adds the cores of a runner for which calls for advice may be made: the free ones, and a share of all, since
 // that many are freed while tickets are valid. More calls would bring tickets that expire unused, and under overload
 // most of the waiting steps would make some.
@@ -316,20 +354,20 @@
 	p.askable[r.Info.Service] += max(0, r.Free().Cores) + ahead
 }
 
-// capacityOf returns the capacity of an incarnation of a runner, or nil when it may not get tasks or is no longer the
+// capacityOf returns the capacity of an incarnation of a runner, or nil when it may not get tasks of the step or is no longer the
 // current one.
-func (p *pass) capacityOf(i tasks.Incarnation) *runnerCapacity {
+func (p *pass) capacityOf(s *tasks.Step, i tasks.Incarnation) *runnerCapacity {
 	r := p.table.Runners[i.Runner]
 	if r == nil || r.Info.Boot != i.Boot {
 		return nil
 	}
-	return p.usable(r)
+	return p.usable(s, r)
 }
 
-// usable returns the capacity of a runner of the table, or nil when it may not get tasks.
-func (p *pass) usable(r *tasks.Runner) *runnerCapacity {
+// usable returns the capacity of a runner of the table, or nil when it may not get tasks of the step.
+func (p *pass) usable(s *tasks.Step, r *tasks.Runner) *runnerCapacity {
 	c := &p.capacities[r.Position()]
-	if c.runner == nil {
+	if c.runner == nil || (c.isSlow && !p.needsSlow(s)) {
 		return nil
 	}
 	return c
--- a/internal/flow/order/place.go
+++ b/internal/flow/order/place.go
@@ -56,7 +56,7 @@
 // keepPlace takes the gang's place from the free capacity until the gang is served.
 func (p *pass) keepPlace(s *tasks.Step) {
 	for _, share := range s.Advice.Place {
-		r := p.capacityOf(share.Incarnation)
+		r := p.capacityOf(s, share.Incarnation)
 		if r == nil {
 			continue
 		}
--- a/internal/flow/order/quota.go
+++ b/internal/flow/order/quota.go
@@ -198,7 +198,7 @@
 // capacity that cannot become free.
 func (p *pass) canHoldHeadroom(s *tasks.Step, h *headroom, width int) bool {
 	need := counted(s, width).Add(p.occupiedByServices(h.organisation))
-	return need.WithinLimit(h.organisation.Quota) && couldHold(s, p.runners[s.Job.Spec.Queue.Service], width)
+	return need.WithinLimit(h.organisation.Quota) && couldHold(s, p.runnersFor(s), width)
 }
 
 // couldHold reports whether the runners could hold so many tasks of the step if they were empty.
--- a/internal/flow/order/restart.go
+++ b/internal/flow/order/restart.go
@@ -51,7 +51,7 @@
 		if t.Run == nil {
 			continue
 		}
-		if r := p.capacityOf(t.Run.Runner.Incarnation()); r != nil {
+		if r := p.capacityOf(s, t.Run.Runner.Incarnation()); r != nil {
 			out[r]++
 		}
 	}
--- a/internal/flow/order/runnable.go
+++ b/internal/flow/order/runnable.go
@@ -8,22 +8,64 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 )
 
-// demand is what the tasks of a step need of a runner. Many steps have the same.
-type demand struct {
-	service   types.ServiceName
-	label     specs.Label
-	resources types.Resources
+type (
+	// demand is what the tasks of a step need of a runner. Many steps have the same.
+	demand struct {
+		service   types.ServiceName
+		label     specs.Label
+		resources types.Resources
+	}
+
+	// groupDemand is what those tasks of a step need that start together.
+	groupDemand struct {
+		demand
+		// width is the number of tasks, perRunner how many of them may run on one runner, or 0.
+		width     int
+		perRunner int
+	}
+)
+
+// demandOf returns what the tasks of the step need.
+func demandOf(s *tasks.Step) demand {
+	return demand{service: s.Job.Spec.Queue.Service, label: s.Spec.Label, resources: taskResources(s)}
 }
 
 // hasRunner reports whether any runner that may get tasks could run one of the step if it were empty. Without one the step waits, and takes
 // no turn of the plan: thousands of such steps must not keep those behind them from being served.
 func (p *pass) hasRunner(s *tasks.Step) bool {
-	service := s.Job.Spec.Queue.Service
-	key := demand{service: service, label: s.Spec.Label, resources: taskResources(s)}
+	key := demandOf(s)
 	known, ok := p.runnable[key]
 	if !ok {
-		known = slices.ContainsFunc(p.runners[service], func(r *runnerCapacity) bool { return canRun(s, r) })
+		known = slices.ContainsFunc(p.runnersFor(s), func(r *runnerCapacity) bool { return canRun(s, r) })
 		p.runnable[key] = known
 	}
 	return known
 }
+
+// runnersFor returns the runners of the step's service on which its tasks may be placed.
+func (p *pass) runnersFor(s *tasks.Step) []*runnerCapacity {
+	if p.needsSlow(s) {
+		return p.available[s.Job.Spec.Queue.Service]
+	}
+	return p.runners[s.Job.Spec.Queue.Service]
+}
+
+// needsSlow reports whether the step can only start with the help of slow runners: the others could not hold it if they were empty,
+// those in quarantine included.
+func (p *pass) needsSlow(s *tasks.Step) bool {
+	service := s.Job.Spec.Queue.Service
+	if len(p.runners[service]) == len(p.available[service]) {
+		return false
+	}
+	key := groupDemand{demand: demandOf(s), width: 1}
+	if s.Spec.Gang {
+		key.width, key.perRunner = len(s.Tasks), s.Spec.PerRunner
+	}
+	needed, ok := p.slowNeeded[key]
+	if !ok {
+		others := slices.Concat(p.runners[service], p.quarantined[service])
+		needed = !couldHold(s, others, key.width) && couldHold(s, p.available[service], key.width)
+		p.slowNeeded[key] = needed
+	}
+	return needed
+}
--- a/internal/flow/owner/expect.go
+++ b/internal/flow/owner/expect.go
@@ -76,13 +76,20 @@
 	return factor
 }
 
-// hasRoomOnRack reports whether another runner on the rack that may get tasks has room for the run's task. The caller must hold
-// o.mu.
+// hasRoomOnRack reports whether another runner on the rack has room for the run's task. The caller must hold o.mu.
 func (o *Owner) hasRoomOnRack(run *tasks.Run, rack specs.Label, now time.Time) bool {
-	spec := run.Task.Step.Spec
+	return o.hasOtherRunner(run, now, func(r *tasks.Runner) bool { return r.Has(rack) && run.Resources.Fits(r.Free()) })
+}
+
+// hasOtherRunner reports whether another runner that should get tasks is accepted, and could run the run's task if it were empty. The
+// caller must hold o.mu.
+func (o *Owner) hasOtherRunner(run *tasks.Run, now time.Time, accepts func(r *tasks.Runner) bool) bool {
+	label := run.Task.Step.Spec.Label
 	for _, r := range o.table.Runners {
-		isOther := r != run.Runner && r.Info.Service == run.Runner.Info.Service && r.Has(rack)
-		if isOther && (spec.Label == "" || r.Has(spec.Label)) && r.Usable(now) && run.Resources.Fits(r.Free()) {
+		if r == run.Runner || r.Info.Service != run.Runner.Info.Service || (label != "" && !r.Has(label)) {
+			continue
+		}
+		if r.Usable(now) && run.Resources.Fits(r.Info.Capacity) && accepts(r) {
 			return true
 		}
 	}
--- a/internal/flow/owner/health.go
+++ b/internal/flow/owner/health.go
@@ -69,7 +69,7 @@
 	}
 	line := o.config.Log.Info().Str("Runner", string(r.Info.ID)).Float64("Speed", r.Health.Speed).Int("Runs", len(r.Runs))
 	if isSlow {
-		line.Msg("runner counts as slow; it gets no new tasks")
+		line.Msg("runner counts as slow; it gets only tasks that no other could run")
 		return
 	}
 	line.Msg("runner no longer counts as slow")
@@ -128,7 +128,8 @@
 }
 
 // moveOffSlowRunner stops the tasks on a slow runner, now working at the given speed, that would be done much sooner
-// elsewhere; a member of a gang only with its whole gang. Tasks of a step with MayMiss stay. The caller must hold o.mu.
+// elsewhere; a member of a gang only with its whole gang. Tasks of a step with MayMiss stay, and those that no other runner could
+// run. The caller must hold o.mu.
 func (o *Owner) moveOffSlowRunner(r *tasks.Runner, speed float64, now time.Time) {
 	for _, run := range r.Runs {
 		if !canMeasureProgress(run) || run.Task.Step.Spec.MayMiss > 0 {
@@ -139,10 +140,13 @@
 			continue
 		}
 		remaining, elsewhere := o.remainingHere(run, total, now), o.remainingElsewhere(run, total, speed, now)
-		if remaining > minMoveRatio*elsewhere {
+		if remaining > minMoveRatio*elsewhere && o.hasOtherRunner(run, now, isAnyRunner) {
 			o.config.Log.Info().Str("Runner", string(r.Info.ID)).Str("Task", run.Key.Ref.String()).Int("Percent", run.Percent).
 				Dur("Left", remaining).Dur("Elsewhere", elsewhere).Float64("Speed", r.Health.Speed).Msg("moving task off a slow runner")
 			o.stopWithGang(run, tasks.EndedSlow)
 		}
 	}
 }
+
+// isAnyRunner accepts each runner.
+func isAnyRunner(*tasks.Runner) bool { return true }
--- a/internal/flow/owner/health_test.go
+++ b/internal/flow/owner/health_test.go
@@ -125,6 +125,7 @@
 // TestTasksMoveAwayFromASlowRunner checks that the tasks on a slow runner are stopped, not that they start elsewhere.
 func TestTasksMoveAwayFromASlowRunner(t *testing.T) {
 	f := newHealthFixture(t, 3)
+	f.addRunner(runner(1)).Synced = true
 	// Eight times as slow as expected.
 	for i := range 8 {
 		f.reportProgress(i*5, time.Duration(i)*400*time.Millisecond)
--- a/internal/flow/owner/peers_test.go
+++ b/internal/flow/owner/peers_test.go
@@ -53,3 +53,29 @@
 	}
 	f.assertHealthy(runs[1:])
 }
+
+// Guards against tasks that are stopped again and again on slow runners, since no other could run them.
+func TestTasksStayOnASlowRunnerWithoutAnother(t *testing.T) {
+	labelled := step(1)
+	labelled.Label = "r1"
+	for name, place := range map[string]func(f *progressFleet, slow *tasks.Runner) []*tasks.Run{
+		"NoOther": func(f *progressFleet, slow *tasks.Runner) []*tasks.Run { return f.place(step(1), slow) },
+		"NoOtherWithTheLabel": func(f *progressFleet, slow *tasks.Runner) []*tasks.Run {
+			f.addRunnerOn("r0")
+			return f.place(labelled, slow)
+		},
+		"TheOtherIsSlowToo": func(f *progressFleet, slow *tasks.Runner) []*tasks.Run {
+			f.addRunnerOn("r0").Health.Speed = 1.0 / slowFactor
+			return f.place(step(1), slow)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newLearnedFleet(t)
+			runs := place(f, f.addRunnerOn("r1"))
+			f.play(runs, slowFactor*nearTime, 2*nearTime)
+			if r := runs[0].Runner; !r.Health.Slow() || runs[0].StartCancelled {
+				t.Errorf("speed %.2f, stopped %v, want a slow runner whose task stays", r.Health.Speed, runs[0].StartCancelled)
+			}
+		})
+	}
+}
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -96,7 +96,7 @@
 
 // dispatchStart sends the start of a durable intent, or discards the run when it is not wanted any more, when its
 // ticket is about to expire, when its organisation's quota was lowered, when its runner's capacity has shrunk, or when its runner
-// is no longer usable or may be draining. A newer catalog is applied first, since it may have arrived after the last plan. The caller must hold o.mu.
+// is no longer available or may be draining. A newer catalog is applied first, since it may have arrived after the last plan. The caller must hold o.mu.
 func (o *Owner) dispatchStart(run *tasks.Run) {
 	o.applyCatalog()
 	r := run.Runner
@@ -105,7 +105,7 @@
 	}
 	now := o.config.Clock.Now()
 	isUnwanted := run.StartCancelled || o.isUnwanted(run) || o.isOverQuota(run)
-	mayStart := r.Usable(now) && !r.IsOvercommitted() && o.knowsDirectory() && o.isLeadershipConfirmed()
+	mayStart := r.Available(now) && !r.IsOvercommitted() && o.knowsDirectory() && o.isLeadershipConfirmed()
 	if isUnwanted || o.hasStaleTicket(run, now) || !mayStart {
 		o.counters.startsDiscarded.Inc(1)
 		o.discardRun(run)
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -14,7 +14,7 @@
 	// clockTolerance is how far below its bound a runner's clock may be without counting as gone back. Runners state
 	// whole milliseconds.
 	clockTolerance = agent.Clock(10 * time.Millisecond)
-	// slowSpeed is the speed below which a runner gets no new tasks.
+	// slowSpeed is the speed below which a runner counts as slow.
 	slowSpeed = 0.4
 )
 
@@ -156,13 +156,27 @@
 	return !r.Used.Fits(r.Info.Capacity)
 }
 
-// Usable reports whether new tasks may be placed on the runner.
+// Usable reports whether new tasks should be placed on the runner.
 func (r *Runner) Usable(now time.Time) bool {
-	return r.Synced && r.Orphans == 0 && r.Listed && !r.Info.Draining && r.UnreachableSince.IsZero() && !now.Before(r.Health.QuarantinedUntil) &&
-		!r.Health.Slow()
+	return r.Available(now) && !r.Health.Slow()
 }
 
-// Slow reports whether the runner is so slow that tasks should be placed elsewhere.
+// Available reports whether new tasks can be placed on the runner. One that is slow gets only tasks that no other could run.
+func (r *Runner) Available(now time.Time) bool {
+	return r.InService() && !r.Quarantined(now)
+}
+
+// InService reports whether the runner is known, listed, reachable and stays, so that it can run tasks.
+func (r *Runner) InService() bool {
+	return r.Synced && r.Orphans == 0 && r.Listed && !r.Info.Draining && r.UnreachableSince.IsZero()
+}
+
+// Quarantined reports whether the runner gets no new tasks for a while, since attempts kept failing or standing still there.
+func (r *Runner) Quarantined(now time.Time) bool {
+	return now.Before(r.Health.QuarantinedUntil)
+}
+
+// Slow reports whether the runner is so slow that tasks should be placed elsewhere if any other runner could run them.
 func (h *Health) Slow() bool {
 	return h.Speed < slowSpeed
 }
