Count the steps that a plan did not come to

A plan serves 400 steps at most; how many more waited could not be told. Plan.Unserved, Owner_StepsUnserved and the line on the leader's load have it.

--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -95,6 +95,8 @@
 		AdviceCalls []AdviceCall
 		// Idle means that no step waits for a start.
 		Idle bool
+		// Unserved is the number of steps that wait for a start and that the plan did not come to.
+		Unserved int
 		// GangWaits holds the gangs that were served and do not start.
 		GangWaits []GangWait
 		// WaitingForQuota holds the organisations with a step that would start if their quota had room.
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -95,6 +95,7 @@
 			p.serveInOrder(entries[:n])
 			entries = entries[n:]
 		}
+		p.leave(entries)
 		return
 	}
 	slices.SortFunc(entries, compare)
@@ -110,8 +111,9 @@
 // serveInOrder serves the steps one after the other, at most as many as stepsLeft. Steps that wait for their quota, or that no runner
 // can run, do not count, so that many of them do not keep others from being served.
 func (p *pass) serveInOrder(entries []entry) {
-	for _, e := range entries {
+	for i, e := range entries {
 		if p.stepsLeft == 0 {
+			p.leave(entries[i:])
 			return
 		}
 		if p.hasRunner(e.step) && p.mayServe(e.step) {
@@ -121,6 +123,11 @@
 	}
 }
 
+// leave notes steps that the plan does not come to.
+func (p *pass) leave(entries []entry) {
+	p.out.Unserved += len(entries)
+}
+
 // serveByShare serves surplus steps, task by task: the next one is always of the organisation with the lowest weighted
 // dominant share, planned starts included.
 func (p *pass) serveByShare(entries []entry) {
@@ -132,6 +139,7 @@
 		q := queues[0]
 		p.serveNext(q)
 		if len(q.steps) == 0 || q.idleStepsLeft == 0 {
+			p.leave(q.steps)
 			heap.Pop(&queues)
 			continue
 		}
@@ -203,6 +211,7 @@
 func (p *pass) begin(q *shareQueue, s *tasks.Step) bool {
 	switch {
 	case p.stepsLeft == 0:
+		p.leave(q.steps)
 		q.steps = nil
 		return false
 	case !p.hasRunner(s) || !p.mayServe(s):
--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -37,6 +37,8 @@
 	runs        metrics.Gauge
 	coresFree   metrics.Gauge
 	runnersSlow metrics.Gauge
+	// stepsUnserved is how many steps the latest plan did not come to.
+	stepsUnserved metrics.Gauge
 	// Latencies.
 	ledgerLoad      metrics.Timer
 	ledgerWrite     metrics.Timer
@@ -54,7 +56,8 @@
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("Owner."+name, r) }
 	return counters{
 		jobs: gauge("Jobs"), jobsWaiting: gauge("JobsWaiting"), runs: gauge("Runs"), coresFree: gauge("CoresFree"), runnersSlow: gauge("RunnersSlow"),
-		jobsAccepted: count("JobsAccepted"), jobsRejected: count("JobsRefused"), jobsEnded: count("JobsEnded"),
+		stepsUnserved: gauge("StepsUnserved"),
+		jobsAccepted:  count("JobsAccepted"), jobsRejected: count("JobsRefused"), jobsEnded: count("JobsEnded"),
 		jobsRepeated: count("JobsRepeated"), states: count("States"),
 		starts: count("Starts"), startsRejected: count("StartsRejected"), startsUnanswered: count("StartsUnanswered"),
 		startsRepeated: count("StartsRepeated"), startsDiscarded: count("StartsDiscarded"),
--- a/internal/flow/owner/load.go
+++ b/internal/flow/owner/load.go
@@ -47,6 +47,8 @@
 		waits time.Duration
 		// worstLateness is the greatest lateness, oldestStart the longest time from the decision on a start until it was sent.
 		worstLateness, oldestStart time.Duration
+		// unserved is the largest number of steps that one plan did not come to.
+		unserved int
 	}
 
 	// loadCount is a counter with its value in the latest line.
@@ -182,7 +184,7 @@
 		Int64("RunnersSlow", o.counters.runnersSlow.Value()).
 		Int("InFlight", l.inFlight).Int("Writes", len(o.inFlight)).Func(o.window.fields).
 		Dur("StartTime", o.answers.starts.Mean()).Dur("RenewalTime", o.answers.renewals.Mean()).Dur("WriteLatency", o.writeLatency).
-		Dur("OldestStart", l.sums.oldestStart).Dur("Plans", l.sums.plans).Dur("Ticks", l.sums.ticks).
+		Int("Unserved", l.sums.unserved).Dur("OldestStart", l.sums.oldestStart).Dur("Plans", l.sums.plans).Dur("Ticks", l.sums.ticks).
 		Func(l.countFields).Msg("load of the leader")
 	l.sums = loadSums{}
 }
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -51,6 +51,8 @@
 		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency + o.load.ticketDelay(),
 	})
 	o.counters.planDuration.UpdateSince(began)
+	o.counters.stepsUnserved.Update(int64(plan.Unserved))
+	o.load.sums.unserved = max(o.load.sums.unserved, plan.Unserved)
 	starts := o.window.takeStarts(plan.Starts)
 	for _, s := range starts {
 		o.recordStart(s)
