Take no turn of a plan for steps that no runner has room for

Cause: a plan serves 400 steps at most, in the order of their rank. A step took one of these turns if some runner could run it if empty, also if none had room: the patient steps, in time, rank before a job that has become late, and took all turns of every plan.

Change: within a plan, free capacity only shrinks until a place or a held runner is released. So once no runner of a group (service, label) has room for a step, no later step that needs as much or more is served there, and none takes a turn, unless something can be done without room: a gang reserves, a suspected task has a runner held for it, advice can be asked for ahead. The same holds for the turns of an organisation with surplus work.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -76,6 +76,16 @@
 	return out
 }
 
+// hasAllowed reports whether the advice service allows a usable runner that could run the step.
+func (p *pass) hasAllowed(s *tasks.Step) bool {
+	for i := range s.Advice.Allowed {
+		if r := p.everAllowed(s, i); r != nil && p.isAllowed(s, i) && canRun(s, r) {
+			return true
+		}
+	}
+	return false
+}
+
 // fittingAllowedRunners returns those of the allowed runners on which a task of the step fits now, and whether there are any allowed
 // ones. Under overload nearly all of them are full.
 func (p *pass) fittingAllowedRunners(s *tasks.Step) (fitting []*runnerCapacity, isAllowed bool) {
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -43,7 +43,7 @@
 	overdue
 
 	lateFactor = 3
-	// maxSteps limits the number of steps that one plan serves. Steps that no runner can run do not count.
+	// maxSteps limits the number of steps that one plan serves; see pass.takesTurn.
 	maxSteps = 400
 	// sizePenaltyShare is the fraction of its service's cores on which the remaining work of a job is assumed to run
 	// when its size is converted into time.
@@ -149,7 +149,9 @@
 		// runnable tells of each demand met so far whether a runner could meet it, and slowNeeded whether it needs slow runners.
 		runnable   map[demand]bool
 		slowNeeded map[groupDemand]bool
-		out        Plan
+		// full holds, for each group of runners, the least resources for which none of them has room any more.
+		full map[runnerGroup][]types.Resources
+		out  Plan
 	}
 
 	// runnerCapacity is a runner with the capacity that is still free in this pass.
@@ -236,6 +238,7 @@
 		stepsLeft:  maxSteps,
 		runnable:   make(map[demand]bool),
 		slowNeeded: make(map[groupDemand]bool),
+		full:       make(map[runnerGroup][]types.Resources),
 	}
 }
 
--- a/internal/flow/order/place.go
+++ b/internal/flow/order/place.go
@@ -67,6 +67,10 @@
 
 // releasePlace adds the place that the step keeps to the free capacity again, so that the step can start there.
 func (p *pass) releasePlace(s *tasks.Step) {
+	if len(p.places[s]) == 0 {
+		return
+	}
+	p.forgetFull()
 	for _, kept := range p.places[s] {
 		kept.runner.free = kept.runner.free.Add(taskResources(s).Times(kept.count))
 	}
--- a/internal/flow/order/quiet.go
+++ b/internal/flow/order/quiet.go
@@ -69,6 +69,7 @@
 // release makes the free capacity of a runner that was held available again.
 func (p *pass) release(r *runnerCapacity) {
 	r.free = r.runner.Free()
+	p.forgetFull()
 	p.quiet[r.runner.Info.Service]--
 }
 
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -108,17 +108,16 @@
 	p.serveByShare(surplus[splitSurplus:])
 }
 
-// serveInOrder serves the steps one after the other, at most as many as stepsLeft. Steps that wait for their quota, or that no runner
-// can run, do not count, so that many of them do not keep others from being served.
+// serveInOrder serves the steps one after the other, at most as many as stepsLeft.
 func (p *pass) serveInOrder(entries []entry) {
 	for i, e := range entries {
 		if p.stepsLeft == 0 {
 			p.leave(entries[i:])
 			return
 		}
-		if p.hasRunner(e.step) && p.mayServe(e.step) {
+		if p.takesTurn(e.step) {
 			p.stepsLeft--
-			p.serve(e.step)
+			p.serveStep(e.step)
 		}
 	}
 }
@@ -197,11 +196,12 @@
 	if q.current == nil && !p.begin(q, s) {
 		return
 	}
-	startsBefore := len(p.out.Starts)
 	if s.Spec.Gang {
-		p.serve(s)
-		p.finishStep(q, len(p.out.Starts) > startsBefore)
+		p.finishStep(q, p.serveStep(s))
 	} else if p.serveNextTask(q, s) {
+		if !q.current.hasStarted {
+			p.noteFull(s)
+		}
 		p.finishStep(q, q.current.hasStarted)
 	}
 }
@@ -214,7 +214,7 @@
 		p.leave(q.steps)
 		q.steps = nil
 		return false
-	case !p.hasRunner(s) || !p.mayServe(s):
+	case !p.takesTurn(s):
 		q.steps = q.steps[1:]
 		return false
 	}
