Serve each waiting step within a bounded number of plans

What callers would have seen: work that waits for ever beside free capacity, behind 400 steps that take their turns in each plan and can do nothing: gangs without places, steps for which the advice service allows no runner, steps at their limit on each runner.

Cause: each plan began anew with the steps that rank first, and ended after 400 turns.

Change: once in 50 ms, a plan also serves 100 of the steps that rank too late for its turns, going round in the order of their references. With 4,000 such steps each is served within 2 s; the cost is a quarter of a plan in 50 ms at most.

--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -43,7 +43,7 @@
 	overdue
 
 	lateFactor = 3
-	// maxSteps limits the number of steps that one plan serves; see pass.takesTurn.
+	// maxSteps limits the number of steps that one plan serves by their rank; see pass.takesTurn.
 	maxSteps = 400
 	// sizePenaltyShare is the fraction of its service's cores on which the remaining work of a job is assumed to run
 	// when its size is converted into time.
@@ -67,6 +67,10 @@
 		// TicketMargin is how long a ticket must still be valid when a start is decided. It covers the write of the
 		// intent and the call to the runner.
 		TicketMargin time.Duration
+		// ServeRest means that the plan also serves some of the steps that rank too late for its turns, from Resume on, which is
+		// Plan.Resume of the plan before.
+		ServeRest bool
+		Resume    specs.StepRef
 	}
 
 	// Start is a decision to start a task on a runner.
@@ -97,6 +101,8 @@
 		Idle bool
 		// Unserved is the number of steps that wait for a start and that the plan did not come to.
 		Unserved int
+		// Resume is the step after which the next plan goes on with those that rank too late for its turns.
+		Resume specs.StepRef
 		// GangWaits holds the gangs that were served and do not start.
 		GangWaits []GangWait
 		// WaitingForQuota holds the organisations with a step that would start if their quota had room.
@@ -142,8 +148,9 @@
 		held map[*tasks.Task]*runnerCapacity
 		// services is what the services of each organisation occupy; nil until it is needed.
 		services map[*tasks.Organisation]types.Resources
-		// stepsLeft is how many more steps the plan serves.
+		// stepsLeft is how many more steps the plan serves, and rest holds those that rank too late for that.
 		stepsLeft int
+		rest      []entry
 		// counts is reused for the number of tasks that fit on each runner of a service.
 		counts []int
 		// runnable tells of each demand met so far whether a runner could meet it, and slowNeeded whether it needs slow runners.
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -84,11 +84,12 @@
 	return len(entries)
 }
 
-// serveAll serves the steps in four groups: those within the weights that are not overdue, the surplus ones that are not
-// overdue, those within the weights that are overdue, and the surplus ones that are overdue. Without surplus steps, only as many are
-// sorted as the plan comes to.
+// serveAll serves the steps by their rank, and then some of those that rank too late for the turns of the plan. Without surplus steps,
+// only as many are sorted as the plan comes to.
 func (p *pass) serveAll(entries []entry, compare ranking) {
-	if !slices.ContainsFunc(entries, func(e entry) bool { return p.isSurplus(e.step.Job) }) {
+	if slices.ContainsFunc(entries, func(e entry) bool { return p.isSurplus(e.step.Job) }) {
+		p.serveRanked(entries, compare, 0)
+	} else {
 		for len(entries) > 0 && p.stepsLeft > 0 {
 			n := min(len(entries), maxSteps)
 			sortLeast(entries, n, compare)
@@ -96,16 +97,22 @@
 			entries = entries[n:]
 		}
 		p.leave(entries)
-		return
 	}
+	p.serveRest(compare)
+}
+
+// serveRanked serves the steps in four groups: those within the weights that are not overdue, the surplus ones that are not
+// overdue, those within the weights that are overdue, and the surplus ones that are overdue. IdleSteps is how many surplus steps
+// of each organisation may be served without a start, or 0 if the organisations share the turns that are left.
+func (p *pass) serveRanked(entries []entry, compare ranking, idleSteps int) {
 	slices.SortFunc(entries, compare)
 	isOverdue := func(e entry) bool { return e.tier == overdue }
 	within, surplus := p.splitSurplus(entries)
 	split, splitSurplus := firstIndex(within, isOverdue), firstIndex(surplus, isOverdue)
 	p.serveInOrder(within[:split])
-	p.serveByShare(surplus[:splitSurplus])
+	p.serveByShare(surplus[:splitSurplus], idleSteps)
 	p.serveInOrder(within[split:])
-	p.serveByShare(surplus[splitSurplus:])
+	p.serveByShare(surplus[splitSurplus:], idleSteps)
 }
 
 // serveInOrder serves the steps one after the other, at most as many as stepsLeft.
@@ -122,17 +129,12 @@
 	}
 }
 
-// leave notes steps that the plan does not come to.
-func (p *pass) leave(entries []entry) {
-	p.out.Unserved += len(entries)
-}
-
 // serveByShare serves surplus steps, task by task: the next one is always of the organisation with the lowest weighted
 // dominant share, planned starts included.
-func (p *pass) serveByShare(entries []entry) {
+func (p *pass) serveByShare(entries []entry, idleSteps int) {
 	queues := p.queueByOrganisation(entries)
 	for _, q := range queues {
-		q.idleStepsLeft = max(1, p.stepsLeft/len(queues))
+		q.idleStepsLeft = cmp.Or(idleSteps, max(1, p.stepsLeft/len(queues)))
 	}
 	for len(queues) > 0 {
 		q := queues[0]
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -162,6 +162,9 @@
 		// fencedBy holds the runners that have refused the fence in use, and fenceCheckedAt is when the epoch was last read because of one.
 		fencedBy       map[specs.RunnerID]struct{}
 		fenceCheckedAt time.Time
+		// planResume is where the next plan goes on with the steps that rank too late for its turns, restServedAt when one last did.
+		planResume   specs.StepRef
+		restServedAt time.Time
 		// directoryAt is the time to which the tables contain the changes of the directory.
 		directoryAt time.Time
 		// backlog is the work of the accepted jobs at the latest tick.
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// restInterval is the time between two plans that also serve steps that rank too late for their turns.
+	restInterval = 50 * time.Millisecond
 	// requestTimeout limits how long a runner may take to answer a stop, and any try of a start.
 	requestTimeout = 600 * time.Millisecond
 	// ticketMargin is the part of a ticket's validity that is reserved for the transmission of a start to its runner.
@@ -47,9 +49,8 @@
 	}
 	o.applyCatalog()
 	began := o.config.Clock.Now()
-	plan := order.MakePlan(o.table, began, order.Limits{
-		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency + o.load.ticketDelay(),
-	})
+	plan := order.MakePlan(o.table, began, o.planLimits(began))
+	o.planResume = plan.Resume
 	o.counters.planDuration.UpdateSince(began)
 	o.counters.stepsUnserved.Update(int64(plan.Unserved))
 	o.load.sums.unserved = max(o.load.sums.unserved, plan.Unserved)
@@ -68,6 +69,18 @@
 	return took
 }
 
+// planLimits returns the bounds of a plan that is made now. The caller must hold o.mu.
+func (o *Owner) planLimits(now time.Time) order.Limits {
+	limits := order.Limits{
+		AdviceBudget: o.adviceBudget(), TicketMargin: ticketMargin + o.writeLatency + o.load.ticketDelay(),
+		ServeRest: now.Sub(o.restServedAt) >= restInterval, Resume: o.planResume,
+	}
+	if limits.ServeRest {
+		o.restServedAt = now
+	}
+	return limits
+}
+
 // recordStart records the intent of a start; the start is sent once the intent is durable. All starts of a gang's attempt
 // are recorded under one lock, so all have the same checkpoint, which stays that of the attempt. The caller must hold o.mu.
 func (o *Owner) recordStart(s order.Start) {
