Log what a restarted runner is taken to be, and changed labels

With which labels and capacity a runner went on after a restart could not be told from the lines, nor that its labels changed within a boot.

--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -99,6 +100,10 @@
 	if !r.Listed {
 		o.config.Log.Info().Str("Runner", string(info.ID)).Msg("runner is in the directory again")
 	}
+	if !slices.Equal(info.Labels, r.Info.Labels) && r.Listed {
+		o.config.Log.Info().Str("Runner", string(info.ID)).Int64("Boot", int64(info.Boot)).Any("Former", r.Info.Labels).Any("Labels", info.Labels).
+			Msg("labels of a runner have changed")
+	}
 	if info.Capacity != r.Info.Capacity && r.Listed {
 		o.config.Log.Info().Str("Runner", string(info.ID)).Str("Former", r.Info.Capacity.String()).Str("Capacity", info.Capacity.String()).
 			Str("Used", r.Used.String()).Msg("capacity of a runner has changed")
@@ -121,7 +126,8 @@
 // replaceRunner replaces a runner by its next incarnation. Nothing of the former incarnation runs any more; a higher
 // fence keeps late requests from being executed in the new one. The caller must hold o.mu.
 func (o *Owner) replaceRunner(r *tasks.Runner, info agent.Runner) *tasks.Runner {
-	o.config.Log.Info().Str("Runner", string(info.ID)).Int("Runs", len(r.Runs)).Msg("runner has restarted; the tasks of its former runs are handled as after an expired lease")
+	o.config.Log.Info().Str("Runner", string(info.ID)).Int64("Boot", int64(info.Boot)).Any("Labels", info.Labels).
+		Str("Capacity", info.Capacity.String()).Int("Runs", len(r.Runs)).Msg("runner has restarted; the tasks of its former runs are handled as after an expired lease")
 	next := tasks.NewRunner(info, o.nextFence())
 	next.ClockAt = o.config.Clock.Now()
 	o.table.SetRunner(next)
