Place no tasks on a restarted runner before its entry is read

Cause: a lease renewal reaches the next boot of a runner up to some 250 ms before the directory's entry of that boot is read. The leader took the new boot with the service, labels, capacity and draining state of the former one, and placed tasks on it as soon as it answered.

Change: a boot that a renewal finds gets no tasks before its entry is read (Runner.EntryPending); its leases are renewed meanwhile. One that was removed from the directory stays removed until its entry comes.

Tests that failed before: TestNextBootGetsNoTasksBeforeItsEntryIsRead (same entry, other label, other service, less capacity, draining: two runs each on the boot without an entry), TestRemovedRunnerIsNotUsedAgainAfterARestart.

--- a/internal/flow/owner/boot_test.go
+++ b/internal/flow/owner/boot_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
+	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
@@ -39,6 +41,79 @@
 	}
 }
 
+// Guards against tasks that start on a restarted runner by the service, the labels, the capacity or the draining state of its former
+// boot, since a lease renewal reaches the next boot before its entry in the directory is read.
+func TestNextBootGetsNoTasksBeforeItsEntryIsRead(t *testing.T) {
+	former := runner(0)
+	former.Boot, former.Labels = 5, []specs.Label{"a"}
+	labelled := step(2)
+	labelled.Label = "a"
+	for name, c := range map[string]struct {
+		change func(info *agent.Runner)
+		// want is the number of tasks that are placed once the entry of the next boot is read.
+		want int
+	}{
+		"Same":         {func(*agent.Runner) {}, 2},
+		"OtherLabel":   {func(info *agent.Runner) { info.Labels = []specs.Label{"b"} }, 0},
+		"OtherService": {func(info *agent.Runner) { info.Service = "other" }, 0},
+		"LessCapacity": {func(info *agent.Runner) { info.Capacity = oneCore() }, 1},
+		"Draining":     {func(info *agent.Runner) { info.Draining = true }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, quickWorld())
+			o := f.newOwner()
+			t.Cleanup(o.Stop)
+			o.mu.Lock()
+			o.applyEntry(former)
+			o.runnerRestarted(o.table.Runners[former.ID], agent.Report{Boot: 7})
+			next := o.table.Runners[former.ID]
+			next.Synced = true
+			o.table.AddJob(job("j", labelled))
+			// The former boot's last entry may be read late.
+			o.applyEntry(former)
+			o.mu.Unlock()
+			assertPlaced(t, o, next, 0)
+			entry := former
+			entry.Boot = 7
+			c.change(&entry)
+			o.mu.Lock()
+			o.applyEntry(entry)
+			o.mu.Unlock()
+			assertPlaced(t, o, next, c.want)
+		})
+	}
+}
+
+// Guards against a runner that was removed from the directory and is used again, since a renewal for its last runs finds another boot.
+func TestRemovedRunnerIsNotUsedAgainAfterARestart(t *testing.T) {
+	o := newFixture(t, quickWorld()).newLockedOwner()
+	info := runner(0)
+	info.Boot = 5
+	o.applyEntry(info)
+	o.runnerRemoved(info.ID)
+	o.runnerRestarted(o.table.Runners[info.ID], agent.Report{Boot: 7})
+	if next := o.table.Runners[info.ID]; next.Listed {
+		t.Error("the next boot counts as listed, though the directory has no entry of it")
+	}
+	info.Boot = 7
+	o.applyEntry(info)
+	if next := o.table.Runners[info.ID]; !next.Listed || next.EntryPending {
+		t.Errorf("listed: %v, entry pending: %v; want a listed runner whose entry is read", next.Listed, next.EntryPending)
+	}
+}
+
+// assertPlaced plans once, and checks how many runs the runner then has.
+func assertPlaced(t *testing.T, o *Owner, r *tasks.Runner, want int) {
+	t.Helper()
+	o.directoryAt = o.config.Clock.Now()
+	o.executePlan()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if got := len(r.Runs); got != want || o.table.Runners[r.Info.ID] != r {
+		t.Errorf("boot %d has %d runs, and is current: %v; want %d runs on the current boot", r.Info.Boot, got, o.table.Runners[r.Info.ID] == r, want)
+	}
+}
+
 // TestEndOfTheTermLeavesAChangeInDoubt guards against telling the caller that a job will not run although its write may
 // still take effect.
 func TestEndOfTheTermLeavesAChangeInDoubt(t *testing.T) {
--- a/internal/flow/owner/leases.go
+++ b/internal/flow/owner/leases.go
@@ -307,9 +307,11 @@
 }
 
 // runnerRestarted replaces a runner by the incarnation that its report names, in which nothing of the former one
-// runs. The caller must hold o.mu.
+// runs. A boot may differ from the former one in its service, labels and capacity, so the next one gets no tasks before its entry in the
+// directory is read. One that was removed from the directory is not in it again by that. The caller must hold o.mu.
 func (o *Owner) runnerRestarted(r *tasks.Runner, report agent.Report) {
 	info := r.Info
 	info.Boot = report.Boot
-	o.replaceRunner(r, info)
+	next := o.replaceRunner(r, info)
+	next.Listed, next.EntryPending = r.Listed, true
 }
--- a/internal/flow/owner/runners.go
+++ b/internal/flow/owner/runners.go
@@ -100,16 +100,16 @@
 	if !r.Listed {
 		o.config.Log.Info().Str("Runner", string(info.ID)).Msg("runner is in the directory again")
 	}
-	if !slices.Equal(info.Labels, r.Info.Labels) && r.Listed {
+	if !slices.Equal(info.Labels, r.Info.Labels) && r.Listed && !r.EntryPending {
 		o.config.Log.Info().Str("Runner", string(info.ID)).Int64("Boot", int64(info.Boot)).Any("Former", r.Info.Labels).Any("Labels", info.Labels).
 			Msg("labels of a runner have changed")
 	}
-	if info.Capacity != r.Info.Capacity && r.Listed {
+	if info.Capacity != r.Info.Capacity && r.Listed && !r.EntryPending {
 		o.config.Log.Info().Str("Runner", string(info.ID)).Str("Former", r.Info.Capacity.String()).Str("Capacity", info.Capacity.String()).
 			Str("Used", r.Used.String()).Msg("capacity of a runner has changed")
 	}
 	r.Info = info
-	r.Listed = true
+	r.Listed, r.EntryPending = true, false
 	o.noteLeave(r)
 }
 
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -31,6 +31,9 @@
 		Synced bool
 		// Listed is set while the directory lists the runner.
 		Listed bool
+		// EntryPending is set while the directory's entry of this boot has not been read: a lease renewal has found the boot, and all else
+		// in Info is of the former one.
+		EntryPending bool
 		// LeavesAt is when a draining runner leaves at the earliest; zero when it is not draining or does not say.
 		LeavesAt time.Time
 		// Health rates how the runner executes its tasks.
@@ -168,7 +171,7 @@
 
 // InService reports whether the runner is known, listed, reachable and stays, so that it can run tasks.
 func (r *Runner) InService() bool {
-	return r.Synced && r.Orphans == 0 && r.Listed && !r.Info.Draining && r.UnreachableSince.IsZero()
+	return r.Synced && r.Orphans == 0 && r.Listed && !r.EntryPending && !r.Info.Draining && r.UnreachableSince.IsZero()
 }
 
 // Quarantined reports whether the runner gets no new tasks for a while, since attempts kept failing or standing still there.
