Check a runner's latest entry before each try of a start

What callers would have seen: a task on a runner of another service or without its label, or on one that drains.

Cause: between the plan and the start, and between the tries of an unanswered start, the runner's entry or the catalog may change within one boot. Only the capacity and, before the first try, the draining state were looked at again.

Change: the service, the label and the capacity are checked before each try, and that the runner is in service before each further one; else the run is discarded, or the fence raised.

Evidence: tests that failed before: TestStartIsDiscardedWhenTheRunnerNoLongerSuits (label, service: sent), TestUnansweredStartIsNotRepeatedWhenTheRunnerNoLongerSuits (label, service, draining: a second try). Capacity held before and holds now.

--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -110,7 +110,7 @@
 }
 
 // dispatchStart sends the start of a durable intent, or discards the run when it is not wanted any more, when its
-// ticket is about to expire, when its organisation's quota was lowered, when its runner's capacity has shrunk, or when its runner
+// ticket is about to expire, when its organisation's quota was lowered, when its runner may not run it any more, or when its runner
 // is no longer available or may be draining. A newer catalog is applied first, since it may have arrived after the last plan. The caller must hold o.mu.
 func (o *Owner) dispatchStart(run *tasks.Run) {
 	o.applyCatalog()
@@ -120,8 +120,8 @@
 	}
 	now := o.config.Clock.Now()
 	isUnwanted := run.StartCancelled || o.isUnwanted(run) || o.isOverQuota(run)
-	mayStart := r.Available(now) && !r.IsOvercommitted() && o.knowsDirectory() && o.isLeadershipConfirmed()
-	if isUnwanted || o.hasStaleTicket(run, now) || !mayStart {
+	mayStart := r.Available(now) && o.knowsDirectory() && o.isLeadershipConfirmed()
+	if isUnwanted || !mayStart || !suitsRunner(run) || o.hasStaleTicket(run, now) {
 		o.counters.startsDiscarded.Inc(1)
 		o.discardRun(run)
 		return
@@ -129,6 +129,14 @@
 	o.sendStart(run)
 }
 
+// suitsRunner reports whether the runner of a run may still run it by its latest entry, and by the latest catalog: its service, its
+// labels and its capacity may have changed since the plan.
+func suitsRunner(run *tasks.Run) bool {
+	info, step := &run.Runner.Info, run.Task.Step
+	hasLabel := step.Spec.Label == "" || run.Runner.Has(step.Spec.Label)
+	return hasLabel && info.Service == step.Job.Spec.Queue.Service && !run.Runner.IsOvercommitted()
+}
+
 // hasStaleTicket reports whether the ticket of a start may expire on its way to the runner, or that of another member of its gang: one
 // member that is rejected breaks the gang. The caller must hold o.mu.
 func (o *Owner) hasStaleTicket(run *tasks.Run, now time.Time) bool {
@@ -240,8 +248,8 @@
 	}
 	o.config.Log.Info().Str("Task", run.Key.Ref.String()).Int("Attempt", int(run.Key.Attempt)).
 		Str("Runner", string(run.Runner.Info.ID)).Int("Tries", run.Tries).Msg("start was not answered; it is in doubt whether the attempt runs")
-	isWanted := !run.StartCancelled && !o.isUnwanted(run) && !o.isOverQuota(run) && !run.Runner.IsOvercommitted()
-	if run.Tries < maxStartTries && isWanted && run.Runner.UnreachableSince.IsZero() && o.isLeadershipConfirmed() {
+	isWanted := !run.StartCancelled && !o.isUnwanted(run) && !o.isOverQuota(run) && suitsRunner(run)
+	if run.Tries < maxStartTries && isWanted && run.Runner.InService() && o.isLeadershipConfirmed() {
 		o.sendStart(run)
 		return
 	}
