Move a task off a slow runner only once on its own evidence

What callers would see: a task far longer than all others of its queue, alone on its runner, is moved from runner to runner without end, and never done without checkpoints.

Cause: a run that is longer than 1.5 times the longest known one of its queue counts as proof that its runner is slow; that the task was as slow on the runner before was not remembered.

Change: the attempts that were moved are counted with the task, as stalled ones are; a task that was moved before says nothing of its next runner by itself.

--- a/internal/flow/owner/expect_test.go
+++ b/internal/flow/owner/expect_test.go
@@ -56,16 +56,21 @@
 	f.jobs++
 	var out []*tasks.Run
 	for i, task := range f.table.AddJob(job(fmt.Sprintf("j%d", f.jobs), s)).Occurrences[0].Steps[0].Tasks {
-		c := task.Change()
-		c.State, c.Attempt, c.Runner = tasks.Placed, 1, runners[i].Info.ID
-		f.table.Apply(tasks.Record{Task: c})
-		run := runners[i].PlaceTask(task, 1)
-		run.Sent, run.Tries = true, 1
-		out = append(out, run)
+		out = append(out, f.placeAgain(task, runners[i]))
 	}
 	return out
 }
 
+// placeAgain places the next attempt of a task on the runner.
+func (f *progressFleet) placeAgain(task *tasks.Task, r *tasks.Runner) *tasks.Run {
+	c := task.Change()
+	c.State, c.Attempt, c.Runner = tasks.Placed, task.Attempt+1, r.Info.ID
+	f.table.Apply(tasks.Record{Task: c})
+	run := r.PlaceTask(task, c.Attempt)
+	run.Sent, run.Tries = true, 1
+	return run
+}
+
 func atRack() specs.Step {
 	s := step(1)
 	s.Rack = "r0"
@@ -82,7 +87,7 @@
 	for after := time.Duration(0); after <= length; after += reportStep {
 		now := f.began.Add(after)
 		for _, run := range runs {
-			f.applyRunning(run.Runner, agent.Running{Ref: run.Key.Ref, Attempt: 1, Percent: int(100 * after / takes(run))}, now)
+			f.applyRunning(run.Runner, agent.Running{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Percent: int(100 * after / takes(run))}, now)
 			f.checkProgress(run.Runner, now)
 		}
 		if after%summaryInterval < reportStep {
--- a/internal/flow/owner/health.go
+++ b/internal/flow/owner/health.go
@@ -103,16 +103,16 @@
 	for _, stalled := range stalledRunners(run, now) {
 		stalled.Health.QuarantinedUntil = now.Add(stallQuarantine)
 	}
-	stallCounter(run).Stalls++
+	attemptCounter(run.Task).Stalls++
 	o.stopWithGang(run, tasks.EndedStalled)
 }
 
-// stallCounter returns the task that counts the stalled attempts of the run's task, or of its gang.
-func stallCounter(run *tasks.Run) *tasks.Task {
-	if run.Task.Step.Spec.Gang {
-		return run.Task.Step.Tasks[0]
+// attemptCounter returns the task that counts the stalled and the moved attempts of a task, or of its gang.
+func attemptCounter(t *tasks.Task) *tasks.Task {
+	if t.Step.Spec.Gang {
+		return t.Step.Tasks[0]
 	}
-	return run.Task
+	return t
 }
 
 // projectedRunTime returns how long the whole task takes at the speed of its progress so far; false means that it is
--- a/internal/flow/owner/peers_test.go
+++ b/internal/flow/owner/peers_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
+	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
 // Guards against sound runners that get no work, and tasks that are stopped again and again, because an estimate is too short: it
@@ -54,6 +55,24 @@
 	f.assertHealthy(runs[1:])
 }
 
+// Guards against a task that is far longer than all others of its queue and is moved from runner to runner without end: the first
+// runner may be slow, but the task is long on the second, too.
+func TestLongTaskIsMovedOnce(t *testing.T) {
+	const takes = 10 * nearTime
+	f := newLearnedFleet(t)
+	first, second := f.addRunnerOn("r0"), f.addRunnerOn("r0")
+	f.addRunnerOn("r0")
+	run := f.place(step(1), first)[0]
+	f.play([]*tasks.Run{run}, takes, nearTime)
+	if !run.StartCancelled || run.StopCause != tasks.EndedSlow {
+		t.Fatalf("the task is stopped: %v, cause %q; want that it is moved", run.StartCancelled, run.StopCause)
+	}
+	f.applyResult(first, agent.Result{Number: 1, Ref: run.Key.Ref, Attempt: 1, Outcome: agent.Stopped})
+	next := f.placeAgain(run.Task, second)
+	f.play([]*tasks.Run{next}, takes, takes/2)
+	f.assertHealthy([]*tasks.Run{next})
+}
+
 // Guards against tasks that are stopped again and again on slow runners, since no other could run them.
 func TestTasksStayOnASlowRunnerWithoutAnother(t *testing.T) {
 	labelled := step(1)
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -148,6 +148,9 @@
 	if !t.Step.Spec.Gang && result.Checkpoint != "" {
 		c.Saved = result.Checkpoint
 	}
+	if end.cause == tasks.EndedSlow && attemptCounter(t) == t {
+		t.Moves++
+	}
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Str("How", string(result.Outcome)).
 		Str("Cause", string(end.cause)).Dur("Age", end.age).Float64("LostCoreSeconds", end.lost).
 		Int("Losses", int(c.Losses.Losses)).Int("Crashes", int(c.Losses.Crashes)).Str("Runner", string(t.Runner)).Msg("attempt ended early; requeueing its task")
--- a/internal/flow/owner/slow.go
+++ b/internal/flow/owner/slow.go
@@ -22,8 +22,8 @@
 
 // measureSpeed returns how fast the runner works: the median speed of its tasks, or the higher one of two, since not all tasks
 // of a healthy runner are long at the same time. It returns false when the speed is not known: no task shows it, or only one
-// that may be long by itself, or of which nothing but the caller's rough estimate tells how long it should take. The caller must
-// hold o.mu.
+// that may be long by itself: one within the long ones of its queue, one that was as slow on another runner, or one of which nothing
+// but the caller's rough estimate tells how long it should take. The caller must hold o.mu.
 func (o *Owner) measureSpeed(r *tasks.Runner, now time.Time) (float64, bool) {
 	var speeds []float64
 	// isDoubtful is of the latest run; it matters only if that is the only one.
@@ -39,7 +39,7 @@
 		run.Speed = min(float64(o.expectedRunTime(run))/float64(projected), maxSpeedRatio)
 		speed, isKnown := o.relativeSpeed(run)
 		speeds = append(speeds, speed)
-		isDoubtful = !isKnown || o.mayBeLong(run, projected)
+		isDoubtful = !isKnown || attemptCounter(run.Task).Moves > 0 || o.mayBeLong(run, projected)
 	}
 	if len(speeds) == 0 || (len(speeds) == 1 && isDoubtful) {
 		return 0, false
@@ -73,7 +73,7 @@
 		lost := now.Sub(run.LatestSave()) - now.Sub(run.ProgressAt)
 		limit = max(limit, gangMoveOverhead+lost)
 	}
-	return limit << min(max(0, stallCounter(run).Stalls-suspectStalls), maxStallDoublings)
+	return limit << min(max(0, attemptCounter(run.Task).Stalls-suspectStalls), maxStallDoublings)
 }
 
 // remainingHere returns how long a run, or the slowest member of its gang, still takes on its present runner, given how long
@@ -146,7 +146,7 @@
 			}
 		}
 	}
-	isRunnerSuspect := stallCounter(run).Stalls < suspectStalls || hasOtherStalledRun(run, now)
+	isRunnerSuspect := attemptCounter(run.Task).Stalls < suspectStalls || hasOtherStalledRun(run, now)
 	if len(out) == 0 && isRunnerSuspect {
 		return []*tasks.Runner{run.Runner}
 	}
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -53,6 +53,8 @@
 		Losses LossRecord
 		// Stalls counts the attempts that this leader stopped for lack of progress; for a gang its first member counts them.
 		Stalls int
+		// Moves counts the attempts that this leader stopped since their runner seemed slow; for a gang its first member counts them.
+		Moves int
 		// Runner is the runner on which the latest attempt was placed.
 		Runner specs.RunnerID
 		// Checkpoint is the state from which the next attempt continues. For a member of a gang it is the one with which its
