Never give up a service for the crashes of its runners

Cause: the count of crashes by which a task is given up did not leave out services. The age by which a service proves itself began anew with each leader.

Change: no count of crashes ends a service.

--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -141,6 +141,11 @@
 	case end.loss.Counts:
 		c.Losses.Add(end.loss, result.Attempt)
 		t.NotBefore = o.config.Clock.Now()
+		if t.Step.Spec.Service {
+			t.NotBefore = t.NotBefore.Add(c.Losses.ServicePause())
+		}
+	case t.Step.Spec.Service && end.age >= lastingProofAge:
+		c.Losses = tasks.LossRecord{}
 	case end.age > tasks.QuietTime:
 		// The attempt went on for long enough to show that the task does not crash its runner at its start.
 		c.Losses.Suspect = false
@@ -172,14 +177,14 @@
 }
 
 // endJobIfFinished ends the job when all of its tasks are done, or when the task has no attempts left or has crashed too many
-// runners, the last one in the given loss. The caller must hold o.mu.
+// runners, the last one in the given loss. A service ends only when it is cancelled. The caller must hold o.mu.
 func (o *Owner) endJobIfFinished(j *tasks.Job, t *tasks.Task, loss tasks.Loss) {
 	switch {
 	case j.Finished():
 		o.endJob(j, tasks.JobCompleted, "all tasks are done")
 	case t.State == tasks.Waiting && !t.Step.Spec.Service && t.OutOfAttempts():
 		o.endJob(j, tasks.JobFailed, "task "+t.Ref.String()+" has no attempts left")
-	case loss.Counts && t.State == tasks.Waiting && t.Losses.IsGivenUp(loss):
+	case loss.Counts && t.State == tasks.Waiting && !t.Step.Spec.Service && t.Losses.IsGivenUp(loss):
 		o.counters.jobsCrashing.Inc(1)
 		o.endJob(j, tasks.JobFailed, fmt.Sprintf("task %s was lost with %d runners, of which %d have crashed", t.Ref, t.Losses.Losses, t.Losses.Crashes))
 	}
--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -14,6 +14,10 @@
 	// QuietTime is how long a runner gets no other start before and after that of a task that may crash it, so that a crash
 	// tells of that task alone.
 	QuietTime = 500 * time.Millisecond
+	// MaxServicePause and minServicePause bound how long the task of a service waits after a crash for which another task would be given
+	// up. The time doubles with each further one. With maxQuietWait it stays below the 6 s in which such a task must run again.
+	MaxServicePause = 3 * time.Second
+	minServicePause = 500 * time.Millisecond
 
 	// minCrashes is how many runners must certainly have crashed under a task before it is given up, and minAlone how many of them
 	// while no other task could be the cause, unless the latest crash followed promptly: a runner may also crash for a reason of its own.
@@ -121,6 +125,24 @@
 	return l.Crashes >= minCrashes && (latest.Prompt || l.Alone >= minAlone)
 }
 
+// IsBlamed reports whether the crashes look like the doing of the task, whatever the latest loss told of it.
+func (l *LossRecord) IsBlamed() bool {
+	return l.IsGivenUp(Loss{})
+}
+
+// ServicePause returns how long the task of a service waits for its next start after a loss. It is never given up, since it must run
+// until its job is cancelled.
+func (l *LossRecord) ServicePause() time.Duration {
+	if !l.IsBlamed() {
+		return 0
+	}
+	pause := minServicePause
+	for range l.allCrashes() - minCrashes {
+		pause = min(2*pause, MaxServicePause)
+	}
+	return pause
+}
+
 // IsSuspect reports whether the task, or a member of its gang, may have crashed a runner, so that the next attempt should start apart
 // from other starts.
 func (t *Task) IsSuspect() bool {
@@ -140,8 +162,12 @@
 	return slices.ContainsFunc(t.Step.Tasks, condition)
 }
 
-// WaitsToStartApart reports whether a suspected task still waits for a runner that has had no other start for a while.
+// WaitsToStartApart reports whether a suspected task still waits for a runner that has had no other start for a while. The task of a
+// service that is blamed for crashes starts on no other, so that it never crashes more runners at a time than are kept for such tasks.
 func (t *Task) WaitsToStartApart(now time.Time) bool {
+	if t.Step.Spec.Service && t.Losses.IsBlamed() {
+		return true
+	}
 	return now.Before(t.NotBefore.Add(maxQuietWait))
 }
 
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -220,15 +220,19 @@
 }
 
 // Age returns how long the run may have been running when its runner was last known to be reachable, or until the given
-// time if it still is; 0 when a former leader sent its start.
+// time if it still is. If a former leader sent its start, that is the time since this one learned that it runs.
 func (r *Run) Age(at time.Time) time.Duration {
 	if lost := r.Runner.UnreachableSince; !lost.IsZero() {
 		at = lost
 	}
-	if r.SentAt.IsZero() {
+	switch {
+	case !r.SentAt.IsZero():
+		return max(0, at.Sub(r.SentAt))
+	case r.Confirmed:
+		return max(0, at.Sub(r.ConfirmedAt))
+	default:
 		return 0
 	}
-	return max(0, at.Sub(r.SentAt))
 }
 
 // RemoveRun removes a run from the runner and its task, and frees its resources. It does nothing when the run is not
