Start services again beside free capacity, whatever gangs keep

A long-running task earns for its callers only while it runs.

Cause: a service was ranked by the objective of its job, which is past for ever some seconds after its first start, so that each restart came after all other work; and gangs reserve before the work behind them is served.

Change: the tasks of a service are ranked by priority and by how long they have been without a run. A step of a service that has waited for a second, and for which there is room twice over, is served before capacity is kept for gangs. Step.ReadyAt, which nothing used, is gone.

--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -10,6 +10,7 @@
 //     the organisations with surplus work, quota.go keeps each within its quota.
 //   - assign.go places the tasks of a step one by one, where cost.go rates a runner lowest: the fullest one, against
 //     fragmentation. quiet.go keeps tasks apart that may crash their runner.
+//   - service.go starts the tasks of services again that have been without a run for long, whatever else waits.
 //   - gang.go is the gang scheduling: all tasks of a step start together, or none. A gang that does not fit reserves
 //     capacity (reserve.go); work behind it is backfilled where it fits beside the reservation. One that waits for tickets
 //     keeps its place (place.go), and one that breaks has its next attempt prepared (restart.go).
@@ -209,6 +210,7 @@
 	}
 	entries := p.entries()
 	p.holdRunners()
+	entries = p.serveServices(entries, compare)
 	p.keepPlaces(entries, compare)
 	p.serveAll(entries, compare)
 	p.out.WaitingForQuota = p.waitingForQuota()
@@ -269,6 +271,9 @@
 
 // newEntry returns the step with its tier and rank.
 func (p *pass) newEntry(s *tasks.Step) entry {
+	if s.Spec.Service {
+		return newServiceEntry(s)
+	}
 	left := p.table.Times.RemainingPath(s)
 	due := s.Occurrence.Due
 	allowance := s.Job.Allowance()
--- a/internal/flow/order/runnable.go
+++ b/internal/flow/order/runnable.go
@@ -30,6 +30,15 @@
 	return demand{service: s.Job.Spec.Queue.Service, label: s.Spec.Label, resources: taskResources(s)}
 }
 
+// groupDemandOf returns what those tasks of the step need that start together.
+func groupDemandOf(s *tasks.Step) groupDemand {
+	key := groupDemand{demand: demandOf(s), width: 1}
+	if s.Spec.Gang {
+		key.width, key.perRunner = len(s.Tasks), s.Spec.PerRunner
+	}
+	return key
+}
+
 // hasRunner reports whether any runner that may get tasks could run one of the step if it were empty. Without one the step waits, and takes
 // no turn of the plan: thousands of such steps must not keep those behind them from being served.
 func (p *pass) hasRunner(s *tasks.Step) bool {
@@ -57,10 +66,7 @@
 	if len(p.runners[service]) == len(p.available[service]) {
 		return false
 	}
-	key := groupDemand{demand: demandOf(s), width: 1}
-	if s.Spec.Gang {
-		key.width, key.perRunner = len(s.Tasks), s.Spec.PerRunner
-	}
+	key := groupDemandOf(s)
 	needed, ok := p.slowNeeded[key]
 	if !ok {
 		others := slices.Concat(p.runners[service], p.quarantined[service])
--- a/internal/flow/owner/results.go
+++ b/internal/flow/owner/results.go
@@ -128,7 +128,8 @@
 		c.Faulted = result.Attempt
 		c.Failures = t.Step.Failures() + 1
 	}
-	t.NotBefore = o.config.Clock.Now().Add(retryBackoff)
+	t.EndedAt = o.config.Clock.Now()
+	t.NotBefore = t.EndedAt.Add(retryBackoff)
 	o.config.Log.Info().Str("Task", t.Ref.String()).Int("Attempt", int(result.Attempt)).Int("Failures", c.Failures).
 		Str("Runner", string(t.Runner)).Float64("LostCoreSeconds", end.lost).Msg("attempt failed; requeueing its task")
 	o.record(tasks.Record{Task: c}, nil)
@@ -137,10 +138,11 @@
 // requeue records that a task waits again, with the checkpoint of the attempt if it has one. The caller must hold o.mu.
 func (o *Owner) requeue(t *tasks.Task, result agent.Result, end earlyEnd) {
 	c := t.WaitingChange()
+	t.EndedAt = o.config.Clock.Now()
 	switch {
 	case end.loss.Counts:
 		c.Losses.Add(end.loss, result.Attempt)
-		t.NotBefore = o.config.Clock.Now()
+		t.NotBefore = t.EndedAt
 		if t.Step.Spec.Service {
 			t.NotBefore = t.NotBefore.Add(c.Losses.ServicePause())
 		}
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -66,6 +66,8 @@
 		Run *Run
 		// NotBefore is the earliest time of the next start.
 		NotBefore time.Time
+		// EndedAt is when the latest attempt ended, as this leader learned it; zero when none has ended in its term.
+		EndedAt time.Time
 	}
 
 	// Step is one step of one occurrence.
@@ -79,8 +81,6 @@
 		DoneTasks int
 		// WaitingTasks counts the tasks in state Waiting.
 		WaitingTasks int
-		// ReadyAt is when the step was first found ready; zero before.
-		ReadyAt time.Time
 		// Saved is the latest known state of any member of a gang, from which all members of the next attempt continue.
 		Saved GangCheckpoint
 		// BrokenIn is the latest attempt of a gang of which a member ended early, and BrokenAt the time of the first such end in
@@ -311,6 +311,25 @@
 	return true
 }
 
+// WaitsSince returns since when a task of the step has been without a run: the one that waits for longest. It returns when the
+// occurrence was due if that is not known.
+func (s *Step) WaitsSince() time.Time {
+	var longest time.Time
+	for _, t := range s.Tasks {
+		if t.State != Waiting {
+			continue
+		}
+		since := s.Occurrence.Due
+		if t.EndedAt.After(since) {
+			since = t.EndedAt
+		}
+		if longest.IsZero() || since.Before(longest) {
+			longest = since
+		}
+	}
+	return longest
+}
+
 // Failures returns how often the step's gang, or its worst task, has failed. Each failure of a gang is counted
 // on top of the highest count of its members.
 func (s *Step) Failures() int {
