Split the largest files of the plan and of the starts

order.go keeps the pass; rank.go ranks steps and runners.go collects the runners. Which allowed runners a step may use was checked in three places and is in one; nine tests placed a task in the same four lines, which placeNext does. No change of behaviour.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -69,17 +69,17 @@
 func (p *pass) allowedRunners(s *tasks.Step) []*runnerCapacity {
 	var out []*runnerCapacity
 	for i := range s.Advice.Allowed {
-		if r := p.everAllowed(s, i); r != nil && p.isAllowed(s, i) && canRun(s, r) {
+		if r := p.everAllowed(s, i); r != nil && p.isAllowed(s, i, r) {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
-// hasAllowed reports whether the advice service allows a usable runner that could run the step.
+// hasAllowed reports whether allowedRunners returns any.
 func (p *pass) hasAllowed(s *tasks.Step) bool {
 	for i := range s.Advice.Allowed {
-		if r := p.everAllowed(s, i); r != nil && p.isAllowed(s, i) && canRun(s, r) {
+		if r := p.everAllowed(s, i); r != nil && p.isAllowed(s, i, r) {
 			return true
 		}
 	}
@@ -92,10 +92,7 @@
 	need := taskResources(s)
 	for i := range s.Advice.Allowed {
 		r := p.everAllowed(s, i)
-		if r == nil || (isAllowed && !need.Fits(r.free)) {
-			continue
-		}
-		if !canRun(s, r) || !p.isAllowed(s, i) {
+		if r == nil || (isAllowed && !need.Fits(r.free)) || !p.isAllowed(s, i, r) {
 			continue
 		}
 		isAllowed = true
@@ -115,9 +112,9 @@
 	return p.usable(s, r)
 }
 
-// isAllowed reports whether the latest answer allowed the runner that Advice.Allowed holds at the index.
-func (p *pass) isAllowed(s *tasks.Step, index int) bool {
-	return s.Advice.Answers[s.Advice.Allowed[index]].Allowed
+// isAllowed reports whether the latest answer allowed the runner, which Advice.Allowed holds at the index, and it could run the step.
+func (p *pass) isAllowed(s *tasks.Step, index int, r *runnerCapacity) bool {
+	return canRun(s, r) && s.Advice.Answers[s.Advice.Allowed[index]].Allowed
 }
 
 // requestAdvice plans calls for advice on runners that the service was never asked about: as many as should hold the
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -6,8 +6,9 @@
 //
 // MakePlan makes a plan in one pass over the tables:
 //
-//   - order.go ranks the steps that can start by their tier, priority and slack; shares.go divides what is left between
-//     the organisations with surplus work, quota.go keeps each within its quota.
+//   - runners.go collects the runners that may get tasks, and rank.go ranks the steps that can start by their tier, priority
+//     and slack. room.go tells which of them take a turn of the plan, and rest.go serves those that rank too late for one.
+//   - shares.go divides what is left between the organisations with surplus work, quota.go keeps each within its quota.
 //   - assign.go places the tasks of a step one by one, where cost.go rates a runner lowest: the fullest one, against
 //     fragmentation. quiet.go keeps tasks apart that may crash their runner.
 //   - service.go starts the tasks of services again that have been without a run for long, whatever else waits.
@@ -23,9 +24,7 @@
 package order
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
@@ -34,33 +33,10 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
-// Tiers of waiting work.
-const (
-	// inTime is work that can still be done within its objective.
-	inTime tier = iota
-	// late is work that can still be done within lateFactor times its objective.
-	late
-	// overdue is work that is past that; callers gain nothing from it any more.
-	overdue
-
-	lateFactor = 3
-	// maxSteps limits the number of steps that one plan serves by their rank; see pass.takesTurn.
-	maxSteps = 400
-	// sizePenaltyShare is the fraction of its service's cores on which the remaining work of a job is assumed to run
-	// when its size is converted into time.
-	sizePenaltyShare = 1.0 / 16
-	// askAheadShare is the fraction of a service's cores that may be asked about beyond the free ones.
-	askAheadShare = 0.25
-	// maxSizePenalty limits how far a job goes behind smaller ones.
-	maxSizePenalty = time.Minute
-)
+// maxSteps limits the number of steps that one plan serves by their rank; see pass.takesTurn.
+const maxSteps = 400
 
 type (
-	tier int
-
-	// ranking compares two entries, as cmp.Compare does; the lesser one is served first.
-	ranking func(a, b entry) int
-
 	// Limits are the bounds of a plan.
 	Limits struct {
 		// AdviceBudget is the work that the advice service may still be given now.
@@ -162,16 +138,6 @@
 		out  Plan
 	}
 
-	// runnerCapacity is a runner with the capacity that is still free in this pass.
-	runnerCapacity struct {
-		runner *tasks.Runner
-		free   types.Resources
-		// isSlow is set on a slow runner unless it counts among pass.runners: it gets only tasks that need slow runners.
-		isSlow bool
-		// askedFor is the step for which askedRunners has last found the runner among those asked about.
-		askedFor *tasks.Step
-	}
-
 	// stepPlacement is the state of placing the tasks of one step, one by one.
 	stepPlacement struct {
 		runners []*runnerCapacity
@@ -180,16 +146,6 @@
 		// lacksCapacity is set once a task fits on none of the runners.
 		lacksCapacity bool
 	}
-
-	// entry is a step with the values by which steps are ranked.
-	entry struct {
-		step *tasks.Step
-		tier tier
-		// latestStart is the latest start with which the job can still be done in time.
-		latestStart time.Time
-		// rank orders the entries of one tier and priority: latestStart plus the size penalty.
-		rank time.Time
-	}
 )
 
 // MakePlan decides which tasks start now, and which calls for advice are made. The caller must not change the table
@@ -269,127 +225,6 @@
 	return out
 }
 
-// newEntry returns the step with its tier and rank.
-func (p *pass) newEntry(s *tasks.Step) entry {
-	if s.Spec.Service {
-		return newServiceEntry(s)
-	}
-	left := p.table.Times.RemainingPath(s)
-	due := s.Occurrence.Due
-	allowance := s.Job.Allowance()
-	e := entry{step: s, latestStart: due.Add(allowance - left)}
-	penaltyCores := sizePenaltyShare * float64(p.cores[s.Job.Spec.Queue.Service])
-	e.rank = e.latestStart.Add(sizePenalty(p.table.Times.RemainingWork(s.Occurrence).Seconds(), penaltyCores))
-	switch end := p.now.Add(left); {
-	case !end.After(due.Add(allowance)):
-		e.tier = inTime
-	case !end.After(due.Add(lateFactor * allowance)):
-		e.tier = late
-	default:
-		e.tier = overdue
-	}
-	return e
-}
-
-// sizePenalty returns how long work, in seconds times thousandths of a core, would take on the given thousandths of a
-// core, at most maxSizePenalty.
-func sizePenalty(work, cores float64) time.Duration {
-	if cores == 0 {
-		return 0
-	}
-	return time.Duration(min(work/cores, maxSizePenalty.Seconds()) * float64(time.Second))
-}
-
-// byUrgency ranks steps by tier, work that can still be done in time first, then by priority, then by how little time
-// is left and how small the work is.
-func byUrgency(a, b entry) int {
-	if c := cmp.Compare(a.tier, b.tier); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.step.Job.Spec.Queue.Priority, b.step.Job.Spec.Queue.Priority); c != 0 {
-		return c
-	}
-	if c := a.rank.Compare(b.rank); c != 0 {
-		return c
-	}
-	return cmp.Or(cmp.Compare(a.step.Ref.Job, b.step.Ref.Job), cmp.Compare(a.step.Ref.Step, b.step.Ref.Step))
-}
-
-// collectRunners collects the runners that may get tasks.
-func (p *pass) collectRunners() {
-	ordered := p.table.OrderedRunners()
-	p.capacities = make([]runnerCapacity, len(ordered))
-	for i, r := range ordered {
-		name := r.Info.Service
-		switch {
-		case r.Available(p.now):
-			p.capacities[i] = runnerCapacity{runner: r, free: r.Free(), isSlow: r.Health.Slow()}
-			p.available[name] = append(p.available[name], &p.capacities[i])
-		case r.InService() && !r.Health.Slow():
-			p.quarantined[name] = append(p.quarantined[name], &runnerCapacity{runner: r})
-		}
-	}
-	for service, available := range p.available {
-		p.runners[service] = withoutSlow(available)
-		if len(p.runners[service]) == 0 && len(p.quarantined[service]) == 0 {
-			p.runners[service] = available
-		}
-		for _, r := range p.runners[service] {
-			r.isSlow = false
-			p.addCapacity(r)
-		}
-	}
-}
-
-// withoutSlow returns those of the runners that are not slow.
-func withoutSlow(runners []*runnerCapacity) []*runnerCapacity {
-	isSlow := func(r *runnerCapacity) bool { return r.isSlow }
-	if !slices.ContainsFunc(runners, isSlow) {
-		return runners
-	}
-	return slices.DeleteFunc(slices.Clone(runners), isSlow)
-}
-
-// addCapacity adds a runner to the sums over its service and over all.
-func (p *pass) addCapacity(c *runnerCapacity) {
-	r := c.runner
-	name := r.Info.Service
-	p.cores[name] += r.Info.Capacity.Cores
-	p.idleCores[name] += max(0, r.Free().Cores)
-	p.capacity = p.capacity.Add(r.Info.Capacity)
-	p.addToAskable(r)
-	if r.IsQuiet(p.now) {
-		p.keepQuiet(c)
-	}
-}
-
-// addToAskable adds the cores of a runner for which calls for advice may be made: the free ones, and a share of all, since
-// that many are freed while tickets are valid. More calls would bring tickets that expire unused, and under overload
-// most of the waiting steps would make some.
-func (p *pass) addToAskable(r *tasks.Runner) {
-	ahead := types.MilliCores(askAheadShare * float64(r.Info.Capacity.Cores))
-	p.askable[r.Info.Service] += max(0, r.Free().Cores) + ahead
-}
-
-// capacityOf returns the capacity of an incarnation of a runner, or nil when it may not get tasks of the step or is no longer the
-// current one.
-func (p *pass) capacityOf(s *tasks.Step, i tasks.Incarnation) *runnerCapacity {
-	r := p.table.Runners[i.Runner]
-	if r == nil || r.Info.Boot != i.Boot {
-		return nil
-	}
-	return p.usable(s, r)
-}
-
-// usable returns the capacity of a runner of the table, or nil when it may not get tasks of the step.
-func (p *pass) usable(s *tasks.Step, r *tasks.Runner) *runnerCapacity {
-	c := &p.capacities[r.Position()]
-	if c.runner == nil || (c.isSlow && !p.needsSlow(s)) {
-		return nil
-	}
-	return c
-}
-
 // hasWaitingStep reports whether tasks of some step can start.
 func hasWaitingStep(t *tasks.Table) bool {
 	for _, j := range t.Jobs {
--- a/internal/flow/order/room_test.go
+++ b/internal/flow/order/room_test.go
@@ -12,13 +12,18 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
+// fill gives a runner the label busy, and no free capacity.
+func (f *tableFixture) fill(id specs.RunnerID) {
+	r := f.table.Runners[id]
+	r.Info.Labels = append(r.Info.Labels, "busy")
+	r.Used = r.Info.Capacity
+}
+
 // newCrowd returns a table of two runners, of which w1 has the label busy and is full, with twice as many steps as a plan serves that
 // need that label. The queue and the step of each are those that change makes of the usual ones.
 func newCrowd(t *testing.T, change func(number int, q *specs.Queue, s *specs.Step)) *tableFixture {
 	f := newTableFixture(t, 2)
-	busy := f.table.Runners["w1"]
-	busy.Info.Labels = append(busy.Info.Labels, "busy")
-	busy.Used = busy.Info.Capacity
+	f.fill("w1")
 	for i := range 2 * maxSteps {
 		q, s := queueOf(2), stepOf(1, 3*types.Core)
 		s.Label = "busy"
@@ -83,9 +88,7 @@
 func TestSurplusStepsWithoutRoomTakeNoTurns(t *testing.T) {
 	f := newTableFixture(t, 2)
 	f.setWeights(weights{"a": 1})
-	busy := f.table.Runners["w1"]
-	busy.Info.Labels = append(busy.Info.Labels, "busy")
-	busy.Used = busy.Info.Capacity
+	f.fill("w1")
 	s := stepOf(1, 3*types.Core)
 	s.Label = "busy"
 	for i := range 2 * maxSteps {
--- a/internal/flow/owner/bench_test.go
+++ b/internal/flow/owner/bench_test.go
@@ -81,10 +81,7 @@
 		spec := job(fmt.Sprintf("running-%d", i), step(benchRuns))
 		spec.Accepted = now
 		for _, t := range o.table.AddJob(spec).Occurrences[0].Steps[0].Tasks {
-			r.PlaceTask(t, 1).Confirm(now)
-			c := t.Change()
-			c.State, c.Attempt, c.Runner = tasks.Placed, 1, r.Info.ID
-			o.table.Apply(tasks.Record{Task: c})
+			o.placeNext(t, r).Confirm(now)
 		}
 	}
 	for i := range jobs {
--- a/internal/flow/owner/capacity_test.go
+++ b/internal/flow/owner/capacity_test.go
@@ -17,10 +17,7 @@
 	step := o.table.AddJob(job("j", step(2))).Occurrences[0].Steps[0]
 	var runs []*tasks.Run
 	for _, t := range step.Tasks {
-		runs = append(runs, r.PlaceTask(t, 1))
-		c := t.Change()
-		c.State, c.Attempt, c.Runner = tasks.Placed, 1, r.Info.ID
-		o.table.Apply(tasks.Record{Task: c})
+		runs = append(runs, o.placeNext(t, r))
 	}
 	info := r.Info
 	info.Capacity = oneCore()
--- a/internal/flow/owner/changed_test.go
+++ b/internal/flow/owner/changed_test.go
@@ -32,11 +32,7 @@
 	r.Synced = true
 	labelled := step(1)
 	labelled.Label = "a"
-	task := o.table.AddJob(job("j", labelled)).Occurrences[0].Steps[0].Tasks[0]
-	run := r.PlaceTask(task, 1)
-	c := task.Change()
-	c.State, c.Attempt, c.Runner = tasks.Placed, 1, r.Info.ID
-	o.table.Apply(tasks.Record{Task: c})
+	run := o.placeNext(o.table.AddJob(job("j", labelled)).Occurrences[0].Steps[0].Tasks[0], r)
 	change(&info)
 	o.updateRunner(r, info)
 	return o, run
--- a/internal/flow/owner/expect_test.go
+++ b/internal/flow/owner/expect_test.go
@@ -61,12 +61,9 @@
 	return out
 }
 
-// placeAgain places the next attempt of a task on the runner.
+// placeAgain is placeNext for an attempt whose start was sent.
 func (f *progressFleet) placeAgain(task *tasks.Task, r *tasks.Runner) *tasks.Run {
-	c := task.Change()
-	c.State, c.Attempt, c.Runner = tasks.Placed, task.Attempt+1, r.Info.ID
-	f.table.Apply(tasks.Record{Task: c})
-	run := r.PlaceTask(task, c.Attempt)
+	run := f.placeNext(task, r)
 	run.Sent, run.Tries = true, 1
 	return run
 }
--- a/internal/flow/owner/fixture_test.go
+++ b/internal/flow/owner/fixture_test.go
@@ -141,6 +141,15 @@
 	return 0
 }
 
+// placeNext places the next attempt of a task on the runner, and returns its run, whose start was not sent. The caller must hold
+// o.mu.
+func (o *Owner) placeNext(t *tasks.Task, r *tasks.Runner) *tasks.Run {
+	c := t.Change()
+	c.State, c.Attempt, c.Runner = tasks.Placed, t.Attempt+1, r.Info.ID
+	o.table.Apply(tasks.Record{Task: c})
+	return r.PlaceTask(t, c.Attempt)
+}
+
 func (f *fixture) addRunners(count int) {
 	for i := range count {
 		f.fleet.Add(runner(i))
--- a/internal/flow/owner/health_test.go
+++ b/internal/flow/owner/health_test.go
@@ -30,10 +30,7 @@
 	f := &healthFixture{Owner: o, t: t, runner: o.addRunner(runner(0)), began: base.clock.Now()}
 	f.runner.Synced = true
 	for _, task := range j.Occurrences[0].Steps[0].Tasks {
-		c := task.Change()
-		c.State, c.Attempt, c.Runner = tasks.Placed, 1, "w00"
-		o.table.Apply(tasks.Record{Task: c})
-		run := f.runner.PlaceTask(task, 1)
+		run := o.placeNext(task, f.runner)
 		run.Sent = true
 		f.runs = append(f.runs, run)
 	}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -29,11 +29,6 @@
 )
 
 const (
-	// minPlanInterval is the minimum time between two plans.
-	minPlanInterval = 8 * time.Millisecond
-	// planShareDivisor limits the share of the time that planning takes: under overload, plans take long, and renewals,
-	// results and callers' requests must not wait for one after the other.
-	planShareDivisor = 4
 	// tickInterval is how often timeouts are checked.
 	tickInterval = 100 * time.Millisecond
 	// maxLedgerRead is how long a leader may go on without having read the ledger while the store answers it. A read
--- a/internal/flow/owner/slow_test.go
+++ b/internal/flow/owner/slow_test.go
@@ -84,10 +84,7 @@
 	s := step(1)
 	s.Estimate = usualTime
 	task := f.table.AddJob(job(id, s)).Occurrences[0].Steps[0].Tasks[0]
-	c := task.Change()
-	c.State, c.Attempt, c.Runner = tasks.Placed, 1, r.Info.ID
-	f.table.Apply(tasks.Record{Task: c})
-	run := r.PlaceTask(task, 1)
+	run := f.placeNext(task, r)
 	run.Sent = true
 	return run
 }
@@ -212,10 +209,7 @@
 			s := step(1)
 			s.Estimate = time.Second
 			task := f.table.AddJob(job(fmt.Sprintf("o%d-%d", i, k), s)).Occurrences[0].Steps[0].Tasks[0]
-			c := task.Change()
-			c.State, c.Attempt, c.Runner = tasks.Placed, 1, r.Info.ID
-			f.table.Apply(tasks.Record{Task: c})
-			run := r.PlaceTask(task, 1)
+			run := f.placeNext(task, r)
 			run.Sent = true
 			others = append(others, run)
 		}
--- a/internal/flow/owner/stale_ticket_test.go
+++ b/internal/flow/owner/stale_ticket_test.go
@@ -17,11 +17,8 @@
 	for i, t := range o.table.AddJob(job("j", gang(len(left)))).Occurrences[0].Steps[0].Tasks {
 		r := o.addRunner(runner(i))
 		r.Synced = true
-		run := r.PlaceTask(t, 1)
+		run := o.placeNext(t, r)
 		run.TicketUntil = now.Add(left[i])
-		c := t.Change()
-		c.State, c.Attempt, c.Runner = tasks.Placed, 1, r.Info.ID
-		o.table.Apply(tasks.Record{Task: c})
 		runs = append(runs, run)
 	}
 	return runs
