Sort a long backlog in growing parts, and clearer names

With 20,000 steps that take no turn a plan would sort them in parts of 400; the parts double now. Steps are postponed, not left; whether another runner could take a run is asked by name.

--- a/internal/flow/order/rest.go
+++ b/internal/flow/order/rest.go
@@ -9,8 +9,8 @@
 // maxRestSteps limits the steps that one plan serves of those that rank too late for its turns.
 const maxRestSteps = 100
 
-// leave notes steps that rank too late for the turns of the plan.
-func (p *pass) leave(entries []entry) {
+// postpone notes steps that rank too late for the turns of the plan.
+func (p *pass) postpone(entries []entry) {
 	p.out.Unserved += len(entries)
 	if p.limits.ServeRest {
 		p.rest = append(p.rest, entries...)
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -90,13 +90,13 @@
 	if slices.ContainsFunc(entries, func(e entry) bool { return p.isSurplus(e.step.Job) }) {
 		p.serveRanked(entries, compare, 0)
 	} else {
-		for len(entries) > 0 && p.stepsLeft > 0 {
-			n := min(len(entries), maxSteps)
+		for size := maxSteps; len(entries) > 0 && p.stepsLeft > 0; size *= 2 {
+			n := min(len(entries), size)
 			sortLeast(entries, n, compare)
 			p.serveInOrder(entries[:n])
 			entries = entries[n:]
 		}
-		p.leave(entries)
+		p.postpone(entries)
 	}
 	p.serveRest(compare)
 }
@@ -119,7 +119,7 @@
 func (p *pass) serveInOrder(entries []entry) {
 	for i, e := range entries {
 		if p.stepsLeft == 0 {
-			p.leave(entries[i:])
+			p.postpone(entries[i:])
 			return
 		}
 		if p.takesTurn(e.step) {
@@ -140,7 +140,7 @@
 		q := queues[0]
 		p.serveNext(q)
 		if len(q.steps) == 0 || q.idleStepsLeft == 0 {
-			p.leave(q.steps)
+			p.postpone(q.steps)
 			heap.Pop(&queues)
 			continue
 		}
@@ -213,7 +213,7 @@
 func (p *pass) begin(q *shareQueue, s *tasks.Step) bool {
 	switch {
 	case p.stepsLeft == 0:
-		p.leave(q.steps)
+		p.postpone(q.steps)
 		q.steps = nil
 		return false
 	case !p.takesTurn(s):
--- a/internal/flow/owner/expect.go
+++ b/internal/flow/owner/expect.go
@@ -78,12 +78,17 @@
 
 // hasRoomOnRack reports whether another runner on the rack has room for the run's task. The caller must hold o.mu.
 func (o *Owner) hasRoomOnRack(run *tasks.Run, rack specs.Label, now time.Time) bool {
-	return o.hasOtherRunner(run, now, func(r *tasks.Runner) bool { return r.Has(rack) && run.Resources.Fits(r.Free()) })
+	return o.acceptsOther(run, now, func(r *tasks.Runner) bool { return r.Has(rack) && run.Resources.Fits(r.Free()) })
 }
 
-// hasOtherRunner reports whether another runner that should get tasks is accepted, and could run the run's task if it were empty. The
-// caller must hold o.mu.
-func (o *Owner) hasOtherRunner(run *tasks.Run, now time.Time, accepts func(r *tasks.Runner) bool) bool {
+// hasOtherRunner reports whether another runner that should get tasks could run the run's task if it were empty. The caller must hold
+// o.mu.
+func (o *Owner) hasOtherRunner(run *tasks.Run, now time.Time) bool {
+	return o.acceptsOther(run, now, func(*tasks.Runner) bool { return true })
+}
+
+// acceptsOther is hasOtherRunner for the runners that are accepted. The caller must hold o.mu.
+func (o *Owner) acceptsOther(run *tasks.Run, now time.Time, accepts func(r *tasks.Runner) bool) bool {
 	label := run.Task.Step.Spec.Label
 	for _, r := range o.table.Runners {
 		if r == run.Runner || r.Info.Service != run.Runner.Info.Service || (label != "" && !r.Has(label)) {
--- a/internal/flow/owner/health.go
+++ b/internal/flow/owner/health.go
@@ -140,13 +140,10 @@
 			continue
 		}
 		remaining, elsewhere := o.remainingHere(run, total, now), o.remainingElsewhere(run, total, speed, now)
-		if remaining > minMoveRatio*elsewhere && o.hasOtherRunner(run, now, isAnyRunner) {
+		if remaining > minMoveRatio*elsewhere && o.hasOtherRunner(run, now) {
 			o.config.Log.Info().Str("Runner", string(r.Info.ID)).Str("Task", run.Key.Ref.String()).Int("Percent", run.Percent).
 				Dur("Left", remaining).Dur("Elsewhere", elsewhere).Float64("Speed", r.Health.Speed).Msg("moving task off a slow runner")
 			o.stopWithGang(run, tasks.EndedSlow)
 		}
 	}
 }
-
-// isAnyRunner accepts each runner.
-func isAnyRunner(*tasks.Runner) bool { return true }
