--- a/internal/flow/order/fleet_test.go
+++ b/internal/flow/order/fleet_test.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// BenchmarkMakePlanFullFleet measures one plan for 1,100 runners of which one in fifty has room.
+func BenchmarkMakePlanFullFleet(b *testing.B) {
+	const roomEvery = 50
+	for _, jobs := range []int{200, 1000, 4000} {
+		b.Run(fmt.Sprintf("Jobs%d", jobs), func(b *testing.B) {
+			t := newFleetTable(1, fleetRunners, jobs)
+			for i, r := range t.OrderedRunners() {
+				if i%roomEvery > 0 {
+					r.Used = r.Info.Capacity
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				MakePlan(t, start, Limits{AdviceBudget: specs.AdviceBudget{Short: time.Second, Long: 3 * time.Second}, TicketMargin: 100 * time.Millisecond})
+			}
+		})
+	}
+}
+
 // BenchmarkMeasureBacklogLargeFleet measures the backlog of a large fleet.
 func BenchmarkMeasureBacklogLargeFleet(b *testing.B) {
 	for _, jobs := range []int{200, 1000, 4000} {
