Say where services that crash their runners are not kept apart

By reading, no runner is held for a gang, and a task for which none could be held when the plan began may start beside other work. Comments and pages only.

--- a/internal/flow/tasks/loss.go
+++ b/internal/flow/tasks/loss.go
@@ -163,7 +163,7 @@
 }
 
 // WaitsToStartApart reports whether a suspected task still waits for a runner that has had no other start for a while. The task of a
-// service that is blamed for crashes starts on no other, so that it never crashes more runners at a time than are kept for such tasks.
+// service that is blamed for crashes waits without a limit while a runner is held for it, or none may be.
 func (t *Task) WaitsToStartApart(now time.Time) bool {
 	if t.Step.Spec.Service && t.Losses.IsBlamed() {
 		return true
