--- a/review/world-3/runner.go
+++ b/review/world-3/runner.go
@@ -46,6 +46,8 @@
 		ended   [][]any
 		number  int
 		changed chan struct{}
+		// isLost is set once the runner is lost; nothing is answered then.
+		isLost bool
 	}
 
 	order struct {
@@ -62,7 +64,7 @@
 
 // startRunner starts a runner on a free port and registers it.
 func (w *world) startRunner(id, service, zone string, cpu int64) *runner {
-	listener, err := net.Listen("tcp", w.ip(200)+":0")
+	listener, err := net.Listen("tcp", w.ip(201)+":0")
 	w.must(err)
 	r := &runner{
 		world: w, id: id, service: service, zone: zone, cpu: cpu, listener: listener, born: time.Now(),
@@ -144,6 +146,9 @@
 }
 
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if r.answersNothing(q) {
+		panic(http.ErrAbortHandler)
+	}
 	if q.Header.Get("Magnoliawalk-Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -219,7 +224,7 @@
 		text, _, _ = strings.Cut(text, " ")
 		work, _ = time.ParseDuration(text)
 	}
-	if strings.Contains(o.Spec, "lasts") {
+	if strings.Contains(o.Spec, "lasts") && !(o.Run == 1 && strings.Contains(o.Spec, "fails-once")) {
 		work = time.Hour
 	}
 	r.runs[o.Task] = &run{task: o.Task, attempt: o.Run, spec: o.Spec, at: now, endAt: now.Add(work)}
--- a/review/world-3/store.go
+++ b/review/world-3/store.go
@@ -35,10 +35,12 @@
 	history []item
 	leases  map[uint64]*lease
 	changed chan struct{}
+	// readers holds when op/config was last watched through each address of the store.
+	readers map[string]time.Time
 }
 
 func newStore() *store {
-	s := &store{rev: 100, items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{})}
+	s := &store{rev: 100, items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), readers: map[string]time.Time{}}
 	go s.expireLoop()
 	return s
 }
@@ -173,6 +175,9 @@
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
+	if prefix == "op/config" {
+		s.noteReader(r.Host)
+	}
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
@@ -275,3 +280,24 @@
 	l.until = time.Now().Add(l.ttl)
 	reply(w, http.StatusOK, map[string]any{"ttl-ms": l.ttl.Milliseconds()})
 }
+
+// noteReader notes that op/config is watched through an address.
+func (s *store) noteReader(address string) {
+	host, _, _ := strings.Cut(address, ":")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readers[host] = time.Now()
+}
+
+// lastReader returns the address through which op/config was watched last.
+func (s *store) lastReader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := ""
+	for host, at := range s.readers {
+		if last == "" || at.After(s.readers[last]) {
+			last = host
+		}
+	}
+	return last
+}
--- a/review/world-3/world.go
+++ b/review/world-3/world.go
@@ -59,7 +59,8 @@
 		name    string
 		zone    string
 		ip      string
-		storeAt string
+		storeIP string
+		path    string
 		cmd     *exec.Cmd
 
 		mu    sync.Mutex
@@ -73,6 +74,9 @@
 	}
 )
 
+// zones are those of the deployment, with their regions.
+var zones = []struct{ name, region string }{{"carthage", "tunis-north"}, {"sousse", "sahel-south"}, {"ariana", "tunis-north"}}
+
 const (
 	portFront, portReady, portInternal = 8161, 8167, 7720
 )
@@ -89,9 +93,8 @@
 	w.dir, err = os.MkdirTemp("", "review-3-")
 	w.must(err)
 	w.note("disruption: %v", w.trouble)
-	w.serve(100, w.store)
 	w.advice = &advice{world: w, tickets: map[string]ticket{}}
-	w.serve(101, w.advice)
+	w.serve(200, w.advice)
 	return w
 }
 
@@ -105,8 +108,6 @@
 // ip returns an address of the loopback network of this run.
 func (w *world) ip(host int) string { return fmt.Sprintf("%s.%d", w.subnet, host) }
 
-func (w *world) storeAddress() string { return w.ip(100) + ":8169" }
-
 // must ends the run with exit code 2 unless err is nil.
 func (w *world) must(err error) {
 	if err != nil {
@@ -178,9 +179,10 @@
 	os.Exit(0)
 }
 
-// startDaemon starts a daemon that reaches the store at the given address.
-func (w *world) startDaemon(index int, zone, region, storeAt string) *daemon {
-	d := &daemon{world: w, name: fmt.Sprintf("front-%s-%d", zone, index), zone: zone, ip: w.ip(index), storeAt: storeAt}
+// startDaemon starts a daemon that reaches the store at an address of its own.
+func (w *world) startDaemon(index int, zone, region string) *daemon {
+	w.serve(100+index, w.store)
+	d := &daemon{world: w, name: fmt.Sprintf("front-%s-%d", zone, index), zone: zone, ip: w.ip(index), storeIP: w.ip(100 + index)}
 	lines := []string{
 		"node=" + d.name, "role=entry", "machine-class=front", "serves=front", "ip=" + d.ip, "zone=" + zone, "region=" + region,
 		fmt.Sprintf("listen-addrs.front=%s:%d", d.ip, portFront), fmt.Sprintf("listen-addrs.ready=%s:%d", d.ip, portReady),
@@ -190,20 +192,22 @@
 		"bounds.drain-ms=2500", "bounds.grace-s=6", "bounds.config-apply-ms=2500", "bounds.recover-s=12", "bounds.hold-max-ms=6000",
 		"bounds.stop-ms=400", "bounds.gang-ms=3000", "bounds.cancel_ms=3000", "bounds.visible_ms=3000", "bounds.early_ms=250",
 		"bounds.finish_s=14", "bounds.status_s=120", "bounds.far-x=2", "bounds.checkpoint-s=1", "bounds.restore-ms=250",
-		"orders=request", "recommendation=" + w.ip(101) + ":8169", "platform.address=" + storeAt, "platform.form=kv",
+		"orders=request", "recommendation=" + w.ip(200) + ":8169", "platform.address=" + d.storeIP + ":8169", "platform.form=kv",
 		"platform.writes-per-s=400", "platform.reads-per-s=2000", "platform.retention-s=20", "platform.value-bytes=1048576",
 		"platform.ttl-min-ms=1000",
 	}
 	path := filepath.Join(w.dir, d.name+".conf")
 	w.must(os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
 	w.daemons = append(w.daemons, d)
-	d.start(path)
+	d.path = path
+	d.restart()
 	return d
 }
 
-func (d *daemon) start(path string) {
+// restart starts the process of the daemon.
+func (d *daemon) restart() {
 	d.cmd = exec.Command("target/magnoliawalk", "platform")
-	d.cmd.Env = []string{"MAGNOLIAWALK_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	d.cmd.Env = []string{"MAGNOLIAWALK_SETTINGS=" + d.path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	output, err := d.cmd.StdoutPipe()
 	d.world.must(err)
 	d.cmd.Stderr = d.cmd.Stdout
@@ -303,12 +307,32 @@
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
 // job returns the body of a job with one step.
-func job(tasks int, cpu int64, work time.Duration) map[string]any {
-	return map[string]any{"spec": "work=" + work.String(), "steps": []any{map[string]any{
+func job(spec string, tasks int, cpu int64, work time.Duration) map[string]any {
+	return map[string]any{"spec": spec, "steps": []any{map[string]any{
 		"count": tasks, "cpu": cpu, "mem-mb": 256, "estimated-ms": work.Milliseconds(),
 	}}}
 }
 
+// startRunners starts runners of a service in all zones.
+func (w *world) startRunners(name, service string, count int, cpu int64) []*runner {
+	var out []*runner
+	for i := range count {
+		out = append(out, w.startRunner(fmt.Sprintf("s-%s-%d", name, i), service, zones[i%len(zones)].name, cpu))
+	}
+	return out
+}
+
+// startDaemons starts seven daemons in three zones of two regions, and returns the one that leads and the others.
+func (w *world) startDaemons() (leader *daemon, others []*daemon) {
+	for i := range 7 {
+		zone := zones[i%len(zones)]
+		w.startDaemon(i+1, zone.name, zone.region)
+	}
+	leader, others = w.awaitReady()
+	time.Sleep(2 * time.Second)
+	return leader, others
+}
+
 // config writes a desired state with one route, whose queue has the service.
 func (w *world) config(version int, services []string, routes ...map[string]any) {
 	list := []any{}
