--- a/review/world-3/main.go
+++ b/review/world-3/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	cases := map[string]func(*world){"moved-queue": movedQueue, "advised-steps": advisedSteps, "dropped-policy": droppedPolicy, "stored-queue": storedQueue, "lost-together": lostTogether}
+	cases := map[string]func(*world){"moved-queue": movedQueue, "advised-steps": advisedSteps, "dropped-policy": droppedPolicy, "stored-queue": storedQueue, "lost-together": lostTogether, "reborn": reborn, "flapping": flapping}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: world CASE")
 		os.Exit(2)
--- a/review/world-3/runner.go
+++ b/review/world-3/runner.go
@@ -34,6 +34,7 @@
 		service  string
 		zone     string
 		cpu      int64
+		label    string
 		listener net.Listener
 		server   *http.Server
 		born     time.Time
@@ -67,7 +68,7 @@
 	listener, err := net.Listen("tcp", w.ip(201)+":0")
 	w.must(err)
 	r := &runner{
-		world: w, id: id, service: service, zone: zone, cpu: cpu, listener: listener, born: time.Now(),
+		world: w, id: id, service: service, zone: zone, cpu: cpu, label: "a", listener: listener, born: time.Now(),
 		runs: map[string]*run{}, highest: map[string]int64{}, changed: make(chan struct{}),
 	}
 	r.server = &http.Server{Handler: r}
@@ -84,7 +85,7 @@
 func (r *runner) register(state string, remaining time.Duration) {
 	r.world.store.put("servers/"+r.id, map[string]any{
 		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": "1", "slots": 8, "state": state,
-		"cold-remaining-ms": 0, "sequence": 1, "born": r.born.UnixMilli(), "labels": []string{"a", "rack-" + r.zone},
+		"cold-remaining-ms": 0, "sequence": 1, "born": r.born.UnixMilli(), "labels": []string{r.label, "rack-" + r.zone},
 		"capacity": map[string]any{"cpu": r.cpu, "mem-mb": 65536, "gpu": 0}, "remaining-ms": remaining.Milliseconds(),
 	})
 }
--- a/review/world-3/world.go
+++ b/review/world-3/world.go
@@ -48,6 +48,7 @@
 	seen struct {
 		runner  string
 		service string
+		label   string
 		attempt int64
 		how     string
 		at      time.Time
@@ -131,7 +132,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.specs[strings.SplitN(o.Task, ".", 2)[0]] = o.Spec
-	w.starts[o.Task] = append(w.starts[o.Task], seen{runner: r.id, service: r.service, attempt: o.Run, at: time.Now()})
+	w.starts[o.Task] = append(w.starts[o.Task], seen{runner: r.id, service: r.service, label: r.label, attempt: o.Run, at: time.Now()})
 }
 
 func (w *world) noteEnd(id, task string, attempt int64, how string) {
