--- a/review/world-3/advised_steps.go
+++ b/review/world-3/advised_steps.go
@@ -19,7 +19,7 @@
 	next := w.startRunners("new", "desk-next", 8, 8000)
 	leader, others := w.startDaemons()
 	w.must(w.warmUp(others[0], "/quotes/"))
-	sizes := w.submitFailing(others[0], "advised ")
+	sizes := w.submitFailing(others[0], "advised ", 1500*time.Millisecond)
 	time.Sleep(700 * time.Millisecond)
 	capacity := former
 	if w.trouble {
@@ -31,12 +31,12 @@
 }
 
 // submitFailing submits jobs to the queue of /checks/ through a daemon, the tasks of half of them last, and returns the numbers of their
-// tasks. Each task fails once, after 1.5 s.
-func (w *world) submitFailing(d *daemon, words string) map[string]int {
+// tasks. Each task fails once, after the given time.
+func (w *world) submitFailing(d *daemon, words string, after time.Duration) map[string]int {
 	sizes := map[string]int{}
 	for range 3 {
-		w.submitSpec(d, sizes, words+"fails-once work=1500ms", 3, 1000, false)
-		w.submitSpec(d, sizes, words+"fails-once lasts work=1500ms", 3, 1000, true)
+		w.submitSpec(d, sizes, words+"fails-once work="+after.String(), 3, 1000, false)
+		w.submitSpec(d, sizes, words+"fails-once lasts work="+after.String(), 3, 1000, true)
 	}
 	if len(sizes) == 0 {
 		w.must(errNoJobs)
--- a/review/world-3/dropped_policy.go
+++ b/review/world-3/dropped_policy.go
@@ -4,8 +4,8 @@
 
 import "time"
 
-// droppedPolicy removes the route of a queue with a recommendation while jobs of it are at work, and adds it again without one. Each task fails once, as tasks may, and then has to
-// start again: on any runner of the service, without a ticket.
+// droppedPolicy removes the route of a queue with a recommendation while jobs of it are at work, and adds it again two seconds later without
+// one. Each task fails once after that, as tasks may, and then has to start again: on any runner of the service, without a ticket.
 func droppedPolicy(w *world) {
 	services := []string{"desk"}
 	advised := w.route("checks", "/checks/", "desk")
@@ -15,11 +15,11 @@
 	runners := w.startRunners("desk", "desk", 8, 8000)
 	leader, others := w.startDaemons()
 	w.must(w.warmUp(others[0], "/quotes/"))
-	sizes := w.submitFailing(others[0], "advised ")
+	sizes := w.submitFailing(others[0], "advised ", 4*time.Second)
 	time.Sleep(700 * time.Millisecond)
 	if w.trouble {
 		w.config(14, services, w.route("quotes", "/quotes/", "desk"))
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(2 * time.Second)
 		w.needsTickets.Store(false)
 		w.config(16, services, w.route("checks", "/checks/", "desk"), w.route("quotes", "/quotes/", "desk"))
 	}
--- a/review/world-3/world.go
+++ b/review/world-3/world.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -78,6 +80,9 @@
 // zones are those of the deployment, with their regions.
 var zones = []struct{ name, region string }{{"carthage", "tunis-north"}, {"sousse", "sahel-south"}, {"ariana", "tunis-north"}}
 
+// maxRunTime is how long a run may take.
+const maxRunTime = 115 * time.Second
+
 const (
 	portFront, portReady, portInternal = 8161, 8167, 7720
 )
@@ -88,12 +93,13 @@
 		subnet: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)),
 		starts: map[string][]seen{}, specs: map[string]string{}, ends: map[string][]seen{},
 	}
-	record, err := os.Create(filepath.Join(os.Getenv("CASE"), "record.txt"))
+	record, err := os.Create(os.Getenv("RECORD"))
 	w.must(err)
 	w.record = record
 	w.dir, err = os.MkdirTemp("", "review-3-")
 	w.must(err)
 	w.note("disruption: %v", w.trouble)
+	go w.endEarly()
 	w.advice = &advice{world: w, tickets: map[string]ticket{}}
 	w.serve(200, w.advice)
 	return w
@@ -109,9 +115,22 @@
 // ip returns an address of the loopback network of this run.
 func (w *world) ip(host int) string { return fmt.Sprintf("%s.%d", w.subnet, host) }
 
+// endEarly ends the run with exit code 2 when it has taken too long, or gets a signal.
+func (w *world) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-time.After(maxRunTime):
+		w.must(errors.New("the time limit was reached"))
+	case s := <-signals:
+		w.must(fmt.Errorf("got %s", s))
+	}
+}
+
 // must ends the run with exit code 2 unless err is nil.
 func (w *world) must(err error) {
 	if err != nil {
+		w.note("the case cannot run: %v", err)
 		fmt.Fprintln(os.Stderr, "the case cannot run:", err)
 		w.close()
 		os.Exit(2)
