Tell why a start is discarded before it is sent

Cause: a start that is discarded is planned again at once; the leader writes its intent and its withdrawal to the store again and again, and one counter for all reasons was all that told of it.

Change: a counter for each reason, a line with the reason and both services, and a gauge of how long a task has had starts that were all discarded.

--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -122,7 +122,9 @@
 		// organisationCounters is guarded by mu.
 		organisationCounters organisationCounters
 		waste                wasteCounters
-		rescuer              *rescue.Rescuer
+		// discards is guarded by mu.
+		discards discards
+		rescuer  *rescue.Rescuer
 		// turns holds what the loops do or wait for.
 		turns *stall.Watch
 		// firstList receives the directory that is read while the ledger is; only directoryLoop uses it once the loops run.
@@ -212,6 +214,7 @@
 		counters:      newCounters(c.Metrics),
 		organisations: newOrganisationMetrics(c.Metrics),
 		waste:         newWasteCounters(c.Metrics),
+		discards:      newDiscards(c.Metrics),
 		rescuer:       rescue.New(c.Log, c.Metrics),
 		turns:         stall.New(),
 		table:         tasks.New(),
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -55,29 +55,17 @@
 // is no longer available or may be draining. A newer catalog is applied first, since it may have arrived after the last plan. The caller must hold o.mu.
 func (o *Owner) dispatchStart(run *tasks.Run) {
 	o.applyCatalog()
-	r := run.Runner
-	if r.Runs[run.Key] != run {
+	if run.Runner.Runs[run.Key] != run {
 		return
 	}
-	now := o.config.Clock.Now()
-	isUnwanted := run.StartCancelled || o.isUnwanted(run) || o.isOverQuota(run)
-	mayStart := r.Available(now) && o.knowsDirectory() && o.isLeadershipConfirmed()
-	if isUnwanted || !mayStart || !suitsRunner(run) || o.hasStaleTicket(run, now) {
-		o.counters.startsDiscarded.Inc(1)
-		o.discardRun(run)
+	if reason := o.discardReasonOf(run, o.config.Clock.Now()); reason != "" {
+		o.discardStart(run, reason)
 		return
 	}
+	o.discards.noteSent(run.Task)
 	o.sendStart(run)
 }
 
-// suitsRunner reports whether the runner of a run may still run it by its latest entry, and by the latest catalog: its service, its
-// labels and its capacity may have changed since the plan.
-func suitsRunner(run *tasks.Run) bool {
-	info, step := &run.Runner.Info, run.Task.Step
-	hasLabel := step.Spec.Label == "" || run.Runner.Has(step.Spec.Label)
-	return hasLabel && info.Service == step.Job.Spec.Queue.Service && !run.Runner.IsOvercommitted()
-}
-
 // hasStaleTicket reports whether the ticket of a start may expire on its way to the runner, or that of another member of its gang: one
 // member that is rejected breaks the gang. The caller must hold o.mu.
 func (o *Owner) hasStaleTicket(run *tasks.Run, now time.Time) bool {
@@ -94,12 +82,6 @@
 	return false
 }
 
-// discardRun removes a run whose start was never sent, and requeues its task. The caller must hold o.mu.
-func (o *Owner) discardRun(run *tasks.Run) {
-	run.Runner.RemoveRun(run)
-	o.applyOutcome(run.Runner, run.Task, agent.Result{Ref: run.Key.Ref, Attempt: run.Key.Attempt, Outcome: agent.Stopped, Checkpoint: run.Checkpoint}, earlyEnd{cause: causeOf(run, agent.Stopped)})
-}
-
 // sendStart sends a start in the background. The caller must hold o.mu.
 func (o *Owner) sendStart(run *tasks.Run) {
 	r := run.Runner
--- a/internal/flow/owner/tick.go
+++ b/internal/flow/owner/tick.go
@@ -67,6 +67,7 @@
 	o.updateUsualPaces()
 	o.updateUsualSpeeds()
 	o.updateGauges(now)
+	o.discards.updateLongest(now)
 	o.summariseGangWaits(now)
 	o.updateOrganisations(now)
 	o.organisationCounters.updateWaiting(o.table.Jobs)
