Forget the advice on a step when its queue is sent to another service

Cause: the runners that advice has allowed are kept by runner and boot alone. Runners of the new service were not asked about while an allowed one had room.

Change: a policy that sends the queue elsewhere, or gives or takes its recommendation, begins a new generation of its steps' advice. Former answers are forgotten, and answers in flight are not recorded. The plan and the start share one predicate, so a runner that changes its service in the same boot is not planned on either.

--- a/internal/flow/order/assign.go
+++ b/internal/flow/order/assign.go
@@ -57,12 +57,9 @@
 	return out
 }
 
-// canRun reports whether the runner could run a task of the step if it were empty.
+// canRun reports whether the runner could run a task of the step if it were empty. A start on any other runner is discarded.
 func canRun(s *tasks.Step, r *runnerCapacity) bool {
-	if s.Spec.Label != "" && !r.runner.Has(s.Spec.Label) {
-		return false
-	}
-	return taskResources(s).Fits(r.runner.Info.Capacity)
+	return r.runner.Serves(s) && taskResources(s).Fits(r.runner.Info.Capacity)
 }
 
 // taskResources returns the resources that a task of the step takes from a runner's capacity.
--- a/internal/flow/order/runners.go
+++ b/internal/flow/order/runners.go
@@ -80,7 +80,7 @@
 // current one.
 func (p *pass) capacityOf(s *tasks.Step, i tasks.Incarnation) *runnerCapacity {
 	r := p.table.Runners[i.Runner]
-	if r == nil || r.Info.Boot != i.Boot {
+	if r == nil || r.Info.Boot != i.Boot || !r.Serves(s) {
 		return nil
 	}
 	return p.usable(s, r)
--- a/internal/flow/owner/advice.go
+++ b/internal/flow/owner/advice.go
@@ -35,6 +35,7 @@
 	// The share of the queue is learned only from calls whose first runner has no answer yet.
 	_, answered := s.Advice.Answers[incarnations[0]]
 	firstAnswer := !answered
+	generation := s.Advice.Generation
 	began := o.config.Clock.Now()
 	timeout := policy.CallDuration(len(incarnations)) + adviceMargin
 	go o.guarded("advice", func() {
@@ -51,6 +52,10 @@
 		}
 		now := o.config.Clock.Now()
 		o.counters.adviceLatency.Update(now.Sub(began))
+		if s.Advice.Generation != generation {
+			o.counters.adviceOutdated.Inc(1)
+			return
+		}
 		if s.Job.Advised.IsZero() {
 			s.Job.Advised = now
 		}
@@ -114,7 +119,7 @@
 	now := o.config.Clock.Now()
 	for _, c := range cached {
 		t := o.table.Task(specs.Ref{StepRef: c.Step})
-		if t != nil {
+		if t != nil && t.Step.Job.Spec.Queue.Advice != nil {
 			t.Step.Advice.RecordAnswer(c.Asked, c.Permits, now.Add(c.Left-answerMargin))
 		}
 	}
--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -21,6 +21,8 @@
 	runsFailed       metrics.Counter
 	adviceCalls      metrics.Counter
 	adviceFailures   metrics.Counter
+	// adviceOutdated counts the answers to calls that were made under a former policy of the queue.
+	adviceOutdated   metrics.Counter
 	renewals         metrics.Counter
 	renewFailures    metrics.Counter
 	reportsTruncated metrics.Counter
@@ -62,7 +64,7 @@
 		starts: count("Starts"), startsRejected: count("StartsRejected"), startsUnanswered: count("StartsUnanswered"),
 		startsRepeated: count("StartsRepeated"), startsDiscarded: count("StartsDiscarded"),
 		runsLost: count("RunsLost"), stops: count("Stops"), stopsBeforeLeave: count("StopsBeforeLeave"), runsFailed: count("RunsFailed"),
-		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"),
+		adviceCalls: count("AdviceCalls"), adviceFailures: count("AdviceFailures"), adviceOutdated: count("AdviceOutdated"),
 		renewals: count("Holds"), renewFailures: count("HoldFailures"), reportsTruncated: count("HoldsTruncated"),
 		clocksWentBack: count("RunnerClocksWentBack"), runnersReplaced: count("RunnersReplaced"),
 		lossSuspects: count("LossSuspects"), quietStarts: count("QuietStarts"), jobsCrashing: count("JobsCrashing"),
--- a/internal/flow/owner/discards.go
+++ b/internal/flow/owner/discards.go
@@ -119,13 +119,13 @@
 
 // unsuitedBy returns why the runner of a run may not run it any more, or "" if it may.
 func unsuitedBy(run *tasks.Run) discardReason {
-	step := run.Task.Step
+	r, step := run.Runner, run.Task.Step
 	switch {
-	case run.Runner.Info.Service != step.Job.Spec.Queue.Service:
+	case !r.Serves(step) && r.Info.Service != step.Job.Spec.Queue.Service:
 		return discardService
-	case step.Spec.Label != "" && !run.Runner.Has(step.Spec.Label):
+	case !r.Serves(step):
 		return discardLabel
-	case run.Runner.IsOvercommitted():
+	case r.IsOvercommitted():
 		return discardCapacity
 	default:
 		return ""
--- a/internal/flow/owner/tick.go
+++ b/internal/flow/owner/tick.go
@@ -146,7 +146,7 @@
 	o.table.SetLimits(c)
 	for _, j := range o.table.Jobs {
 		if q, ok := c.Queue(j.Spec.Queue.Name); ok {
-			j.Spec.Queue = q
+			j.SetPolicy(q)
 		}
 	}
 }
--- a/internal/flow/owner/window.go
+++ b/internal/flow/owner/window.go
@@ -167,9 +167,12 @@
 		count = o.window.adviceCount(s)
 	}
 	s.Advice.Pending++
+	generation := s.Advice.Generation
 	o.window.advised[class] += count
 	return func() {
-		s.Advice.Pending--
+		if s.Advice.Generation == generation {
+			s.Advice.Pending--
+		}
 		o.window.advised[class] -= count
 		o.wakeBlocked()
 	}
--- a/internal/flow/tasks/advice.go
+++ b/internal/flow/tasks/advice.go
@@ -9,9 +9,11 @@
 )
 
 type (
-	// Advice holds the answers of the advice service on one step.
+	// Advice holds the answers of the advice service on one step, under the present policy of its queue.
 	Advice struct {
-		// Pending counts the calls in flight.
+		// Generation counts the policies under which advice was kept. An answer to a call of a former generation is not recorded.
+		Generation int
+		// Pending counts the calls of this generation in flight.
 		Pending int
 		// Asked holds the runners that the latest calls named, those that were made together.
 		Asked []Incarnation
@@ -89,6 +91,11 @@
 	return Incarnation{Runner: r.Info.ID, Boot: r.Info.Boot}
 }
 
+// Reset forgets all answers, since they were asked for under a former policy of the queue.
+func (a *Advice) Reset() {
+	*a = Advice{Generation: a.Generation + 1}
+}
+
 // RecordAnswer records the answer to a call for advice that named the given runners: those without a permit are not
 // allowed. Tickets are valid until the given time.
 func (a *Advice) RecordAnswer(named []Incarnation, permits []agent.Permit, until time.Time) {
--- a/internal/flow/tasks/runner.go
+++ b/internal/flow/tasks/runner.go
@@ -139,6 +139,11 @@
 	return false
 }
 
+// Serves reports whether the runner belongs to the service to which the step's queue is sent, and has the label that the step requires.
+func (r *Runner) Serves(s *Step) bool {
+	return r.Info.Service == s.Job.Spec.Queue.Service && (s.Spec.Label == "" || r.Has(s.Spec.Label))
+}
+
 // PlaceTask adds a run of a task to the runner and makes it the task's current run. The cores of a step with Fills
 // occupy none of the runner's; they do count for the organisation.
 func (r *Runner) PlaceTask(t *Task, attempt specs.Attempt) *Run {
