Let a policy carry the version of its catalog, and the newest one win

Cause: a submission carries its queue's policy as the daemon that took it knows it, without a version, and the leader stored it as it was. Jobs got the policy of a new catalog once, when the leader's changed, which it had before.

Change: a policy carries the version of its catalog, in submissions and in the ledger. The newer one wins when a submission arrives, when the catalog changes and when a new leader reads the ledger, whichever side is ahead. A policy without a version, of a former build, is older than any.

Tests, each seen to fail on the code before: TestNewestPolicyOfASubmissionIsInForce (three of its four subtests), TestLeaderWithAnOlderCatalogKeepsTheStoredPolicy, TestPoliciesCarryTheVersionOfTheirCatalog.

--- a/internal/flow/owner/calls.go
+++ b/internal/flow/owner/calls.go
@@ -44,6 +44,7 @@
 		o.onAcceptanceDurable(job.ID, durable)
 		return nil
 	}
+	o.adoptPolicy(job)
 	if err := o.admit(job); err != nil {
 		o.counters.jobsRejected.Inc(1)
 		return err
@@ -69,6 +70,20 @@
 	f()
 }
 
+// adoptPolicy gives a submitted job the policy of this leader's catalog if that is newer than the one that it carries: the daemon that
+// took the submission may have read the latest catalog later, or earlier, than this one. The caller must hold o.mu.
+func (o *Owner) adoptPolicy(job *specs.Job) {
+	carried := job.Queue
+	newest, ok := o.config.Catalog().Queue(carried.Name)
+	if !ok || !newest.Supersedes(&carried) {
+		return
+	}
+	job.Queue = newest
+	o.counters.submissionsOutdated.Inc(1)
+	o.config.Log.Info().Str("Job", string(job.ID)).Str("Queue", string(carried.Name)).Uint64("Carried", uint64(carried.Version)).
+		Uint64("Version", uint64(newest.Version)).Msg("submission carries a former policy of its queue; the newer one is in force")
+}
+
 // accept puts an admitted job into the tables and into the next write. The caller must hold o.mu.
 func (o *Owner) accept(job *specs.Job) {
 	job.Accepted = o.config.Clock.Now()
--- a/internal/flow/owner/counters.go
+++ b/internal/flow/owner/counters.go
@@ -8,19 +8,21 @@
 	jobsRejected metrics.Counter
 	jobsEnded    metrics.Counter
 	// jobsRepeated counts submissions of jobs that are known, states the requests for the state of a job.
-	jobsRepeated     metrics.Counter
-	states           metrics.Counter
-	starts           metrics.Counter
-	startsRejected   metrics.Counter
-	startsUnanswered metrics.Counter
-	startsRepeated   metrics.Counter
-	startsDiscarded  metrics.Counter
-	runsLost         metrics.Counter
-	stops            metrics.Counter
-	stopsBeforeLeave metrics.Counter
-	runsFailed       metrics.Counter
-	adviceCalls      metrics.Counter
-	adviceFailures   metrics.Counter
+	jobsRepeated metrics.Counter
+	// submissionsOutdated counts submissions that carried a former policy of their queue.
+	submissionsOutdated metrics.Counter
+	states              metrics.Counter
+	starts              metrics.Counter
+	startsRejected      metrics.Counter
+	startsUnanswered    metrics.Counter
+	startsRepeated      metrics.Counter
+	startsDiscarded     metrics.Counter
+	runsLost            metrics.Counter
+	stops               metrics.Counter
+	stopsBeforeLeave    metrics.Counter
+	runsFailed          metrics.Counter
+	adviceCalls         metrics.Counter
+	adviceFailures      metrics.Counter
 	// adviceOutdated counts the answers to calls that were made under a former policy of the queue.
 	adviceOutdated   metrics.Counter
 	renewals         metrics.Counter
@@ -60,7 +62,7 @@
 		jobs: gauge("Jobs"), jobsWaiting: gauge("JobsWaiting"), runs: gauge("Runs"), coresFree: gauge("CoresFree"), runnersSlow: gauge("RunnersSlow"),
 		stepsUnserved: gauge("StepsUnserved"),
 		jobsAccepted:  count("JobsAccepted"), jobsRejected: count("JobsRefused"), jobsEnded: count("JobsEnded"),
-		jobsRepeated: count("JobsRepeated"), states: count("States"),
+		jobsRepeated: count("JobsRepeated"), states: count("States"), submissionsOutdated: count("SubmissionsOutdated"),
 		starts: count("Starts"), startsRejected: count("StartsRejected"), startsUnanswered: count("StartsUnanswered"),
 		startsRepeated: count("StartsRepeated"), startsDiscarded: count("StartsDiscarded"),
 		runsLost: count("RunsLost"), stops: count("Stops"), stopsBeforeLeave: count("StopsBeforeLeave"), runsFailed: count("RunsFailed"),
--- a/internal/flow/owner/policy_test.go
+++ b/internal/flow/owner/policy_test.go
@@ -220,3 +220,84 @@
 	f.waitForState(o, "j", tasks.JobCompleted)
 	f.checkNoViolations()
 }
+
+// submitUnder submits a job as a daemon does whose catalog has the given version and policy, and returns the job as it is accepted.
+func (f *policyFixture) submitUnder(version specs.CatalogVersion, policy specs.Queue) *tasks.Job {
+	f.t.Helper()
+	q, ok := policyCatalog(version, policy).Queue(policy.Name)
+	if !ok {
+		f.t.Fatal("the catalog lacks the queue")
+	}
+	j := job("submitted", step(1))
+	j.Queue = q
+	f.owner.open = true
+	f.unlocked(func() {
+		if err := f.owner.submit(specs.Caller{}, j, func() {}); err != nil {
+			f.t.Fatal(err)
+		}
+	})
+	return f.owner.table.Jobs["submitted"]
+}
+
+func wantService(t *testing.T, j *tasks.Job, want types.ServiceName) {
+	t.Helper()
+	if got := j.Spec.Queue.Service; got != want {
+		t.Errorf("the job is sent to %s, want %s", got, want)
+	}
+}
+
+// Guards against jobs that never run since the daemon that took them had a former catalog, and against the opposite: a leader that puts
+// its own older policy in place of the newer one that a submission carries. The newer one of both wins.
+func TestNewestPolicyOfASubmissionIsInForce(t *testing.T) {
+	former, next := sentTo("svc", false), sentTo("next", false)
+	t.Run("LeaderIsNewer", func(t *testing.T) {
+		f := newPolicyFixture(t, former)
+		f.apply(newVersion, next)
+		j := f.submitUnder(formerVersion, former)
+		wantService(t, j, "next")
+		if stored := f.owner.pending.entry.Jobs[0].Queue; stored.Service != "next" || stored.Version != newVersion {
+			t.Errorf("the ledger gets the policy %+v, want the newer one", stored)
+		}
+	})
+	t.Run("DaemonIsNewer", func(t *testing.T) {
+		f := newPolicyFixture(t, former)
+		j := f.submitUnder(newVersion, next)
+		wantService(t, j, "next")
+		f.apply(newVersion-1, former)
+		wantService(t, j, "next")
+		f.apply(newVersion+1, former)
+		wantService(t, j, "svc")
+	})
+	t.Run("LeaderHasNoSuchRoute", func(t *testing.T) {
+		f := newPolicyFixture(t, former)
+		f.apply(newVersion)
+		wantService(t, f.submitUnder(formerVersion, former), "svc")
+	})
+	t.Run("FormerBuild", func(t *testing.T) {
+		f := newPolicyFixture(t, former)
+		f.apply(newVersion, next)
+		wantService(t, f.submitUnder(0, former), "next")
+	})
+}
+
+// Guards against a job that goes back to a former policy under a new leader whose catalog is older than that of the former one.
+func TestLeaderWithAnOlderCatalogKeepsTheStoredPolicy(t *testing.T) {
+	f := newFixture(t, quickWorld())
+	o, stop := f.startOwner()
+	j := job("j", step(1))
+	j.Queue = sentTo("next", false)
+	j.Queue.Version = newVersion
+	f.submit(o, j)
+	stop()
+	o = f.newOwner()
+	o.config.Catalog = func() *specs.Catalog { return policyCatalog(formerVersion, sentTo("svc", false)) }
+	f.runOwner(o)
+	f.eventually("the catalog is applied", func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.open && o.catalogVersion == formerVersion
+	})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	wantService(t, o.table.Jobs["j"], "next")
+}
--- a/internal/flow/specs/catalog.go
+++ b/internal/flow/specs/catalog.go
@@ -115,12 +115,14 @@
 	return o, ok
 }
 
+// buildIndex indexes the catalog, and gives its policies the version of the catalog, before any of them is handed out.
 func (c *Catalog) buildIndex() {
 	c.byHost = make(map[string][]*Route)
 	c.byQueue = make(map[QueueName]*Route, len(c.Routes))
 	c.mixed = make(map[QueueName]bool)
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		r.Queue.Version = c.Version
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 		first, known := c.byQueue[r.Queue.Name]
 		switch {
--- a/internal/flow/specs/catalog_test.go
+++ b/internal/flow/specs/catalog_test.go
@@ -70,3 +70,14 @@
 		t.Errorf("lookups among 20,000 routes took %s, among 100 %s", many, few)
 	}
 }
+
+// Guards against a policy that does not tell from which catalog it is, so that it would count as older than any other.
+func TestPoliciesCarryTheVersionOfTheirCatalog(t *testing.T) {
+	c := &Catalog{Version: 14, Routes: []Route{{Host: "h", Prefix: "/a/", Queue: Queue{Name: "a"}}}}
+	if r := c.Match("h", "/a/1"); r == nil || r.Queue.Version != 14 {
+		t.Errorf("the route that matches is %+v, want one with version 14", r)
+	}
+	if q, ok := c.Queue("a"); !ok || q.Version != 14 {
+		t.Errorf("the policy is %+v, want one with version 14", q)
+	}
+}
--- a/internal/flow/specs/specs.go
+++ b/internal/flow/specs/specs.go
@@ -115,7 +115,10 @@
 
 	// Queue is the policy under which jobs run.
 	Queue struct {
-		Name    QueueName         `json:"Name"`
+		Name QueueName `json:"Name"`
+		// Version is that of the catalog from which the policy is; 0 when it is not known, since a build before versions wrote it. Of two
+		// policies of a queue the one of the newer catalog is in force, wherever they come from.
+		Version CatalogVersion    `json:"Version,omitempty"`
 		Service types.ServiceName `json:"Service"`
 		// Priority ranks the queues; 0 is served first.
 		Priority    int `json:"Priority"`
@@ -126,7 +129,7 @@
 		Advice  *AdvicePolicy `json:"Advice,omitempty"`
 	}
 
-	// Job is a caller's job with the policy of its queue when it was accepted.
+	// Job is a caller's job with the newest policy of its queue that is known, in the ledger that of its acceptance.
 	Job struct {
 		ID       JobID     `json:"ID"`
 		Queue    Queue     `json:"Queue"`
@@ -198,6 +201,11 @@
 	return Ref{StepRef: step, Index: numbers[2]}, nil
 }
 
+// Supersedes reports whether the policy is from a newer catalog than another one of its queue.
+func (q *Queue) Supersedes(other *Queue) bool {
+	return q.Version > other.Version
+}
+
 // CallDuration returns how long the advice service works on a call that names the given number of runners.
 func (a AdvicePolicy) CallDuration(runners int) time.Duration {
 	return a.Decision + time.Duration(runners)*a.PerRunner
