Decide by the present policy whether a start needs a ticket

Change: the ticket and its expiry come from one answer, both empty if the policy needs none. The check before a start, and before its next try, asks the present policy, as the plan does: a start that was recorded with a ticket before the recommendation went is sent, one without a ticket from before it came is not.

The runs of stale_ticket_test.go get a queue with a recommendation: they model starts with tickets, and a queue without one needs none.

Test, seen to fail in each of its four subtests on the code before: TestStartNeedsTheTicketOfThePresentPolicy.

--- a/internal/flow/order/advice.go
+++ b/internal/flow/order/advice.go
@@ -271,16 +271,16 @@
 	return agent.MaxAdvised
 }
 
-// ticket returns the ticket for a start on the runner, and whether the task may start there: the ticket must stay valid
-// for the ticket margin. Queues without advice need no ticket.
-func (p *pass) ticket(s *tasks.Step, r *runnerCapacity) (agent.Ticket, bool) {
-	if s.Job.Spec.Queue.Advice == nil {
-		return "", true
+// permit returns the answer with the ticket for a start on the runner, and whether the task may start there: the ticket must stay valid
+// for the ticket margin. Queues without advice need no ticket, and the answer is empty.
+func (p *pass) permit(s *tasks.Step, r *runnerCapacity) (tasks.RunnerAdvice, bool) {
+	if !s.NeedsTicket() {
+		return tasks.RunnerAdvice{}, true
 	}
 	// The margin follows from past writes and only shrinks after new ones. If it exceeded the validity, no ticket
 	// would ever suffice, no task would start, and there would be no new writes to show that the slow ones are over.
 	margin := min(p.limits.TicketMargin, s.Job.Spec.Queue.Advice.Validity/maxMarginDivisor)
-	return s.Advice.Ticket(r.runner.Incarnation(), p.now.Add(margin))
+	return s.Advice.Permit(r.runner.Incarnation(), p.now.Add(margin))
 }
 
 // renewTickets plans a call for new tickets for the stale runners, and for up to spareTickets others that have free
--- a/internal/flow/order/assign.go
+++ b/internal/flow/order/assign.go
@@ -3,14 +3,13 @@
 import (
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/tasks"
-	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
 // serve starts as many tasks of the step as fit.
 func (p *pass) serve(s *tasks.Step) {
 	clear(p.stepStarts)
 	p.releasePlace(s)
-	if s.Job.Spec.Queue.Advice != nil {
+	if s.NeedsTicket() {
 		p.serveAdvised(s)
 		return
 	}
@@ -104,14 +103,14 @@
 		c.lacksCapacity = true
 		return false
 	}
-	ticket, ok := p.ticket(s, r)
+	permit, ok := p.permit(s, r)
 	if !ok {
 		// The capacity stays reserved for the task while a new ticket is requested.
 		c.stale = append(c.stale, r)
 		r.free = r.free.Sub(taskResources(s))
 		p.claimHeadroom(s, 1)
 	} else {
-		p.startTask(t, r, ticket, choice.quiet)
+		p.startTask(t, r, permit, choice.quiet)
 	}
 	if choice.quiet {
 		p.keepQuiet(r)
@@ -119,14 +118,13 @@
 	return true
 }
 
-// startTask adds the start of the task to the plan.
-func (p *pass) startTask(t *tasks.Task, r *runnerCapacity, ticket agent.Ticket, quiet bool) {
+// startTask adds the start of the task to the plan, under the ticket of the permit if it needs one.
+func (p *pass) startTask(t *tasks.Task, r *runnerCapacity, permit tasks.RunnerAdvice, quiet bool) {
 	r.free = r.free.Sub(taskResources(t.Step))
 	p.claimHeadroom(t.Step, 1)
 	p.stepStarts[r.runner]++
 	p.askable[r.runner.Info.Service] -= taskResources(t.Step).Cores
-	until := t.Step.Advice.Answers[r.runner.Incarnation()].Until
-	p.out.Starts = append(p.out.Starts, Start{Task: t, Runner: r.runner, Ticket: ticket, TicketUntil: until, Quiet: quiet})
+	p.out.Starts = append(p.out.Starts, Start{Task: t, Runner: r.runner, Ticket: permit.Ticket, TicketUntil: permit.Until, Quiet: quiet})
 }
 
 // bestRunner returns the runner of the lowest cost that has free capacity for the task, or nil.
--- a/internal/flow/order/gang.go
+++ b/internal/flow/order/gang.go
@@ -56,9 +56,9 @@
 func (p *pass) startGang(s *tasks.Step, shares []gangShare, quiet bool) {
 	index := 0
 	for _, sh := range shares {
-		ticket, _ := p.ticket(s, sh.runner)
+		permit, _ := p.permit(s, sh.runner)
 		for range sh.count {
-			p.startTask(s.Tasks[index], sh.runner, ticket, quiet)
+			p.startTask(s.Tasks[index], sh.runner, permit, quiet)
 			index++
 		}
 		if quiet {
@@ -87,7 +87,7 @@
 		if !need.Fits(r.free) {
 			continue
 		}
-		if _, ok := p.ticket(s, r); ok {
+		if _, ok := p.permit(s, r); ok {
 			out = append(out, r)
 		}
 	}
--- a/internal/flow/order/place.go
+++ b/internal/flow/order/place.go
@@ -46,7 +46,7 @@
 		return true
 	}
 	for _, share := range s.Advice.Place {
-		if _, ok := s.Advice.Ticket(share.Incarnation, p.now); ok {
+		if _, ok := s.Advice.Permit(share.Incarnation, p.now); ok {
 			return true
 		}
 	}
--- a/internal/flow/order/refresh.go
+++ b/internal/flow/order/refresh.go
@@ -38,7 +38,7 @@
 	answered := p.now.Add(s.Job.Spec.Queue.Advice.CallDuration(len(next)) + p.limits.TicketMargin)
 	expiring := 0
 	for _, r := range next {
-		if _, ok := s.Advice.Ticket(r.runner.Incarnation(), answered); !ok {
+		if _, ok := s.Advice.Permit(r.runner.Incarnation(), answered); !ok {
 			expiring++
 		}
 	}
@@ -49,7 +49,7 @@
 
 // mayRefresh reports whether new tickets may be requested for a gang that does not fit.
 func (p *pass) mayRefresh(s *tasks.Step) bool {
-	return s.Job.Spec.Queue.Advice != nil && p.canCallAdvice(s) && p.newEntry(s).tier == inTime
+	return s.NeedsTicket() && p.canCallAdvice(s) && p.newEntry(s).tier == inTime
 }
 
 // runnersOfNextPlaces returns the runners, maxRefreshed at most, that have the first count places for tasks of the step, those that lack the
--- a/internal/flow/order/room.go
+++ b/internal/flow/order/room.go
@@ -52,7 +52,7 @@
 	if s.Spec.Gang || p.holdsRunner(s) {
 		return true
 	}
-	isAdvised := s.Job.Spec.Queue.Advice != nil
+	isAdvised := s.NeedsTicket()
 	return isAdvised && p.askable[s.Job.Spec.Queue.Service] > 0 && p.canCallAdvice(s) && !p.hasAllowed(s)
 }
 
--- a/internal/flow/order/shares.go
+++ b/internal/flow/order/shares.go
@@ -234,7 +234,7 @@
 
 // candidateRunners returns the runners on which the step may be placed.
 func (p *pass) candidateRunners(s *tasks.Step) []*runnerCapacity {
-	if s.Job.Spec.Queue.Advice != nil {
+	if s.NeedsTicket() {
 		return p.allowedRunners(s)
 	}
 	return p.eligibleRunners(s)
@@ -242,7 +242,7 @@
 
 // finishPlacement plans the calls for advice that are missing after the tasks of a step were placed.
 func (p *pass) finishPlacement(s *tasks.Step, c *stepPlacement) {
-	if s.Job.Spec.Queue.Advice == nil {
+	if !s.NeedsTicket() {
 		return
 	}
 	p.renewTickets(s, c.stale, c.runners)
--- a/internal/flow/owner/policy_test.go
+++ b/internal/flow/owner/policy_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/magnoliawalk/magnoliawalk/internal/core/errs"
 	"github.com/magnoliawalk/magnoliawalk/internal/core/types"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/order"
 	"github.com/magnoliawalk/magnoliawalk/internal/flow/specs"
@@ -301,3 +302,58 @@
 	defer o.mu.Unlock()
 	wantService(t, o.table.Jobs["j"], "next")
 }
+
+// recordedStart returns the run of a start on the runner of svc that was recorded under the policy and not sent. A ticket for it has
+// expired meanwhile.
+func (f *policyFixture) recordedStart(ticket agent.Ticket) *tasks.Run {
+	f.t.Helper()
+	run := f.owner.placeNext(f.step.Tasks[0], f.runners["svc"])
+	if run.Ticket = ticket; ticket != "" {
+		run.TicketUntil = f.clock.Now().Add(-time.Second)
+	}
+	return run
+}
+
+// Guards against starts that are discarded for a ticket that their queue does not need any more, and against starts without a ticket that
+// their queue needs by now, which their runners reject: what a start needs follows from the present policy.
+func TestStartNeedsTheTicketOfThePresentPolicy(t *testing.T) {
+	t.Run("RecommendationGoneBeforeThePlan", func(t *testing.T) {
+		f := newPolicyFixture(t, sentTo("svc", true))
+		f.answer("svc", true)
+		answer := f.step.Advice.Answers[f.runners["svc"].Incarnation()]
+		answer.Until = f.clock.Now().Add(-time.Second)
+		f.step.Advice.Answers[f.runners["svc"].Incarnation()] = answer
+		f.step.Job.Spec.Queue.Advice = nil
+		if run := f.wantStartOn("svc"); run.Ticket != "" || !run.TicketUntil.IsZero() {
+			t.Errorf("the start has the ticket %q until %s, want none", run.Ticket, run.TicketUntil)
+		}
+	})
+	t.Run("RecommendationGoneBeforeTheStart", func(t *testing.T) {
+		f := newPolicyFixture(t, sentTo("svc", true))
+		run := f.recordedStart("T")
+		f.apply(newVersion, sentTo("svc", false))
+		if f.owner.dispatchStart(run); !run.Sent {
+			t.Error("the start is discarded")
+		}
+	})
+	t.Run("RecommendationNewBeforeTheStart", func(t *testing.T) {
+		f := newPolicyFixture(t, sentTo("svc", false))
+		run := f.recordedStart("")
+		f.apply(newVersion, sentTo("svc", true))
+		if f.owner.dispatchStart(run); run.Sent {
+			t.Error("the start is sent")
+		}
+		f.step.Tasks[0].NotBefore = time.Time{}
+		f.wantAdviceOn("svc")
+	})
+	t.Run("RecommendationNewBeforeTheNextTry", func(t *testing.T) {
+		f := newPolicyFixture(t, sentTo("svc", false))
+		run := f.recordedStart("")
+		run.Sent, run.Tries, run.SentFence = true, 1, run.Runner.Fence
+		f.apply(newVersion, sentTo("svc", true))
+		f.owner.applyStartAnswer(run, f.owner.startRequest(run), errs.New(errs.Lost, "no answer"))
+		if run.Tries != 1 || !run.Runner.FencePending {
+			t.Errorf("%d tries, fence pending: %v; want 1 try and a raised fence", run.Tries, run.Runner.FencePending)
+		}
+	})
+}
--- a/internal/flow/owner/stale_ticket_test.go
+++ b/internal/flow/owner/stale_ticket_test.go
@@ -14,7 +14,9 @@
 	o.directoryAt = now
 	o.noteConfirmed(now)
 	var runs []*tasks.Run
-	for i, t := range o.table.AddJob(job("j", gang(len(left)))).Occurrences[0].Steps[0].Tasks {
+	j := job("j", gang(len(left)))
+	j.Queue = sentTo("svc", true)
+	for i, t := range o.table.AddJob(j).Occurrences[0].Steps[0].Tasks {
 		r := o.addRunner(runner(i))
 		r.Synced = true
 		run := o.placeNext(t, r)
--- a/internal/flow/owner/starts.go
+++ b/internal/flow/owner/starts.go
@@ -66,12 +66,20 @@
 	o.sendStart(run)
 }
 
-// hasStaleTicket reports whether the ticket of a start may expire on its way to the runner, or that of another member of its gang: one
-// member that is rejected breaks the gang. The caller must hold o.mu.
+// lacksTicket reports whether the queue of a run got a recommendation after its start was decided, so that its runner rejects it.
+func lacksTicket(run *tasks.Run) bool {
+	return run.Task.Step.NeedsTicket() && run.TicketUntil.IsZero()
+}
+
+// hasStaleTicket reports whether a start that needs a ticket has none that stays valid on its way to the runner, or another member of its
+// gang: one member that is rejected breaks the gang. The caller must hold o.mu.
 func (o *Owner) hasStaleTicket(run *tasks.Run, now time.Time) bool {
+	if !run.Task.Step.NeedsTicket() {
+		return false
+	}
 	arrival := now.Add(ticketMargin/2 + o.load.ticketDelay())
-	isStale := func(r *tasks.Run) bool { return !r.TicketUntil.IsZero() && r.TicketUntil.Before(arrival) }
-	if isStale(run) || run.Task == nil || !run.Task.Step.Spec.Gang {
+	isStale := func(r *tasks.Run) bool { return r.TicketUntil.Before(arrival) }
+	if isStale(run) || !run.Task.Step.Spec.Gang {
 		return isStale(run)
 	}
 	for _, m := range run.Task.Step.Tasks {
@@ -172,7 +180,7 @@
 	o.config.Log.Info().Str("Task", run.Key.Ref.String()).Int("Attempt", int(run.Key.Attempt)).
 		Str("Runner", string(run.Runner.Info.ID)).Int("Tries", run.Tries).Msg("start was not answered; it is in doubt whether the attempt runs")
 	// A run in doubt may be on the next boot already, or have crashed the former one.
-	isWanted := !run.InDoubt && !run.StartCancelled && !o.isUnwanted(run) && !o.isOverQuota(run) && suitsRunner(run)
+	isWanted := !run.InDoubt && !run.StartCancelled && !o.isUnwanted(run) && !o.isOverQuota(run) && suitsRunner(run) && !lacksTicket(run)
 	if run.Tries < maxStartTries && isWanted && run.Runner.InService() && o.isLeadershipConfirmed() {
 		o.sendStart(run)
 		return
--- a/internal/flow/tasks/advice.go
+++ b/internal/flow/tasks/advice.go
@@ -132,11 +132,11 @@
 	return r
 }
 
-// Ticket returns the ticket for a runner; false means that there is none that is valid up to the given time.
-func (a *Advice) Ticket(incarnation Incarnation, until time.Time) (agent.Ticket, bool) {
+// Permit returns the answer that allows a runner; false means that there is no ticket for it that is valid up to the given time.
+func (a *Advice) Permit(incarnation Incarnation, until time.Time) (RunnerAdvice, bool) {
 	answer, ok := a.Answers[incarnation]
 	if !ok || !answer.Allowed || answer.Until.Before(until) {
-		return "", false
+		return RunnerAdvice{}, false
 	}
-	return answer.Ticket, true
+	return answer, true
 }
--- a/internal/flow/tasks/tasks.go
+++ b/internal/flow/tasks/tasks.go
@@ -297,6 +297,11 @@
 	return s.DoneTasks == len(s.Tasks)
 }
 
+// NeedsTicket reports whether a start of a task needs a ticket, by the present policy of its queue.
+func (s *Step) NeedsTicket() bool {
+	return s.Job.Spec.Queue.Advice != nil
+}
+
 // CanStart reports whether tasks of the step may start: some wait, its job has not ended and the steps before it are
 // done.
 func (s *Step) CanStart() bool {
