--- a/internal/flow/specs/catalog.go
+++ b/internal/flow/specs/catalog.go
@@ -75,7 +75,14 @@
 	if !ok {
 		return Queue{}, false
 	}
-	return r.Queue, true
+	return c.Policy(r), true
+}
+
+// Policy returns the policy of one of the catalog's routes, with the version of the catalog. The route itself does not hold that.
+func (c *Catalog) Policy(r *Route) Queue {
+	q := r.Queue
+	q.Version = c.Version
+	return q
 }
 
 // IsMixed reports whether some routes to a queue are public and others are not.
@@ -115,14 +122,12 @@
 	return o, ok
 }
 
-// buildIndex indexes the catalog, and gives its policies the version of the catalog, before any of them is handed out.
 func (c *Catalog) buildIndex() {
 	c.byHost = make(map[string][]*Route)
 	c.byQueue = make(map[QueueName]*Route, len(c.Routes))
 	c.mixed = make(map[QueueName]bool)
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		r.Queue.Version = c.Version
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 		first, known := c.byQueue[r.Queue.Name]
 		switch {
