--- a/internal/app/cmds/soak.go
+++ b/internal/app/cmds/soak.go
@@ -23,6 +23,7 @@
 	flagFormer     = "former"
 	flagKeepLogs   = "keep-logs"
 	flagReboots    = "runner-reboots"
+	flagPolicies   = "changing-policies"
 	flagStore      = "store-faults"
 	flagScarce     = "scarce-processor"
 	flagPower      = "power-losses"
@@ -48,6 +49,7 @@
 			&cli.BoolFlag{Name: flagShortTerms, Usage: "kill each leader within two seconds, and refuse its snapshots of the ledger"},
 			&cli.StringFlag{Name: flagFormer, Usage: "path of a former build, with which the daemons begin, for upgrades and rollbacks"},
 			&cli.BoolFlag{Name: flagReboots, Usage: "restart several runners under their ids every second or two, while starts are under way and long tasks run"},
+			&cli.BoolFlag{Name: flagPolicies, Usage: "move the queue between two services, give and take its recommendation, and remove its route, every second or two"},
 			&cli.BoolFlag{Name: flagStore, Usage: "add rate limits, refusals to some daemons, lost and late answers of the store, and failures of the leader"},
 			&cli.BoolFlag{Name: flagScarce, Usage: "give each daemon one processor, and the weak ones a share of it"},
 			&cli.IntFlag{Name: flagPower, Usage: "how often all daemons are killed at once at the end, right after a job was accepted"},
@@ -102,7 +104,7 @@
 		Runners: c.Int(flagRunners), Callers: c.Int(flagCallers), Length: c.Duration(flagLength),
 		NarrowLinks: c.Bool(flagNarrow), LargeCatalogs: c.Bool(flagLarge), ShortTerms: c.Bool(flagShortTerms),
 		StoreFaults: c.Bool(flagStore), ScarceProcessor: c.Bool(flagScarce), PowerLosses: c.Int(flagPower), MaxTasks: c.Int(flagTasks),
-		OnlyFault: c.String(flagOnly), RunnerReboots: c.Bool(flagReboots),
+		OnlyFault: c.String(flagOnly), RunnerReboots: c.Bool(flagReboots), ChangingPolicies: c.Bool(flagPolicies),
 	})
 	if err != nil {
 		return false, err
--- a/internal/proof/soak/faults.go
+++ b/internal/proof/soak/faults.go
@@ -22,6 +22,7 @@
 	powerStream   = seriesCount + 2
 	gateStream    = seriesCount + 3
 	rebootStream  = seriesCount + 4
+	policyStream  = seriesCount + 5
 	// minFaultDuration and maxFaultDuration bound how long one fault lasts, maxFaultDelay the time between two faults of
 	// a series.
 	minFaultDuration = 200 * time.Millisecond
@@ -118,6 +119,10 @@
 		s := newFaultSeries(h, catalogStream)
 		group.Go(func() { s.growCatalog(ctx) })
 	}
+	if h.config.ChangingPolicies {
+		s := newFaultSeries(h, policyStream)
+		group.Go(func() { s.changePolicies(ctx) })
+	}
 	if h.config.ShortTerms {
 		s := newFaultSeries(h, termStream)
 		group.Go(func() { s.shortenTerms(ctx) })
@@ -268,14 +273,7 @@
 func (s *faultSeries) changeCatalog(context.Context) {
 	s.harness.catalogMu.Lock()
 	defer s.harness.catalogMu.Unlock()
-	s.harness.mu.Lock()
-	s.harness.catalogVersion++
-	version := s.harness.catalogVersion
-	s.harness.mu.Unlock()
+	version := s.harness.nextCatalog()
 	s.harness.recordFault("catalog", "version %d", version)
-	extra := 0
-	if s.harness.config.LargeCatalogs {
-		extra = extraRoutes
-	}
-	s.harness.retryChange(func() error { return s.harness.platform.ConfigureMany(version, host, prefix, string(service), extra) })
+	s.harness.writeCatalog(version)
 }
--- a/internal/proof/soak/runners.go
+++ b/internal/proof/soak/runners.go
@@ -54,7 +54,7 @@
 	id := specs.RunnerID(fmt.Sprintf("w%03d", h.runnerCount))
 	h.runnerAddresses[id] = address
 	return agent.Runner{
-		ID: id, Service: service, DataCentre: "dc1", Address: address,
+		ID: id, Service: h.serviceAt(address), DataCentre: "dc1", Address: address,
 		Capacity: types.Resources{Cores: runnerCores, Memory: types.GiB},
 	}
 }
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -93,6 +93,9 @@
 		NarrowLinks bool
 		// LargeCatalogs makes the operator's catalogs large, and the daemons' links to the store narrow.
 		LargeCatalogs bool
+		// ChangingPolicies moves the queue between two services of half of the runners each, gives and takes its recommendation, and
+		// removes its route, every second or two.
+		ChangingPolicies bool
 		// ShortTerms kills the leader every second or two and refuses its snapshots, so that no term lasts until its snapshot is
 		// written and the ledger's ring fills.
 		ShortTerms bool
@@ -146,6 +149,8 @@
 		recorder    *recorder
 		// catalogMu is held while a catalog is written, so that none is replaced by an older one.
 		catalogMu sync.Mutex
+		// policy is that of the latest catalog. It is guarded by catalogMu.
+		policy queuePolicy
 
 		mu          sync.Mutex
 		faultCounts map[string]int
@@ -155,6 +160,8 @@
 		runnerCount     int
 		runnerAddresses map[specs.RunnerID]types.Address
 		catalogVersion  int
+		// services holds the service of the runner at each address.
+		services map[types.Address]types.ServiceName
 		// violationCount is the number of recorded violations that the runners saw.
 		violationCount int
 		// longestTermless is the longest time for which the leader record was seen to name a daemon without a term.
@@ -202,7 +209,8 @@
 	}
 	h := &harness{
 		config: c, clock: clock, startedAt: clock.Now(), faultCounts: make(map[string]int), catalogVersion: firstCatalog,
-		runnerAddresses: make(map[specs.RunnerID]types.Address),
+		runnerAddresses: make(map[specs.RunnerID]types.Address), services: make(map[types.Address]types.ServiceName),
+		policy: queuePolicy{service: service},
 	}
 	h.recorder = newRecorder(clock, h.startedAt)
 	platform, err := stand.Start(clock, agent.FleetConfig{
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -129,6 +129,11 @@
 	runWith(t, soak.Config{Seed: 4, Length: shortLength, LargeCatalogs: true})
 }
 
+// Jobs go on while their queue is moved, and gets and loses its recommendation and its route.
+func TestSoakWithChangingPolicies(t *testing.T) {
+	runWith(t, soak.Config{Seed: 1316, Length: soak.DefaultLength, ChangingPolicies: true})
+}
+
 // Leaders whose terms are shorter than a snapshot leave a full ring to their successors. The ring fills only under many callers and
 // over many terms.
 func TestSoakWithShortTerms(t *testing.T) {
