--- a/internal/flow/owner/advice.go
+++ b/internal/flow/owner/advice.go
@@ -119,7 +119,7 @@
 	now := o.config.Clock.Now()
 	for _, c := range cached {
 		t := o.table.Task(specs.Ref{StepRef: c.Step})
-		if t != nil && t.Step.Job.Spec.Queue.Advice != nil {
+		if t != nil && t.Step.NeedsTicket() {
 			t.Step.Advice.RecordAnswer(c.Asked, c.Permits, now.Add(c.Left-answerMargin))
 		}
 	}
