--- a/internal/flow/owner/policy_test.go
+++ b/internal/flow/owner/policy_test.go
@@ -98,7 +98,7 @@
 	return order.MakePlan(f.owner.table, f.clock.Now(), order.Limits{AdviceBudget: f.owner.config.AdviceBudget()})
 }
 
-// wantAdviceOn checks that a plan starts nothing and asks for advice on the runner that was first of a service.
+// wantAdviceOn checks that a plan starts nothing and asks for advice on one runner: the one that was of the service at first.
 func (f *policyFixture) wantAdviceOn(service types.ServiceName) {
 	f.t.Helper()
 	p := f.plan()
@@ -323,6 +323,7 @@
 		answer := f.step.Advice.Answers[f.runners["svc"].Incarnation()]
 		answer.Until = f.clock.Now().Add(-time.Second)
 		f.step.Advice.Answers[f.runners["svc"].Incarnation()] = answer
+		// Not by SetPolicy, which would forget the answer.
 		f.step.Job.Spec.Queue.Advice = nil
 		if run := f.wantStartOn("svc"); run.Ticket != "" || !run.TicketUntil.IsZero() {
 			t.Errorf("the start has the ticket %q until %s, want none", run.Ticket, run.TicketUntil)
