Count a series of discarded starts only while it goes on

Cause: the gauge for starts that are discarded again and again counted from the first discarded one on, as long as no other was sent. A task with one stale ticket that then waited for room for a minute was reported with 60 s, and would have hidden a real series.

Change: a series goes from its first discarded start to the latest, and ends with a start that is sent or after 2 s without a further discard. unsuitedBy asks for the service once.

Test: TestOneDiscardIsNoSeries, seen to fail before (60000 ms). The test of a series of 3 s has three discards instead of two, none further apart than 2 s, and wants the same 3000 ms.

--- a/internal/flow/owner/discards.go
+++ b/internal/flow/owner/discards.go
@@ -10,6 +10,9 @@
 	"github.com/magnoliawalk/magnoliawalk/internal/plat/agent"
 )
 
+// maxDiscardGap is the longest time between two discarded starts of one series.
+const maxDiscardGap = 2 * time.Second
+
 // Reasons for which a start is discarded before it is sent.
 const (
 	// discardUnwanted means that its task no longer wants it, since its job has ended for example.
@@ -38,10 +41,14 @@
 	// Owner.mu.
 	discards struct {
 		counters map[discardReason]metrics.Counter
-		// longest is for how long, in milliseconds, a task that waits has had starts that were all discarded.
+		// longest is the time, in milliseconds, from the first discarded start of a series to the latest, of the longest series that goes on.
 		longest metrics.Gauge
-		// since holds the tasks whose latest start was discarded, and when the first of the discarded ones in a row was.
-		since map[*tasks.Task]time.Time
+		series  map[*tasks.Task]discardSeries
+	}
+
+	// discardSeries is a series of discarded starts of one task without one that was sent.
+	discardSeries struct {
+		first, latest time.Time
 	}
 )
 
@@ -49,7 +56,7 @@
 	out := discards{
 		counters: make(map[discardReason]metrics.Counter),
 		longest:  metrics.GetOrRegisterGauge("Owner.StartsDiscardedForMs", r),
-		since:    make(map[*tasks.Task]time.Time),
+		series:   make(map[*tasks.Task]discardSeries),
 	}
 	for _, reason := range []discardReason{
 		discardUnwanted, discardQuota, discardOutOfService, discardUnconfirmed, discardService, discardLabel, discardCapacity, discardTicket,
@@ -59,34 +66,41 @@
 	return out
 }
 
-// note notes that a start of the task was discarded, and returns for how long all starts of it have been.
+// note notes that a start of the task was discarded, and returns how long its series of discarded starts is.
 func (d *discards) note(t *tasks.Task, reason discardReason, now time.Time) time.Duration {
 	d.counters[reason].Inc(1)
 	if t == nil {
 		return 0
 	}
-	since, ok := d.since[t]
-	if !ok {
-		since = now
-		d.since[t] = since
+	s, ok := d.series[t]
+	if !ok || !s.goesOn(now) {
+		s.first = now
 	}
-	return now.Sub(since)
+	s.latest = now
+	d.series[t] = s
+	return s.latest.Sub(s.first)
 }
 
 // noteSent notes that a start of the task is sent.
 func (d *discards) noteSent(t *tasks.Task) {
-	delete(d.since, t)
+	delete(d.series, t)
+}
+
+// goesOn reports whether the latest start of the series was discarded within maxDiscardGap. Otherwise its task has waited for something
+// else since, for room as an example.
+func (s discardSeries) goesOn(now time.Time) bool {
+	return now.Sub(s.latest) <= maxDiscardGap
 }
 
-// updateLongest updates the gauge, and forgets the tasks that do not wait for a start any more.
+// updateLongest updates the gauge, and forgets the series that have ended.
 func (d *discards) updateLongest(now time.Time) {
 	var longest time.Duration
-	for t, since := range d.since {
-		if t.State == tasks.Done || t.Step.Job.Ending {
-			delete(d.since, t)
+	for t, s := range d.series {
+		if !s.goesOn(now) || t.Step.Job.Ending {
+			delete(d.series, t)
 			continue
 		}
-		longest = max(longest, now.Sub(since))
+		longest = max(longest, s.latest.Sub(s.first))
 	}
 	d.longest.Update(longest.Milliseconds())
 }
@@ -121,7 +135,7 @@
 func unsuitedBy(run *tasks.Run) discardReason {
 	r, step := run.Runner, run.Task.Step
 	switch {
-	case !r.Serves(step) && r.Info.Service != step.Job.Spec.Queue.Service:
+	case r.Info.Service != step.Job.Spec.Queue.Service:
 		return discardService
 	case !r.Serves(step):
 		return discardLabel
--- a/internal/flow/owner/discards_test.go
+++ b/internal/flow/owner/discards_test.go
@@ -26,8 +26,12 @@
 func TestRepeatedDiscardsOfOneTaskAreMeasured(t *testing.T) {
 	o, run := placedBefore(t, runnerChanges()["Service"])
 	task, now := run.Task, o.config.Clock.Now()
-	o.discards.note(task, discardService, now.Add(-3*time.Second))
-	o.discards.note(task, discardService, now)
+	discard := func(task *tasks.Task) {
+		o.discards.note(task, discardService, now.Add(-3*time.Second))
+		o.discards.note(task, discardService, now.Add(-1500*time.Millisecond))
+		o.discards.note(task, discardService, now)
+	}
+	discard(task)
 	o.discards.updateLongest(now)
 	if got := o.discards.longest.Value(); got != 3000 {
 		t.Errorf("a task without a start for 3 s is reported with %d ms", got)
@@ -37,10 +41,24 @@
 	if got := o.discards.longest.Value(); got != 0 {
 		t.Errorf("a task whose start was sent is reported with %d ms", got)
 	}
-	o.discards.note(task, discardService, now.Add(-3*time.Second))
+	discard(task)
 	o.endJob(task.Step.Job, tasks.JobCancelled, "test")
 	o.discards.updateLongest(now)
 	if got := o.discards.longest.Value(); got != 0 {
 		t.Errorf("a task of an ended job is reported with %d ms", got)
 	}
 }
+
+// Guards against a task that had one start discarded and then waits for room: it would look like one whose starts are all discarded.
+func TestOneDiscardIsNoSeries(t *testing.T) {
+	o, run := placedBefore(t, runnerChanges()["Service"])
+	now := o.config.Clock.Now()
+	o.discards.note(run.Task, discardService, now.Add(-time.Minute))
+	o.discards.updateLongest(now)
+	if got := o.discards.longest.Value(); got != 0 {
+		t.Errorf("a task with one discarded start, a minute ago, is reported with %d ms", got)
+	}
+	if got := o.discards.note(run.Task, discardService, now); got != 0 {
+		t.Errorf("a discarded start a minute after the former one counts to a series of %s", got)
+	}
+}
